--- a/interfaces.go
+++ b/interfaces.go
@@ -41,11 +41,50 @@
 	SyncDir() error
 }
 
-// Proposer commits commands to the replicated state; any node implements it, by way of the leader.
+// CommandKind tells which Machine applies a command.
+type CommandKind uint8
+
+// Kinds of commands; the numbers are part of the log's format and are never used again for another kind.
+const (
+	// CommandRecord writes or withdraws records.
+	CommandRecord CommandKind = 1
+	// CommandMember adds or removes nodes.
+	CommandMember CommandKind = 2
+	// CommandClaim claims, completes or releases non-idempotent requests.
+	CommandClaim CommandKind = 3
+	// CommandOrder records decisions and orders to engines.
+	CommandOrder CommandKind = 4
+	// CommandCrash counts crashes by request fingerprint.
+	CommandCrash CommandKind = 5
+)
+
+// Entry describes the committed log entry that carries a command.
+type Entry struct {
+	Index Index
+	Term  Term
+	// Stamp is the cluster's time in milliseconds: the leader's wall clock, never below that of an earlier entry.
+	// Retention is counted in it, so that all replicas agree.
+	Stamp int64
+}
+
+// Machine is one part of the replicated state. It is deterministic: equal commands in equal order give equal results
+// and equal snapshots on each replica. Apply, Snapshot and Restore are called by one goroutine; a Machine locks
+// against its own readers.
+type Machine interface {
+	// Apply applies one committed command and returns its encoded result. A command that is refused has a result that says
+	// so; Apply does not fail.
+	Apply(e Entry, command []byte) []byte
+	// Snapshot encodes the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state by an encoded one.
+	Restore(snapshot []byte) error
+}
+
+// Proposer commits commands to the replicated state; each node implements it, by way of the leader.
 type Proposer interface {
 	// Propose returns the encoded result of the command once it is committed and applied on the leader.
-	// An error that wraps ErrUncertain leaves open whether the command takes effect.
-	Propose(ctx context.Context, command []byte) ([]byte, error)
+	// An error that wraps ErrUncertain leaves open whether the command takes effect; after any other error it does not.
+	Propose(ctx context.Context, kind CommandKind, command []byte) ([]byte, error)
 }
 
 // Targets is a node's view of the live targets.
