--- /dev/null
+++ b/internal/observe/trace/trace.go
@@ -0,0 +1,97 @@
+package trace
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// Config names the exporters of a Provider; without any, spans are not recorded but their context is still passed on.
+type Config struct {
+	// Process is the value of service.name.
+	Process string
+	// Collector is the host:port of an OTLP/HTTP collector, or empty.
+	Collector string
+	// Lines receives each span as one line of JSON when it is not nil.
+	Lines io.Writer
+}
+
+// Kind classifies an Error.
+type Kind string
+
+// KindExporter marks an exporter that could not be set up or flushed.
+const KindExporter Kind = "exporter"
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("trace %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Provider hands out tracers and flushes their spans on Close.
+type Provider struct {
+	sdk *sdktrace.TracerProvider
+}
+
+// New returns a Provider for cfg.
+func New(ctx context.Context, cfg Config) (*Provider, error) {
+	var opts []sdktrace.TracerProviderOption
+	if cfg.Collector != "" {
+		exp, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(cfg.Collector), otlptracehttp.WithInsecure())
+		if err != nil {
+			return nil, &Error{Op: "collector", Kind: KindExporter, Err: err}
+		}
+		opts = append(opts, sdktrace.WithBatcher(exp))
+	}
+	if cfg.Lines != nil {
+		exp, err := stdouttrace.New(stdouttrace.WithWriter(cfg.Lines))
+		if err != nil {
+			return nil, &Error{Op: "lines", Kind: KindExporter, Err: err}
+		}
+		opts = append(opts, sdktrace.WithBatcher(exp))
+	}
+	if len(opts) == 0 {
+		return &Provider{}, nil
+	}
+	opts = append(opts, sdktrace.WithResource(resource.NewSchemaless(
+		attribute.String("service.name", cfg.Process))))
+	return &Provider{sdk: sdktrace.NewTracerProvider(opts...)}, nil
+}
+
+// Tracer returns a tracer for one component.
+func (p *Provider) Tracer(component string) oteltrace.Tracer {
+	if p.sdk == nil {
+		return noop.NewTracerProvider().Tracer(component)
+	}
+	return p.sdk.Tracer(component)
+}
+
+// Close flushes and stops the exporters.
+func (p *Provider) Close(ctx context.Context) error {
+	if p.sdk == nil {
+		return nil
+	}
+	if err := p.sdk.Shutdown(ctx); err != nil {
+		return &Error{Op: "close", Kind: KindExporter, Err: err}
+	}
+	return nil
+}
+
+// Propagator returns the W3C trace-context propagator.
+func Propagator() propagation.TextMapPropagator { return propagation.TraceContext{} }
--- /dev/null
+++ b/internal/observe/trace/trace_test.go
@@ -0,0 +1,39 @@
+package trace_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/propagation"
+
+	"example.org/camphorhinge/internal/observe/trace"
+)
+
+// Guards against a hop that loses the caller's trace id or its own span.
+func TestSpansKeepTheCallersTrace(t *testing.T) {
+	const caller = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	var out bytes.Buffer
+	p, err := trace.New(context.Background(), trace.Config{Process: "node-1", Lines: &out})
+	require.NoError(t, err)
+
+	in := propagation.MapCarrier{"traceparent": caller}
+	ctx := trace.Propagator().Extract(context.Background(), in)
+	ctx, span := p.Tracer("frontend").Start(ctx, "request")
+	passed := propagation.MapCarrier{}
+	trace.Propagator().Inject(ctx, passed)
+	span.End()
+	require.NoError(t, p.Close(context.Background()))
+
+	require.Contains(t, passed["traceparent"], "0af7651916cd43dd8448eb211c80319c")
+	require.NotEqual(t, caller, passed["traceparent"])
+	var line struct {
+		Name   string
+		Parent struct{ SpanID string }
+	}
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.Equal(t, "request", line.Name)
+	require.Equal(t, "b7ad6b7169203331", line.Parent.SpanID)
+}
