--- /dev/null
+++ b/internal/fleet/registry/registry.go
@@ -0,0 +1,274 @@
+package registry
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	// MaxTargets bounds the registry's memory; it is above the 10,000 replicas of the size in two years.
+	MaxTargets = 20000
+	// PollAfter is the age of a target's last renewal from which the node asks the target itself.
+	PollAfter = 1500 * time.Millisecond
+	// refreshInterval bounds how often a service's list is rebuilt for load reports alone.
+	refreshInterval = 50 * time.Millisecond
+	// forgetAfter is how long an expired target's (incarnation, seq) is remembered, so that a late announcement of it is
+	// still recognised as old.
+	forgetAfter = time.Minute
+)
+
+// Config holds what a Registry needs.
+type Config struct {
+	Clock camphorhinge.Clock
+	// Held reports whether the replicated decisions keep new work away from a target; nil means never.
+	Held func(camphorhinge.TargetName) bool
+	// Observe is called for each accepted announcement, in order per target; nil means no observer.
+	Observe func(*camphorhinge.Target)
+	Metrics *metrics.Set
+}
+
+// Registry is a node's view of the live targets; it implements camphorhinge.Targets.
+//
+// Invariant: for each target the entry with the highest (incarnation, seq) holds, whatever the order of arrival.
+type Registry struct {
+	cfg Config
+
+	mu       sync.Mutex
+	targets  map[camphorhinge.TargetName]*entry
+	services map[camphorhinge.ServiceName]*serviceList
+	fresh    map[camphorhinge.TargetName]bool
+
+	accepted, old, refused *metrics.Counter
+}
+
+type entry struct {
+	target *camphorhinge.Target
+	// polled is when the node last asked the target itself.
+	polled camphorhinge.Instant
+}
+
+type serviceList struct {
+	members map[camphorhinge.TargetName]*entry
+	live    []*camphorhinge.Target
+	built   camphorhinge.Instant
+	// expires is when the first target of live expires.
+	expires camphorhinge.Instant
+	// dirty asks for a rebuild at the next refresh, urgent at the next call.
+	dirty, urgent bool
+}
+
+// New returns an empty Registry.
+func New(cfg Config) *Registry {
+	r := &Registry{
+		cfg:      cfg,
+		targets:  map[camphorhinge.TargetName]*entry{},
+		services: map[camphorhinge.ServiceName]*serviceList{},
+		fresh:    map[camphorhinge.TargetName]bool{},
+		accepted: cfg.Metrics.NewCounter(`camphorhinge_announcements_total{result="accepted"}`),
+		old:      cfg.Metrics.NewCounter(`camphorhinge_announcements_total{result="old"}`),
+		refused:  cfg.Metrics.NewCounter(`camphorhinge_announcements_total{result="refused"}`),
+	}
+	cfg.Metrics.NewGauge(`camphorhinge_targets`, func() float64 { return float64(r.Len()) })
+	return r
+}
+
+// Announce takes an announcement that is age old. Direct tells that it came from the target and not from another node;
+// direct ones are passed on. It reports whether the announcement is newer than what the registry held.
+func (r *Registry) Announce(a camphorhinge.Announcement, age time.Duration, direct bool) (bool, error) {
+	now := r.cfg.Clock.Now()
+	heard := now.Add(-max(age, 0))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.targets[a.Name]
+	if e != nil && !newer(&a, &e.target.Announcement) {
+		r.old.Inc()
+		return false, nil
+	}
+	if e == nil && len(r.targets) >= MaxTargets {
+		r.forget(now)
+		if len(r.targets) >= MaxTargets {
+			r.refused.Inc()
+			return false, &Error{Op: "announce", Kind: KindFull, Err: fmt.Errorf("%d targets", MaxTargets)}
+		}
+	}
+	t := &camphorhinge.Target{Announcement: a, Heard: heard}
+	r.put(e, t)
+	if direct {
+		r.fresh[a.Name] = true
+	}
+	r.accepted.Inc()
+	if r.cfg.Observe != nil {
+		r.cfg.Observe(t)
+	}
+	return true, nil
+}
+
+func newer(a, held *camphorhinge.Announcement) bool {
+	if a.Incarnation != held.Incarnation {
+		return a.Incarnation > held.Incarnation
+	}
+	return a.Seq > held.Seq
+}
+
+func (r *Registry) put(e *entry, t *camphorhinge.Target) {
+	urgent := true
+	if e == nil {
+		e = &entry{}
+		r.targets[t.Name] = e
+	} else {
+		if e.target.Service != t.Service {
+			r.drop(e)
+		}
+		urgent = changed(e.target, t)
+	}
+	e.target = t
+	s := r.services[t.Service]
+	if s == nil {
+		s = &serviceList{members: map[camphorhinge.TargetName]*entry{}}
+		r.services[t.Service] = s
+	}
+	s.members[t.Name] = e
+	s.dirty = true
+	s.urgent = s.urgent || urgent
+}
+
+// changed reports whether routing must see the difference at once: anything but load and cache.
+func changed(old, t *camphorhinge.Target) bool {
+	return old.Incarnation != t.Incarnation || old.Leaving != t.Leaving || old.Busy != t.Busy ||
+		old.Address != t.Address || old.Role != t.Role || old.Revision != t.Revision ||
+		!slices.Equal(old.Models, t.Models) || !slices.Equal(old.Adapters, t.Adapters)
+}
+
+func (r *Registry) drop(e *entry) {
+	s := r.services[e.target.Service]
+	delete(s.members, e.target.Name)
+	s.urgent = true
+	if len(s.members) == 0 {
+		delete(r.services, e.target.Service)
+	}
+}
+
+// forget removes targets that expired long ago.
+func (r *Registry) forget(now camphorhinge.Instant) {
+	for name, e := range r.targets {
+		if now.Sub(e.target.Heard) > forgetAfter {
+			r.drop(e)
+			delete(r.targets, name)
+			delete(r.fresh, name)
+		}
+	}
+}
+
+// Changed asks for fresh lists at the next call of Live, after a change of what Held reports.
+func (r *Registry) Changed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services {
+		s.urgent = true
+	}
+}
+
+// Live returns the live targets of a service, sorted by name; the caller must not change the slice.
+func (r *Registry) Live(service camphorhinge.ServiceName) []*camphorhinge.Target {
+	now := r.cfg.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[service]
+	if s == nil {
+		return nil
+	}
+	if s.urgent || now >= s.expires || (s.dirty && now.Sub(s.built) >= refreshInterval) {
+		r.rebuild(s, now)
+	}
+	return s.live
+}
+
+func (r *Registry) rebuild(s *serviceList, now camphorhinge.Instant) {
+	live := make([]*camphorhinge.Target, 0, len(s.members))
+	s.expires = now.Add(camphorhinge.TargetExpiry)
+	for _, e := range s.members {
+		ends := e.target.Heard.Add(camphorhinge.TargetExpiry)
+		if now >= ends {
+			continue
+		}
+		s.expires = min(s.expires, ends)
+		t := *e.target
+		t.Serving = !t.Leaving && !t.Busy && (r.cfg.Held == nil || !r.cfg.Held(t.Name))
+		live = append(live, &t)
+	}
+	slices.SortFunc(live, func(a, b *camphorhinge.Target) int { return cmp.Compare(a.Name, b.Name) })
+	s.live, s.built, s.dirty, s.urgent = live, now, false, false
+}
+
+// Len returns the number of targets held, expired ones included until they are forgotten.
+func (r *Registry) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.targets)
+}
+
+// All returns the live targets of all services, sorted by name.
+func (r *Registry) All() []*camphorhinge.Target {
+	r.mu.Lock()
+	names := make([]camphorhinge.ServiceName, 0, len(r.services))
+	for name := range r.services {
+		names = append(names, name)
+	}
+	r.mu.Unlock()
+	var all []*camphorhinge.Target
+	for _, name := range names {
+		all = append(all, r.Live(name)...)
+	}
+	slices.SortFunc(all, func(a, b *camphorhinge.Target) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Aged is an announcement with its age at the time of the call that returned it.
+type Aged struct {
+	Announcement camphorhinge.Announcement
+	Age          time.Duration
+}
+
+// TakeFresh returns the announcements that came directly from targets since the last call, to be passed on to other nodes.
+func (r *Registry) TakeFresh() []Aged {
+	now := r.cfg.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	out := make([]Aged, 0, len(r.fresh))
+	for name := range r.fresh {
+		t := r.targets[name].target
+		out = append(out, Aged{Announcement: t.Announcement, Age: now.Sub(t.Heard)})
+	}
+	clear(r.fresh)
+	slices.SortFunc(out, func(a, b Aged) int { return cmp.Compare(a.Announcement.Name, b.Announcement.Name) })
+	return out
+}
+
+// DuePolls returns at most limit targets whose renewals stopped arriving and which the node should ask itself now.
+// Each is returned at most once per AnnounceInterval, until it is forgotten.
+func (r *Registry) DuePolls(limit int) []camphorhinge.Announcement {
+	now := r.cfg.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var due []camphorhinge.Announcement
+	for _, e := range r.targets {
+		if len(due) >= limit {
+			break
+		}
+		silent := now.Sub(e.target.Heard) >= PollAfter
+		if !silent || e.target.Leaving || now.Sub(e.polled) < camphorhinge.AnnounceInterval {
+			continue
+		}
+		e.polled = now
+		due = append(due, e.target.Announcement)
+	}
+	return due
+}
