--- /dev/null
+++ b/internal/node/member/table.go
@@ -0,0 +1,121 @@
+package member
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"example.org/camphorhinge"
+)
+
+// maxNodes bounds the table; it is above the 330 nodes of the size in two years.
+const maxNodes = 1024
+
+// Node is one entry node.
+type Node struct {
+	Name    camphorhinge.NodeID `json:"name"`
+	Address string              `json:"address"`
+	Zone    camphorhinge.Zone   `json:"zone"`
+	// Replica is the identity of the node's replica of the durable state, or 0 when it has none.
+	Replica camphorhinge.ReplicaID `json:"replica,omitempty"`
+}
+
+// Action is what a Command does.
+type Action string
+
+const (
+	// ActionPut adds or replaces a node.
+	ActionPut Action = "put"
+	// ActionRemove removes a node.
+	ActionRemove Action = "remove"
+)
+
+// Command is one change of the table.
+type Command struct {
+	Action Action `json:"action"`
+	Node   Node   `json:"node"`
+}
+
+// Result tells how a Command ended.
+type Result struct {
+	// Refused is empty when the command took effect or changed nothing.
+	Refused string `json:"refused,omitempty"`
+}
+
+// Table is the camphorhinge.Machine of entry nodes.
+type Table struct {
+	mu    sync.RWMutex
+	nodes map[camphorhinge.NodeID]Node
+}
+
+// New returns an empty Table.
+func New() *Table { return &Table{nodes: map[camphorhinge.NodeID]Node{}} }
+
+// Apply applies an encoded Command and returns an encoded Result.
+func (t *Table) Apply(_ camphorhinge.Entry, command []byte) []byte {
+	var c Command
+	if err := json.Unmarshal(command, &c); err != nil {
+		return encode(Result{Refused: "malformed command: " + err.Error()})
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch c.Action {
+	case ActionPut:
+		if _, ok := t.nodes[c.Node.Name]; !ok && len(t.nodes) >= maxNodes {
+			return encode(Result{Refused: "too many nodes"})
+		}
+		t.nodes[c.Node.Name] = c.Node
+	case ActionRemove:
+		delete(t.nodes, c.Node.Name)
+	default:
+		return encode(Result{Refused: "unknown action " + string(c.Action)})
+	}
+	return encode(Result{})
+}
+
+func encode(r Result) []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic("encode result: " + err.Error()) // Result has only marshalable fields.
+	}
+	return data
+}
+
+// Nodes returns all nodes, sorted by name.
+func (t *Table) Nodes() []Node {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	nodes := make([]Node, 0, len(t.nodes))
+	for _, n := range t.nodes {
+		nodes = append(nodes, n)
+	}
+	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+	return nodes
+}
+
+// Get returns the node with the given name.
+func (t *Table) Get(name camphorhinge.NodeID) (Node, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	n, ok := t.nodes[name]
+	return n, ok
+}
+
+// Snapshot encodes the table.
+func (t *Table) Snapshot() ([]byte, error) { return json.Marshal(t.Nodes()) }
+
+// Restore replaces the table by an encoded one.
+func (t *Table) Restore(snapshot []byte) error {
+	var nodes []Node
+	if err := json.Unmarshal(snapshot, &nodes); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.nodes)
+	for _, n := range nodes {
+		t.nodes[n.Name] = n
+	}
+	return nil
+}
