--- /dev/null
+++ b/internal/node/peer/client.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to a peer.
+	dialTimeout = time.Second
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 30 * time.Second
+	// connectionsPerPeer bounds idle connections to one peer.
+	connectionsPerPeer = 8
+)
+
+// Conn holds the clients of one peer.
+type Conn struct {
+	Replica peerpb.Replica
+	Control peerpb.Control
+	Spread  peerpb.Spread
+}
+
+// Pool hands out clients by peer address.
+type Pool struct {
+	creds *credentials
+
+	mu    sync.Mutex
+	conns map[string]*Conn
+}
+
+// NewPool returns an empty Pool. Files may be nil for plain TCP.
+func NewPool(files *Files) (*Pool, error) {
+	p := &Pool{conns: map[string]*Conn{}}
+	if files == nil {
+		return p, nil
+	}
+	creds, err := newCredentials(*files)
+	if err != nil {
+		return nil, err
+	}
+	p.creds = creds
+	return p, nil
+}
+
+// Get returns the clients of the peer at address, which is IP:port.
+func (p *Pool) Get(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		return c
+	}
+	scheme := "http://"
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSHandshakeTimeout: dialTimeout,
+		MaxIdleConnsPerHost: connectionsPerPeer,
+		IdleConnTimeout:     idleTimeout,
+	}
+	if p.creds != nil {
+		scheme = "https://"
+		transport.TLSClientConfig = p.creds.clientConfig()
+	}
+	client := &http.Client{Transport: &dropSilent{inner: transport}}
+	c := &Conn{
+		Replica: peerpb.NewReplicaProtobufClient(scheme+address, client),
+		Control: peerpb.NewControlProtobufClient(scheme+address, client),
+		Spread:  peerpb.NewSpreadProtobufClient(scheme+address, client),
+	}
+	p.conns[address] = c
+	return c
+}
+
+// Close drops all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.conns {
+		delete(p.conns, address)
+	}
+}
+
+// dropSilent closes idle sibling connections when a call ends without an answer.
+type dropSilent struct{ inner *http.Transport }
+
+// RoundTrip sends one call.
+func (d *dropSilent) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := d.inner.RoundTrip(req)
+	if err != nil && (errors.Is(err, context.DeadlineExceeded) || isTimeout(err)) {
+		d.inner.CloseIdleConnections()
+	}
+	return resp, err
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- /dev/null
+++ b/internal/node/peer/peer_test.go
@@ -0,0 +1,191 @@
+package peer_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+)
+
+type echo struct {
+	peerpb.Control
+	peerpb.Replica
+	peerpb.Spread
+}
+
+func (echo) Propose(_ context.Context, req *peerpb.ProposeRequest) (*peerpb.ProposeResponse, error) {
+	return &peerpb.ProposeResponse{Result: req.GetCommand(), Outcome: "done"}, nil
+}
+
+// authority signs certificates of one test cluster.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "cluster"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{cert: cert, key: key}
+}
+
+// issue writes a certificate, its key and the authority into dir, over what is there.
+func (a *authority) issue(t *testing.T, dir string) peer.Files {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "node"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(t, err)
+	files := peer.Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
+	for name, block := range map[string]*pem.Block{
+		files.Cert: {Type: "CERTIFICATE", Bytes: der},
+		files.Key:  {Type: "PRIVATE KEY", Bytes: keyDER},
+		files.CA:   {Type: "CERTIFICATE", Bytes: a.cert.Raw},
+	} {
+		require.NoError(t, os.WriteFile(name, pem.EncodeToMemory(block), 0o600))
+	}
+	return files
+}
+
+func serve(t *testing.T, files *peer.Files) string {
+	t.Helper()
+	s, err := peer.NewServer("127.0.0.1:0", files, peer.Services{Replica: echo{}, Control: echo{}, Spread: echo{}})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return s.Serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, g.Wait())
+	})
+	return s.Address()
+}
+
+func call(t *testing.T, pool *peer.Pool, address string) error {
+	t.Helper()
+	resp, err := pool.Get(address).Control.Propose(context.Background(), &peerpb.ProposeRequest{Command: []byte("x")})
+	if err == nil {
+		require.Equal(t, "x", string(resp.GetResult()))
+	}
+	return err
+}
+
+// Guards against a peer port that answers processes of another cluster or without a certificate.
+func TestOnlyPeersOfTheClusterAreAnswered(t *testing.T) {
+	own, foreign := newAuthority(t), newAuthority(t)
+	serverFiles, clientFiles, foreignFiles := own.issue(t, t.TempDir()), own.issue(t, t.TempDir()), foreign.issue(t, t.TempDir())
+	tests := []struct {
+		name           string
+		server, client *peer.Files
+		ok             bool
+	}{
+		{name: "same cluster", server: &serverFiles, client: &clientFiles, ok: true},
+		{name: "plain both", ok: true},
+		{name: "foreign client", server: &serverFiles, client: &foreignFiles},
+		{name: "foreign server", server: &foreignFiles, client: &clientFiles},
+		{name: "plain client", server: &serverFiles},
+		{name: "plain server", client: &clientFiles},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address := serve(t, tt.server)
+			pool, err := peer.NewPool(tt.client)
+			require.NoError(t, err)
+			require.Equal(t, tt.ok, call(t, pool, address) == nil)
+		})
+	}
+}
+
+// Guards against a certificate renewal that needs a restart.
+func TestCertificatesAreReadAgain(t *testing.T) {
+	oldCA, newCA := newAuthority(t), newAuthority(t)
+	serverDir, clientDir := t.TempDir(), t.TempDir()
+	serverFiles, clientFiles := oldCA.issue(t, serverDir), oldCA.issue(t, clientDir)
+	address := serve(t, &serverFiles)
+	pool, err := peer.NewPool(&clientFiles)
+	require.NoError(t, err)
+	require.NoError(t, call(t, pool, address))
+
+	newCA.issue(t, serverDir)
+	newCA.issue(t, clientDir)
+	later := time.Now().Add(time.Minute)
+	for _, dir := range []string{serverDir, clientDir} {
+		require.NoError(t, os.Chtimes(filepath.Join(dir, "cert.pem"), later, later))
+	}
+	fresh, err := peer.NewPool(&clientFiles)
+	require.NoError(t, err)
+	require.NoError(t, call(t, fresh, address))
+}
+
+// Guards against a connection that went silent being used again after a call timed out.
+func TestSilentConnectionIsDropped(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	accepted := make(chan net.Conn, 8)
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			accepted <- c
+		}
+	})
+	pool, err := peer.NewPool(nil)
+	require.NoError(t, err)
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		_, err := pool.Get(listener.Addr().String()).Control.Propose(ctx, &peerpb.ProposeRequest{})
+		cancel()
+		require.Error(t, err)
+		c := <-accepted // Each call opens a connection of its own.
+		t.Cleanup(func() { c.Close() })
+	}
+	listener.Close()
+	require.NoError(t, g.Wait())
+}
+
+// Guards against a start with unusable certificate files.
+func TestUnusableFiles(t *testing.T) {
+	dir := t.TempDir()
+	files := newAuthority(t).issue(t, dir)
+	require.NoError(t, os.WriteFile(files.CA, []byte("not PEM"), 0o600))
+	_, err := peer.NewPool(&files)
+	require.ErrorContains(t, err, "no certificate in")
+	files.Cert = filepath.Join(dir, "missing.pem")
+	_, err = peer.NewServer("127.0.0.1:0", &files, peer.Services{})
+	require.ErrorContains(t, err, "missing.pem")
+}
--- /dev/null
+++ b/internal/node/peer/server.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+)
+
+const (
+	// MaxBody is the largest body of a call, in bytes; snapshots travel in smaller chunks.
+	MaxBody = 8 << 20
+	// headerTimeout bounds how long a peer may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds a whole call, longer than any call's own timeout.
+	bodyTimeout = 30 * time.Second
+)
+
+// Services are the implementations that a Server offers.
+type Services struct {
+	Replica peerpb.Replica
+	Control peerpb.Control
+	Spread  peerpb.Spread
+}
+
+// Server serves the peer port.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// NewServer opens the peer port. Files may be nil for plain TCP.
+func NewServer(address string, files *Files, svc Services) (*Server, error) {
+	var config *tls.Config
+	if files != nil {
+		creds, err := newCredentials(*files)
+		if err != nil {
+			return nil, err
+		}
+		config = creds.serverConfig()
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	mux := http.NewServeMux()
+	replica := peerpb.NewReplicaServer(svc.Replica)
+	control := peerpb.NewControlServer(svc.Control)
+	spread := peerpb.NewSpreadServer(svc.Spread)
+	mux.Handle(replica.PathPrefix(), replica)
+	mux.Handle(control.PathPrefix(), control)
+	mux.Handle(spread.PathPrefix(), spread)
+	return &Server{
+		listener: listener,
+		http: &http.Server{
+			Handler:           http.MaxBytesHandler(mux, MaxBody),
+			ReadHeaderTimeout: headerTimeout,
+			ReadTimeout:       bodyTimeout,
+			WriteTimeout:      bodyTimeout,
+		},
+	}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve answers calls until ctx ends; calls under way then get a second to finish.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		late, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := s.http.Shutdown(late); err != nil {
+			_ = s.http.Close() // Calls that outlast the grace time are cut.
+		}
+	})
+	defer stop()
+	if err := s.http.Serve(s.listener); err != nil && ctx.Err() == nil {
+		return &Error{Op: "serve", Kind: KindListen, Err: err}
+	}
+	return nil
+}
