--- /dev/null
+++ b/internal/node/setting/setting.go
@@ -0,0 +1,157 @@
+package setting
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+// Serve holds the settings of one serve process.
+type Serve struct {
+	Node camphorhinge.NodeID
+	Zone camphorhinge.Zone
+
+	CallerListen   string
+	TargetListen   string
+	OperatorListen string
+	PeerListen     string
+	// PeerAddress is the IP:port at which other nodes reach PeerListen; empty takes PeerListen.
+	PeerAddress string
+
+	// Data is the data folder; empty for a node without a replica.
+	Data      string
+	Bootstrap bool
+	Join      bool
+	// Peers are peer addresses of other nodes, to find the leader.
+	Peers []string
+
+	PeerPlain bool
+	PeerCert  string
+	PeerKey   string
+	PeerCA    string
+
+	OperatorToken string
+	TargetToken   string
+
+	StopDelay      time.Duration
+	StopLimit      time.Duration
+	StaleLimit     time.Duration
+	ClaimRetention time.Duration
+
+	TraceCollector string
+	TraceFile      string
+	LogLevel       string
+	LogFormat      string
+
+	// WeightLoads is the number of weight loads that may run at once, WeightRate the bytes per second they share.
+	WeightLoads int
+	WeightRate  int64
+}
+
+// Bounds on durations that settings may name.
+const (
+	maxStaleLimit     = time.Hour
+	maxStop           = time.Hour
+	minClaimRetention = time.Minute
+	maxClaimRetention = 7 * 24 * time.Hour
+)
+
+// Check returns all faults of the settings, joined; each names its flag.
+func (s *Serve) Check() error {
+	var errs []error
+	fault := func(ok bool, flag, format string, args ...any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf("--%s: %s", flag, fmt.Sprintf(format, args...)))
+		}
+	}
+
+	fault(s.Node != "", "node", "expected the name of this node")
+	fault(s.Zone != "", "zone", "expected the availability zone of this VM")
+	for _, l := range []struct{ flag, address string }{
+		{"caller-listen", s.CallerListen},
+		{"target-listen", s.TargetListen},
+		{"operator-listen", s.OperatorListen},
+		{"peer-listen", s.PeerListen},
+	} {
+		_, err := netip.ParseAddrPort(l.address)
+		fault(err == nil, l.flag, "expected IP:port, got %q", l.address)
+	}
+	errs = append(errs, s.portFaults()...)
+	errs = append(errs, s.peerFaults()...)
+
+	fault(!s.Bootstrap || !s.Join, "bootstrap", "contradicts --join")
+	fault(!s.Bootstrap || s.Data != "", "bootstrap", "needs --data")
+	fault(!s.Join || s.Data != "", "join", "needs --data; a node without a replica joins by itself")
+	fault(!s.Join || len(s.Peers) > 0, "join", "needs --peers")
+	fault(s.Data != "" || len(s.Peers) > 0, "peers", "expected at least one peer address for a node without --data")
+	fault(fileExists(s.OperatorToken), "operator-token", "expected a readable file, got %q", s.OperatorToken)
+	fault(s.TargetToken == "" || fileExists(s.TargetToken), "target-token", "expected a readable file, got %q", s.TargetToken)
+
+	fault(s.StopDelay >= 0 && s.StopDelay <= maxStop, "stop-delay", "expected 0 to %v", maxStop)
+	fault(s.StopLimit > 0 && s.StopLimit <= maxStop, "stop-limit", "expected more than 0 and at most %v", maxStop)
+	fault(s.StaleLimit >= 0 && s.StaleLimit <= maxStaleLimit, "stale-limit", "expected 0 to %v", maxStaleLimit)
+	fault(s.ClaimRetention >= minClaimRetention && s.ClaimRetention <= maxClaimRetention,
+		"claim-retention", "expected %v to %v", minClaimRetention, maxClaimRetention)
+	fault(s.WeightLoads > 0, "weight-loads", "expected at least 1")
+	fault(s.WeightRate > 0, "weight-rate", "expected at least 1 byte per second")
+	return errors.Join(errs...)
+}
+
+func (s *Serve) portFaults() []error {
+	seen := map[string]string{}
+	var errs []error
+	for _, l := range []struct{ flag, address string }{
+		{"caller-listen", s.CallerListen},
+		{"target-listen", s.TargetListen},
+		{"operator-listen", s.OperatorListen},
+		{"peer-listen", s.PeerListen},
+	} {
+		if strings.HasSuffix(l.address, ":0") {
+			continue
+		}
+		if other := seen[l.address]; other != "" {
+			errs = append(errs, fmt.Errorf("--%s: same address as --%s; each kind of client has its own port", l.flag, other))
+		}
+		seen[l.address] = l.flag
+	}
+	return errs
+}
+
+func (s *Serve) peerFaults() []error {
+	var errs []error
+	for _, p := range s.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			errs = append(errs, fmt.Errorf("--peers: expected IP:port, got %q", p))
+		}
+	}
+	if s.PeerAddress != "" {
+		if _, err := netip.ParseAddrPort(s.PeerAddress); err != nil {
+			errs = append(errs, fmt.Errorf("--peer-address: expected IP:port, got %q", s.PeerAddress))
+		}
+	} else if a, err := netip.ParseAddrPort(s.PeerListen); err == nil && a.Addr().IsUnspecified() {
+		errs = append(errs, errors.New("--peer-address: needed when --peer-listen names no single address"))
+	}
+	files := []struct{ flag, name string }{{"peer-cert", s.PeerCert}, {"peer-key", s.PeerKey}, {"peer-ca", s.PeerCA}}
+	for _, f := range files {
+		switch {
+		case s.PeerPlain && f.name != "":
+			errs = append(errs, fmt.Errorf("--%s: contradicts --peer-plain", f.flag))
+		case !s.PeerPlain && !fileExists(f.name):
+			errs = append(errs, fmt.Errorf("--%s: expected a readable file, got %q (or --peer-plain for no TLS)", f.flag, f.name))
+		}
+	}
+	return errs
+}
+
+func fileExists(name string) bool {
+	if name == "" {
+		return false
+	}
+	info, err := os.Stat(name)
+	return err == nil && !info.IsDir()
+}
