--- /dev/null
+++ b/internal/cli/command/serve.go
@@ -0,0 +1,76 @@
+package command
+
+import (
+	"io"
+	"log/slog"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/config"
+	"example.org/camphorhinge/internal/node/setting"
+)
+
+const (
+	defaultStopDelay      = 3 * time.Second
+	defaultStopLimit      = 10 * time.Minute
+	defaultClaimRetention = 24 * time.Hour
+	defaultWeightRate     = 1 << 30
+	defaultWeightLoads    = 2
+)
+
+// serveFlags binds the settings of the serve process to flags; the application names their environment variables.
+func serveFlags(cmd *kingpin.CmdClause) *setting.Serve {
+	s := &setting.Serve{}
+	cmd.Flag("node", "Name of this node, stable across restarts.").StringVar((*string)(&s.Node))
+	cmd.Flag("zone", "Availability zone of this VM.").StringVar((*string)(&s.Zone))
+	cmd.Flag("caller-listen", "IP:port for callers and the balancer.").Default("127.0.0.1:8080").StringVar(&s.CallerListen)
+	cmd.Flag("target-listen", "IP:port at which targets announce themselves.").Default("127.0.0.1:8081").StringVar(&s.TargetListen)
+	cmd.Flag("operator-listen", "IP:port for the operator and /metrics.").Default("127.0.0.1:8082").StringVar(&s.OperatorListen)
+	cmd.Flag("peer-listen", "IP:port for other nodes.").Default("127.0.0.1:8083").StringVar(&s.PeerListen)
+	cmd.Flag("peer-address", "IP:port at which other nodes reach --peer-listen.").StringVar(&s.PeerAddress)
+	cmd.Flag("data", "Data folder; with it the node holds a replica of the durable state.").StringVar(&s.Data)
+	cmd.Flag("bootstrap", "Create a new cluster in an empty data folder.").BoolVar(&s.Bootstrap)
+	cmd.Flag("join", "Join a cluster with an empty data folder, also to replace a lost disk.").BoolVar(&s.Join)
+	cmd.Flag("peers", "Peer addresses of other nodes; may be repeated.").StringsVar(&s.Peers)
+	cmd.Flag("peer-plain", "Talk to other nodes without TLS.").BoolVar(&s.PeerPlain)
+	cmd.Flag("peer-cert", "PEM file with this node's certificate.").StringVar(&s.PeerCert)
+	cmd.Flag("peer-key", "PEM file with this node's private key.").StringVar(&s.PeerKey)
+	cmd.Flag("peer-ca", "PEM file with the cluster's certificate authority.").StringVar(&s.PeerCA)
+	cmd.Flag("operator-token", "File with the operator's token.").StringVar(&s.OperatorToken)
+	cmd.Flag("target-token", "File with the token that targets announce with; without it any target may announce.").StringVar(&s.TargetToken)
+	cmd.Flag("stop-delay", "Time between failing readiness and closing the ports on a planned stop.").
+		Default(defaultStopDelay.String()).DurationVar(&s.StopDelay)
+	cmd.Flag("stop-limit", "Longest time for which a planned stop waits for requests under way.").
+		Default(defaultStopLimit.String()).DurationVar(&s.StopLimit)
+	cmd.Flag("stale-limit", "Time for which this node serves new requests after its configuration lease ended; equal on all nodes.").
+		Default(config.StaleLimit.String()).DurationVar(&s.StaleLimit)
+	cmd.Flag("claim-retention", "Time for which claims of non-idempotent requests are kept; equal on all nodes.").
+		Default(defaultClaimRetention.String()).DurationVar(&s.ClaimRetention)
+	cmd.Flag("trace-collector", "host:port of an OTLP/HTTP trace collector.").StringVar(&s.TraceCollector)
+	cmd.Flag("trace-file", "File to which spans are appended as JSON lines.").StringVar(&s.TraceFile)
+	cmd.Flag("log-level", "Lowest level of log lines.").Default("info").EnumVar(&s.LogLevel, "debug", "info", "warn", "error")
+	cmd.Flag("log-format", "Format of log lines.").Default("text").EnumVar(&s.LogFormat, "text", "json")
+	cmd.Flag("weight-loads", "Weight loads that may run at once in the whole fleet.").
+		Default(strconv.Itoa(defaultWeightLoads)).IntVar(&s.WeightLoads)
+	cmd.Flag("weight-rate", "Bytes per second that all weight loads share.").
+		Default(strconv.Itoa(defaultWeightRate)).Int64Var(&s.WeightRate)
+	return s
+}
+
+// logger returns a logger for level and format, as checked by the flags.
+func logger(w io.Writer, level, format string) *slog.Logger {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		l = slog.LevelInfo
+	}
+	opts := &slog.HandlerOptions{Level: l}
+	if format == "json" {
+		return slog.New(slog.NewJSONHandler(w, opts))
+	}
+	return slog.New(slog.NewTextHandler(w, opts))
+}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -110,6 +110,25 @@
 	return true, nil
 }
 
+// Polled takes a target's answer to a poll that was sent age ago. Unlike a repeated announcement, an answer with the
+// sequence that the registry holds renews the target: the target itself said so just now.
+func (r *Registry) Polled(a camphorhinge.Announcement, age time.Duration) error {
+	if _, err := r.Announce(a, age, false); err != nil {
+		return err
+	}
+	heard := r.cfg.Clock.Now().Add(-max(age, 0))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.targets[a.Name]
+	if newer(&e.target.Announcement, &a) || heard <= e.target.Heard {
+		return nil
+	}
+	t := *e.target
+	t.Heard = heard
+	r.put(e, &t)
+	return nil
+}
+
 func newer(a, held *camphorhinge.Announcement) bool {
 	if a.Incarnation != held.Incarnation {
 		return a.Incarnation > held.Incarnation
--- /dev/null
+++ b/internal/node/control/renewer.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/config"
+	"example.org/camphorhinge/internal/node/member"
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+)
+
+// renewTimeout bounds one renewal, longer than the leader may hold it and shorter than the lease.
+const renewTimeout = config.RenewHold + 700*time.Millisecond
+
+// Mirror is a node's copy of the records.
+type Mirror interface {
+	// Revision returns the revision in force, or 0 before the first configuration.
+	Revision() camphorhinge.Revision
+	// Restore replaces the copy by an encoded snapshot.
+	Restore(snapshot []byte) error
+	// Apply puts encoded changes in force, in order.
+	Apply(changes [][]byte) error
+}
+
+// RenewerConfig holds what a Renewer needs.
+type RenewerConfig struct {
+	Self   *peerpb.Node
+	Client *Client
+	Mirror Mirror
+	Holder *config.Holder
+	Clock  camphorhinge.Clock
+	// Changed is called after the engine holds have changed.
+	Changed func()
+	Log     *slog.Logger
+}
+
+// Renewer keeps a node's configuration lease and its copy of the configuration current.
+type Renewer struct {
+	cfg  RenewerConfig
+	held atomic.Pointer[map[camphorhinge.TargetName]bool]
+
+	mu    sync.Mutex
+	term  uint64
+	holds uint64
+	nodes []member.Node
+	fresh bool
+}
+
+// NewRenewer returns a Renewer that has no configuration yet.
+func NewRenewer(cfg RenewerConfig) *Renewer {
+	r := &Renewer{cfg: cfg}
+	r.held.Store(&map[camphorhinge.TargetName]bool{})
+	return r
+}
+
+// Held reports whether the engine must get no new work from this node.
+func (r *Renewer) Held(t camphorhinge.TargetName) bool { return (*r.held.Load())[t] }
+
+// Nodes returns all entry nodes as of the last renewal.
+func (r *Renewer) Nodes() []member.Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.nodes)
+}
+
+// Run renews until ctx ends.
+func (r *Renewer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := r.renew(ctx, false)
+		r.noteState(err)
+		if err != nil && !pause(ctx) {
+			break
+		}
+	}
+	return nil
+}
+
+// Leave tells the leader that this node takes no new request from now on.
+func (r *Renewer) Leave(ctx context.Context) error { return r.renew(ctx, true) }
+
+// noteState logs when the lease is lost or held again.
+func (r *Renewer) noteState(err error) {
+	fresh := r.cfg.Holder.State() == config.StateFresh
+	r.mu.Lock()
+	was := r.fresh
+	r.fresh = fresh
+	r.mu.Unlock()
+	switch {
+	case fresh && !was:
+		r.cfg.Log.Info("configuration lease held", "revision", r.cfg.Mirror.Revision())
+	case !fresh && was:
+		r.cfg.Log.Warn("configuration lease lost", "revision", r.cfg.Mirror.Revision(), "error", err)
+	}
+}
+
+func (r *Renewer) renew(ctx context.Context, leaving bool) error {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	r.mu.Lock()
+	req := &peerpb.RenewRequest{
+		Node: r.cfg.Self.GetName(), Address: r.cfg.Self.GetAddress(), Zone: r.cfg.Self.GetZone(),
+		Revision: uint64(r.cfg.Mirror.Revision()), Term: r.term, Holds: r.holds, Leaving: leaving,
+	}
+	r.mu.Unlock()
+
+	var sent camphorhinge.Instant
+	var resp *peerpb.RenewResponse
+	err := r.cfg.Client.lead(ctx, "renew", func(ctx context.Context, conn *peer.Conn) (verdict, error) {
+		sent = r.cfg.Clock.Now()
+		var err error
+		resp, err = conn.Control.Renew(ctx, req)
+		if err != nil {
+			return verdict{}, err
+		}
+		return verdict{outcome: resp.GetOutcome(), hint: resp.GetLeader()}, nil
+	})
+	if err != nil || leaving {
+		return err
+	}
+	return r.accept(sent, resp)
+}
+
+// accept puts an answer in force and then counts its lease.
+func (r *Renewer) accept(sent camphorhinge.Instant, resp *peerpb.RenewResponse) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if resp.GetTerm() < r.term {
+		return &Error{Op: "renew", Kind: KindRefused, Err: errors.New("answer of a deposed leader")}
+	}
+	if err := r.install(resp); err != nil {
+		return &Error{Op: "renew", Kind: KindMalformed, Err: err}
+	}
+	if resp.GetHolds() != r.holds {
+		held := make(map[camphorhinge.TargetName]bool, len(resp.GetHeld()))
+		for _, name := range resp.GetHeld() {
+			held[camphorhinge.TargetName(name)] = true
+		}
+		r.held.Store(&held)
+		r.cfg.Changed()
+	}
+	r.term, r.holds = resp.GetTerm(), resp.GetHolds()
+	r.nodes = r.nodes[:0]
+	for _, n := range resp.GetNodes() {
+		r.nodes = append(r.nodes, decodeNode(n))
+	}
+	r.cfg.Holder.Renewed(sent, time.Duration(resp.GetLease())*time.Millisecond)
+	return nil
+}
+
+func (r *Renewer) install(resp *peerpb.RenewResponse) error {
+	if resp.GetFull() {
+		if len(resp.GetChanges()) != 1 {
+			return errors.New("expected one snapshot")
+		}
+		return r.cfg.Mirror.Restore(resp.GetChanges()[0])
+	}
+	if len(resp.GetChanges()) == 0 {
+		return nil
+	}
+	return r.cfg.Mirror.Apply(resp.GetChanges())
+}
--- /dev/null
+++ b/internal/node/control/server.go
@@ -0,0 +1,276 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/config"
+	"example.org/camphorhinge/internal/node/member"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+)
+
+// ServerConfig holds what a Server needs. Replica, Records, Holds and Joiner are nil on a node without a replica.
+type ServerConfig struct {
+	Self    *peerpb.Node
+	Replica Replica
+	Records Records
+	Holds   Holds
+	Members *member.Table
+	Leases  *config.Leases
+	// Queries are the linearizable reads by name.
+	Queries map[string]Query
+	// Revision returns the revision in a result of a record command, or 0 when nothing was accepted.
+	Revision func(result []byte) camphorhinge.Revision
+	// Join adds a replica as a learner and, when the group needs it, makes it a voter.
+	Join func(ctx context.Context, node member.Node) error
+	// Cluster returns the id of the cluster that the data folder belongs to.
+	Cluster func() camphorhinge.ClusterID
+	// Status returns the node's status as JSON.
+	Status func() ([]byte, error)
+	// LeaderAddress returns the peer address of the leader as far as this node knows, or "".
+	LeaderAddress func() string
+	Metrics       *metrics.Set
+}
+
+// Server implements the Control service.
+type Server struct {
+	cfg ServerConfig
+
+	mu   sync.Mutex
+	wake chan struct{}
+
+	renewals, redirects *metrics.Counter
+}
+
+// NewServer returns a Server.
+func NewServer(cfg ServerConfig) *Server {
+	return &Server{
+		cfg:       cfg,
+		wake:      make(chan struct{}),
+		renewals:  cfg.Metrics.NewCounter(`camphorhinge_renewals_total`),
+		redirects: cfg.Metrics.NewCounter(`camphorhinge_redirects_total`),
+	}
+}
+
+// Applied wakes renewals that wait for a change; the replica calls it after applying entries.
+func (s *Server) Applied() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+func (s *Server) changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wake
+}
+
+// leads returns the term in which this node may answer as the leader.
+func (s *Server) leads() (camphorhinge.Term, bool) {
+	if s.cfg.Replica == nil {
+		return 0, false
+	}
+	return s.cfg.Replica.Authority()
+}
+
+func (s *Server) redirect() string {
+	s.redirects.Inc()
+	return s.cfg.LeaderAddress()
+}
+
+// Propose commits a command. The answer to a record command that was accepted waits until it is in force everywhere.
+func (s *Server) Propose(ctx context.Context, req *peerpb.ProposeRequest) (*peerpb.ProposeResponse, error) {
+	if _, ok := s.leads(); !ok {
+		return &peerpb.ProposeResponse{Outcome: OutcomeRedirect, Leader: s.redirect()}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetTimeout())*time.Millisecond)
+	defer cancel()
+	kind := camphorhinge.CommandKind(req.GetKind())
+	result, err := s.cfg.Replica.Propose(ctx, kind, req.GetCommand())
+	switch {
+	case errors.Is(err, camphorhinge.ErrUncertain):
+		return &peerpb.ProposeResponse{Outcome: OutcomeUncertain, Message: err.Error()}, nil
+	case err != nil:
+		return &peerpb.ProposeResponse{Outcome: OutcomeRedirect, Leader: s.redirect(), Message: err.Error()}, nil
+	}
+	if kind == camphorhinge.CommandRecord {
+		if rev := s.cfg.Revision(result); rev > 0 {
+			if err := s.cfg.Leases.Wait(ctx, config.Position{Revision: rev}); err != nil {
+				return &peerpb.ProposeResponse{
+					Outcome: OutcomeUncertain, Message: fmt.Sprintf("revision %d is committed, not yet known to be in force everywhere: %v", rev, err),
+				}, nil
+			}
+		}
+	}
+	return &peerpb.ProposeResponse{Outcome: OutcomeDone, Result: result}, nil
+}
+
+// Read answers a linearizable query.
+func (s *Server) Read(ctx context.Context, req *peerpb.ReadRequest) (*peerpb.ReadResponse, error) {
+	if _, ok := s.leads(); !ok {
+		return &peerpb.ReadResponse{Outcome: OutcomeRedirect, Leader: s.redirect()}, nil
+	}
+	query := s.cfg.Queries[req.GetQuery()]
+	if query == nil {
+		return &peerpb.ReadResponse{Outcome: OutcomeRefused, Result: []byte("unknown query " + req.GetQuery())}, nil
+	}
+	if err := s.cfg.Replica.Barrier(ctx); err != nil {
+		return &peerpb.ReadResponse{Outcome: OutcomeRedirect, Leader: s.redirect()}, nil
+	}
+	result, err := query(req.GetArgs())
+	if err != nil {
+		return &peerpb.ReadResponse{Outcome: OutcomeRefused, Result: []byte(err.Error())}, nil
+	}
+	return &peerpb.ReadResponse{Outcome: OutcomeDone, Result: result}, nil
+}
+
+// Renew renews the configuration lease of a node. It answers when there is a change for the node, or after a while.
+func (s *Server) Renew(ctx context.Context, req *peerpb.RenewRequest) (*peerpb.RenewResponse, error) {
+	term, ok := s.leads()
+	if !ok || term < camphorhinge.Term(req.GetTerm()) {
+		return s.notLeader(), nil
+	}
+	if err := s.ensureMember(ctx, req); err != nil {
+		return s.notLeader(), nil
+	}
+	name := camphorhinge.NodeID(req.GetNode())
+	if req.GetLeaving() {
+		s.cfg.Leases.Release(name)
+		return &peerpb.RenewResponse{Outcome: OutcomeDone, Term: uint64(term)}, nil
+	}
+	position := config.Position{Revision: camphorhinge.Revision(req.GetRevision()), Holds: req.GetHolds()}
+	if err := s.cfg.Leases.Renew(name, position); err != nil {
+		return s.notLeader(), nil
+	}
+	s.await(ctx, position)
+
+	resp, err := s.changesFor(position)
+	if err != nil {
+		return nil, err
+	}
+	// The lease starts at the sending of the request, so the authority is checked after all that may take long.
+	if now, ok := s.leads(); !ok || now != term {
+		return s.notLeader(), nil
+	}
+	s.renewals.Inc()
+	resp.Outcome, resp.Term = OutcomeDone, uint64(term)
+	resp.Lease = uint64(config.LeaseTime.Milliseconds())
+	return resp, nil
+}
+
+func (s *Server) notLeader() *peerpb.RenewResponse {
+	return &peerpb.RenewResponse{Outcome: OutcomeRedirect, Leader: s.redirect()}
+}
+
+// ensureMember commits the node to the list of nodes before it gets its first lease, so that a later leader knows of it.
+func (s *Server) ensureMember(ctx context.Context, req *peerpb.RenewRequest) error {
+	name := camphorhinge.NodeID(req.GetNode())
+	held, ok := s.cfg.Members.Get(name)
+	if ok && held.Address == req.GetAddress() && held.Zone == camphorhinge.Zone(req.GetZone()) {
+		return nil
+	}
+	held.Name, held.Address, held.Zone = name, req.GetAddress(), camphorhinge.Zone(req.GetZone())
+	return s.put(ctx, held)
+}
+
+func (s *Server) put(ctx context.Context, n member.Node) error {
+	command, err := json.Marshal(member.Command{Action: member.ActionPut, Node: n})
+	if err != nil {
+		return err
+	}
+	result, err := s.cfg.Replica.Propose(ctx, camphorhinge.CommandMember, command)
+	if err != nil {
+		return err
+	}
+	var r member.Result
+	if err := json.Unmarshal(result, &r); err != nil {
+		return err
+	}
+	if r.Refused != "" {
+		return &Error{Op: "put node", Kind: KindRefused, Err: errors.New(r.Refused)}
+	}
+	return nil
+}
+
+// await returns when the leader is past a position or the hold time is over.
+func (s *Server) await(ctx context.Context, p config.Position) {
+	timer := time.NewTimer(config.RenewHold)
+	defer timer.Stop()
+	for {
+		wake := s.changed()
+		if _, version := s.cfg.Holds.Held(); version != p.Holds || s.cfg.Records.Revision() != p.Revision {
+			return
+		}
+		select {
+		case <-wake:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) changesFor(p config.Position) (*peerpb.RenewResponse, error) {
+	changes, full, to, err := s.cfg.Records.Changes(p.Revision)
+	if err != nil {
+		return nil, err
+	}
+	resp := &peerpb.RenewResponse{Changes: changes, Full: full, Revision: uint64(to)}
+	held, version := s.cfg.Holds.Held()
+	resp.Holds = version
+	if version != p.Holds {
+		resp.Held = held
+	}
+	for _, n := range s.cfg.Members.Nodes() {
+		resp.Nodes = append(resp.Nodes, encodeNode(n))
+	}
+	return resp, nil
+}
+
+// Join adds the caller as an entry node and its replica as a learner.
+func (s *Server) Join(ctx context.Context, req *peerpb.JoinRequest) (*peerpb.JoinResponse, error) {
+	if _, ok := s.leads(); !ok {
+		return &peerpb.JoinResponse{Outcome: OutcomeRedirect, Leader: s.redirect()}, nil
+	}
+	cluster := string(s.cfg.Cluster())
+	if c := req.GetCluster(); c != "" && c != cluster {
+		return &peerpb.JoinResponse{Outcome: OutcomeRefused, Message: "the data folder belongs to another cluster"}, nil
+	}
+	n := decodeNode(req.GetNode())
+	if err := s.put(ctx, n); err != nil {
+		return &peerpb.JoinResponse{Outcome: OutcomeUncertain, Message: err.Error()}, nil
+	}
+	if err := s.cfg.Join(ctx, n); err != nil {
+		return &peerpb.JoinResponse{Outcome: OutcomeUncertain, Cluster: cluster, Message: err.Error()}, nil
+	}
+	return &peerpb.JoinResponse{Outcome: OutcomeDone, Cluster: cluster}, nil
+}
+
+// Status describes this node.
+func (s *Server) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	status, err := s.cfg.Status()
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.StatusResponse{Status: status, Node: s.cfg.Self, Cluster: string(s.cfg.Cluster())}, nil
+}
+
+func encodeNode(n member.Node) *peerpb.Node {
+	return &peerpb.Node{Name: string(n.Name), Address: n.Address, Zone: string(n.Zone), Replica: uint64(n.Replica)}
+}
+
+func decodeNode(n *peerpb.Node) member.Node {
+	return member.Node{
+		Name: camphorhinge.NodeID(n.GetName()), Address: n.GetAddress(), Zone: camphorhinge.Zone(n.GetZone()),
+		Replica: camphorhinge.ReplicaID(n.GetReplica()),
+	}
+}
--- /dev/null
+++ b/internal/node/control/types.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"context"
+	"fmt"
+
+	"example.org/camphorhinge"
+)
+
+// Outcomes of calls to the leader, as they travel.
+const (
+	// OutcomeDone marks a call that was answered.
+	OutcomeDone = "done"
+	// OutcomeRedirect marks a call to a node that is not the leader; nothing was done.
+	OutcomeRedirect = "redirect"
+	// OutcomeRefused marks a call that was refused; nothing was done.
+	OutcomeRefused = "refused"
+	// OutcomeUncertain marks a call that may take effect.
+	OutcomeUncertain = "uncertain"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// KindUnavailable marks a call that no leader answered in time; nothing was done.
+	KindUnavailable Kind = "unavailable"
+	// KindUncertain marks a call that may have taken effect.
+	KindUncertain Kind = "uncertain"
+	// KindRefused marks a call that the leader refused; nothing was done.
+	KindRefused Kind = "refused"
+	// KindMalformed marks an answer that can't be decoded.
+	KindMalformed Kind = "malformed"
+)
+
+// Error is an error of this package. One of KindUncertain matches camphorhinge.ErrUncertain.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("control %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Is reports whether target is camphorhinge.ErrUncertain and e leaves the outcome open.
+func (e *Error) Is(target error) bool {
+	return target == camphorhinge.ErrUncertain && e.Kind == KindUncertain //nolint:errorlint // This is the comparison that errors.Is calls.
+}
+
+// Replica is the node's replica of the durable state.
+type Replica interface {
+	camphorhinge.Proposer
+	// Authority returns the current term and whether this replica holds a valid leader lease now.
+	Authority() (camphorhinge.Term, bool)
+	// Barrier returns once this replica has applied all that was committed before the call; only the leader answers.
+	Barrier(ctx context.Context) error
+	// Leader returns the replica that leads, or 0 when none is known.
+	Leader() camphorhinge.ReplicaID
+}
+
+// Records is the leader's view of the records, for distribution.
+type Records interface {
+	// Revision returns the latest applied revision.
+	Revision() camphorhinge.Revision
+	// Changes returns the encoded changes after a revision in order, or one encoded snapshot and full when they are no
+	// longer kept, with the revision that they lead to.
+	Changes(after camphorhinge.Revision) (changes [][]byte, full bool, to camphorhinge.Revision, err error)
+}
+
+// Holds is the leader's view of the engines that must get no new work.
+type Holds interface {
+	// Held returns the names of the engines and the version of the list; the version rises with each change.
+	Held() (names []string, version uint64)
+}
+
+// Query answers one kind of linearizable read on the leader.
+type Query func(args []byte) ([]byte, error)
--- /dev/null
+++ b/internal/node/spread/port.go
@@ -0,0 +1,69 @@
+package spread
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/route"
+
+	"example.org/camphorhinge/internal/fleet/registry"
+)
+
+// AnnouncePath is the path at which targets announce themselves.
+const AnnouncePath = "/v1/announce"
+
+// Port serves announcements.
+type Port struct {
+	registry *registry.Registry
+	// token returns the token that targets must send, or "" when any may announce.
+	token func() string
+}
+
+// NewPort returns a Port that feeds reg.
+func NewPort(reg *registry.Registry, token func() string) *Port {
+	return &Port{registry: reg, token: token}
+}
+
+// Register adds the routes of the target port.
+func (p *Port) Register(r route.IRoutes) {
+	r.POST(AnnouncePath, p.announce)
+}
+
+type fault struct {
+	Error string `json:"error"`
+}
+
+func (p *Port) announce(_ context.Context, c *app.RequestContext) {
+	if want := p.token(); want != "" {
+		got := strings.TrimPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(got), []byte(want)) != 1 {
+			answer(c, http.StatusUnauthorized, fault{Error: "expected the targets' token as a bearer token"})
+			return
+		}
+	}
+	a, err := registry.Decode(c.Request.Body())
+	if err != nil {
+		answer(c, http.StatusBadRequest, fault{Error: err.Error()})
+		return
+	}
+	newer, err := p.registry.Announce(a, 0, true)
+	if err != nil {
+		answer(c, http.StatusServiceUnavailable, fault{Error: err.Error()})
+		return
+	}
+	answer(c, http.StatusOK, struct {
+		Newer bool `json:"newer"`
+	}{newer})
+}
+
+func answer(c *app.RequestContext, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic("encode answer: " + err.Error()) // Answers have only marshalable fields.
+	}
+	c.Data(status, "application/json", data)
+}
--- /dev/null
+++ b/internal/node/spread/spread.go
@@ -0,0 +1,169 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/registry"
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+)
+
+const (
+	// batchInterval is the time between two batches of announcements to other nodes.
+	batchInterval = 250 * time.Millisecond
+	// batchTimeout bounds one call to another node.
+	batchTimeout = 500 * time.Millisecond
+	// pollTimeout bounds one call to a target.
+	pollTimeout = 500 * time.Millisecond
+	// pollInterval is how often silent targets are looked for.
+	pollInterval = 250 * time.Millisecond
+	// pollLimit bounds the polls of one round; a dead zone must not cost a node more.
+	pollLimit = 64
+	// batchLimit is the largest number of announcements in one call.
+	batchLimit = 512
+)
+
+// Config holds what a Spreader needs.
+type Config struct {
+	Node     camphorhinge.NodeID
+	Registry *registry.Registry
+	Pool     *peer.Pool
+	// Others returns the peer addresses of all other nodes.
+	Others  func() []string
+	Metrics *metrics.Set
+}
+
+// Spreader passes announcements on between nodes; it implements the Spread service.
+type Spreader struct {
+	cfg    Config
+	client *http.Client
+
+	sent, failed, polled *metrics.Counter
+}
+
+// New returns a Spreader.
+func New(cfg Config) *Spreader {
+	return &Spreader{
+		cfg: cfg,
+		// A poll uses a connection of its own, since it also tells whether new connections work.
+		client: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		sent:   cfg.Metrics.NewCounter(`camphorhinge_spread_announcements_total`),
+		failed: cfg.Metrics.NewCounter(`camphorhinge_spread_failures_total`),
+		polled: cfg.Metrics.NewCounter(`camphorhinge_target_polls_total`),
+	}
+}
+
+// Announce takes announcements that another node received.
+func (s *Spreader) Announce(_ context.Context, req *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	for _, t := range req.GetTargets() {
+		a, err := registry.Decode(t.GetAnnouncement())
+		if err != nil {
+			continue // The sender checked it; a newer sender may know more.
+		}
+		if _, err := s.cfg.Registry.Announce(a, time.Duration(t.GetAge())*time.Millisecond, false); err != nil {
+			return nil, err
+		}
+	}
+	return &peerpb.AnnounceResponse{}, nil
+}
+
+// Run passes announcements on and polls silent targets until ctx ends.
+func (s *Spreader) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return each(ctx, batchInterval, s.spread) })
+	g.Go(func() error { return each(ctx, pollInterval, s.poll) })
+	return g.Wait()
+}
+
+func each(ctx context.Context, interval time.Duration, do func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			do(ctx)
+		}
+	}
+}
+
+func (s *Spreader) spread(ctx context.Context) {
+	fresh := s.cfg.Registry.TakeFresh()
+	for len(fresh) > 0 {
+		n := min(len(fresh), batchLimit)
+		s.sendAll(ctx, fresh[:n])
+		fresh = fresh[n:]
+	}
+}
+
+func (s *Spreader) sendAll(ctx context.Context, batch []registry.Aged) {
+	req := &peerpb.AnnounceRequest{Node: string(s.cfg.Node)}
+	for _, a := range batch {
+		data, err := json.Marshal(a.Announcement)
+		if err != nil {
+			continue // A decoded announcement can always be encoded.
+		}
+		req.Targets = append(req.Targets, &peerpb.Announced{Announcement: data, Age: uint64(a.Age.Milliseconds())})
+	}
+	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
+	defer cancel()
+	var g errgroup.Group
+	for _, address := range s.cfg.Others() {
+		g.Go(func() error {
+			if _, err := s.cfg.Pool.Get(address).Spread.Announce(ctx, req); err != nil {
+				s.failed.Inc() // The target renews within a second; the node polls it otherwise.
+			} else {
+				s.sent.Add(len(req.GetTargets()))
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // The functions return no error.
+}
+
+func (s *Spreader) poll(ctx context.Context) {
+	var g errgroup.Group
+	for _, a := range s.cfg.Registry.DuePolls(pollLimit) {
+		g.Go(func() error {
+			s.polled.Inc()
+			s.ask(ctx, a)
+			return nil
+		})
+	}
+	_ = g.Wait() // The functions return no error.
+}
+
+// ask takes a target's own word on itself.
+func (s *Spreader) ask(ctx context.Context, a camphorhinge.Announcement) {
+	sent := time.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Address+"/v1/target", http.NoBody)
+	if err != nil {
+		return
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, registry.MaxAnnouncement+1))
+	if err != nil {
+		return
+	}
+	got, err := registry.Decode(data)
+	if err != nil || got.Name != a.Name {
+		return // Another target may have taken the address.
+	}
+	_ = s.cfg.Registry.Polled(got, time.Since(sent)) // A refused announcement is counted by the registry.
+}
--- /dev/null
+++ b/internal/node/web/server.go
@@ -0,0 +1,115 @@
+package web
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// headerLimit is the largest request header, in bytes.
+	headerLimit = 64 << 10
+	// readTimeout bounds the wait for each read of a request, so that a slow client can't hold a connection for ever.
+	readTimeout = 30 * time.Second
+	// idleTimeout closes a connection that no request uses.
+	idleTimeout = 2 * time.Minute
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// KindListen marks a port that can't be opened or served.
+const KindListen Kind = "listen"
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("web %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Config holds what a Server needs.
+type Config struct {
+	// Address is the IP:port to listen on.
+	Address string
+	// MaxBody is the largest request body, in bytes.
+	MaxBody int
+	// StreamBody hands request bodies to handlers while they arrive.
+	StreamBody bool
+	// DetectDisconnect ends a handler's context when its client disconnects.
+	DetectDisconnect bool
+}
+
+// Server is a hertz server on its own port.
+type Server struct {
+	// Hertz takes the routes, before Serve is called.
+	Hertz    *server.Hertz
+	listener net.Listener
+	closing  atomic.Bool
+}
+
+// New opens the port of cfg; requests are answered once Serve is called.
+func New(cfg Config) (*Server, error) {
+	listener, err := net.Listen("tcp", cfg.Address)
+	if err != nil {
+		return nil, &Error{Op: "new", Kind: KindListen, Err: err}
+	}
+	h := server.New(
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(cfg.MaxBody),
+		server.WithMaxHeaderBytes(headerLimit),
+		server.WithStreamBody(cfg.StreamBody),
+		server.WithSenseClientDisconnection(cfg.DetectDisconnect),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithDisablePrintRoute(true),
+	)
+	return &Server{Hertz: h, listener: listener}, nil
+}
+
+// Address returns the IP:port that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve answers requests until ctx ends; then it refuses new connections and waits at most grace for requests under way.
+func (s *Server) Serve(ctx context.Context, grace time.Duration) error {
+	var g errgroup.Group
+	done := make(chan struct{})
+	g.Go(func() error {
+		defer close(done)
+		err := s.Hertz.Run()
+		if s.closing.Load() || err == nil {
+			return nil
+		}
+		return &Error{Op: "serve", Kind: KindListen, Err: err}
+	})
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-done:
+			return nil
+		}
+		s.closing.Store(true)
+		late, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		err := s.Hertz.Shutdown(late)
+		if errors.Is(err, context.DeadlineExceeded) {
+			err = nil // Requests that outlast the grace time are cut.
+		}
+		return errors.Join(err, s.Hertz.Close())
+	})
+	return g.Wait()
+}
