Add stand-ins for a model engine and a plain service

The engine batches continuously in token time and injects crashes, half-applied orders, silent connections, late and missing cache events, and lagging load reports. Its output depends on prompt and position only, so that a caller can check a whole answer.

GET /v1/target?cache=full lists all held prefixes, for a node that lost cache events.

A checked engine forgets the fencing token over a crash unless KeepFence is set, as a process that holds it in memory does; an order's expect protects against a late frame after such a crash.

--- /dev/null
+++ b/internal/standin/engine/batch.go
@@ -0,0 +1,241 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+// phase is how far a sequence has come.
+type phase int
+
+const (
+	waiting phase = iota
+	prefilling
+	decoding
+	done     // the whole answer exists
+	exported // its KV cache was handed over
+	broken   // cancelled, cut by a change or past its deadline
+)
+
+// sequence is one attempt in the batch.
+type sequence struct {
+	attempt  camphorhinge.AttemptID
+	req      Request
+	key      string
+	hashes   []uint64
+	prompt   camphorhinge.Tokens
+	priority camphorhinge.Priority
+	deadline time.Time
+	arrival  uint64
+
+	phase    phase
+	started  bool
+	left     camphorhinge.Tokens // prompt tokens still to compute
+	produced int
+	readers  int
+	idle     time.Time     // since when it has had no reader
+	change   chan struct{} // closed and replaced at each change
+}
+
+func (s *sequence) blocks() camphorhinge.Blocks {
+	return inBlocks(s.prompt + camphorhinge.Tokens(s.req.MaxTokens))
+}
+
+func inBlocks(t camphorhinge.Tokens) camphorhinge.Blocks {
+	return camphorhinge.Blocks((t + camphorhinge.BlockTokens - 1) / camphorhinge.BlockTokens)
+}
+
+func (s *sequence) active() bool { return s.phase == prefilling || s.phase == decoding }
+
+func (s *sequence) signal() {
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+func (s *sequence) end(p phase, now time.Time) {
+	s.phase = p
+	s.idle = now
+	s.signal()
+}
+
+// share is the part of one step that goes to a sequence: prompt tokens, or one output token when prefill is 0.
+type share struct {
+	seq     *sequence
+	prefill camphorhinge.Tokens
+}
+
+// runBatch computes steps until ctx ends. A step takes its token time and then shows its results.
+func (e *Engine) runBatch(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	next := time.Now()
+	for {
+		e.mu.Lock()
+		plan, took := e.plan(time.Now())
+		e.mu.Unlock()
+		if len(plan) == 0 {
+			// The poll finds sequences whose deadline or grace passes while the batch is idle.
+			timer.Reset(100 * time.Millisecond)
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-e.wake:
+			case <-timer.C:
+			}
+			next = time.Now()
+			continue
+		}
+		// Steps are timed from the end of the last one, so that the inaccuracy of timers does not add up.
+		next = next.Add(took)
+		timer.Reset(time.Until(next))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		e.mu.Lock()
+		e.apply(plan, time.Now())
+		e.mu.Unlock()
+	}
+}
+
+// plan chooses the work of the next step and returns it with its duration.
+func (e *Engine) plan(now time.Time) ([]share, time.Duration) {
+	if e.down || e.paused {
+		return nil, 0
+	}
+	e.reap(now)
+	e.admit()
+	if e.down {
+		return nil, 0
+	}
+	running := e.inPhase(prefilling, decoding)
+	var plan []share
+	budget, prefill, decode := e.cfg.PrefillChunk, camphorhinge.Tokens(0), 0
+	for _, s := range running {
+		if s.phase == decoding {
+			plan = append(plan, share{seq: s})
+			decode++
+			continue
+		}
+		if n := min(budget, s.left); n > 0 || s.left == 0 {
+			plan = append(plan, share{seq: s, prefill: n})
+			budget -= n
+			prefill += n
+		}
+	}
+	took := float64(prefill) / e.cfg.PrefillRate * float64(time.Second)
+	if e.state.role == camphorhinge.RoleDecode {
+		took *= e.cfg.OffRole
+	}
+	if decode > 0 {
+		step := float64(e.cfg.TokenTime) * (1 + e.cfg.BatchSlope*float64(decode-1))
+		if e.state.role == camphorhinge.RolePrefill {
+			step *= e.cfg.OffRole
+		}
+		took += step
+	}
+	return plan, time.Duration(took)
+}
+
+func (e *Engine) apply(plan []share, now time.Time) {
+	for _, p := range plan {
+		s := p.seq
+		if e.seqs[s.attempt] != s || !s.active() {
+			continue
+		}
+		e.counters.Prefilled += p.prefill
+		if s.phase == prefilling {
+			s.left -= p.prefill
+			if s.left > 0 {
+				continue
+			}
+			e.cache.store(s.hashes, now)
+			s.phase = decoding
+		}
+		s.produced++
+		e.counters.Generated++
+		if s.produced >= s.req.MaxTokens {
+			s.end(done, now)
+			continue
+		}
+		s.signal()
+	}
+}
+
+// admit moves queued sequences into the batch, highest priority first, while memory lasts.
+func (e *Engine) admit() {
+	running := e.inPhase(prefilling, decoding)
+	free := e.cfg.Blocks
+	for _, s := range running {
+		free -= s.blocks()
+	}
+	for _, s := range e.inPhase(waiting) {
+		if len(running) >= e.cfg.MaxBatch || s.blocks() > free && len(running) > 0 {
+			return
+		}
+		s.phase = prefilling
+		s.started = true
+		s.left = max(0, s.prompt-camphorhinge.Tokens(e.cache.match(s.hashes))*camphorhinge.BlockTokens)
+		free -= s.blocks()
+		running = append(running, s)
+		e.counters.Runs[s.key]++
+		if e.cfg.CrashOn != "" && strings.Contains(s.req.Prompt, e.cfg.CrashOn) {
+			e.crash()
+			return
+		}
+	}
+}
+
+// reap ends sequences past their deadline or without a reader, and forgets ended ones after the grace.
+func (e *Engine) reap(now time.Time) {
+	for id, s := range e.seqs {
+		late := s.phase <= decoding && !s.deadline.IsZero() && now.After(s.deadline)
+		left := s.readers == 0 && now.Sub(s.idle) > e.cfg.ResumeGrace
+		switch {
+		case late, left && s.phase <= decoding:
+			s.end(broken, now)
+		case left:
+			delete(e.seqs, id)
+		}
+	}
+}
+
+// inPhase returns the sequences in the phases, highest priority and then oldest first.
+func (e *Engine) inPhase(phases ...phase) []*sequence {
+	var out []*sequence
+	for _, s := range e.seqs {
+		if slices.Contains(phases, s.phase) {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *sequence) int {
+		if a.priority != b.priority {
+			return int(b.priority) - int(a.priority)
+		}
+		return int(int64(a.arrival) - int64(b.arrival))
+	})
+	return out
+}
+
+// load describes the batch now.
+func (e *Engine) load() camphorhinge.Load {
+	l := camphorhinge.Load{Blocks: e.cfg.Blocks, FreeBlocks: e.cfg.Blocks}
+	for _, s := range e.seqs {
+		switch {
+		case s.phase == waiting:
+			l.Waiting++
+			l.Tokens += s.prompt + camphorhinge.Tokens(s.req.MaxTokens)
+		case s.active():
+			l.Running++
+			l.Tokens += s.left + camphorhinge.Tokens(s.req.MaxTokens-s.produced)
+			l.FreeBlocks -= s.blocks()
+		}
+	}
+	l.FreeBlocks = max(0, l.FreeBlocks)
+	return l
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,364 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/standin/wire"
+)
+
+// maxOrders is how many orders the counters keep.
+const maxOrders = 4096
+
+// loadSample is the time between two samples of the load, of which a report carries an old one.
+const loadSample = 50 * time.Millisecond
+
+// OrderRecord tells what the engine did with one order or prepare.
+type OrderRecord struct {
+	Kind        string                   `json:"kind"`
+	Fence       camphorhinge.Term        `json:"fence"`
+	Seq         camphorhinge.Sequence    `json:"seq"`
+	Incarnation camphorhinge.Incarnation `json:"incarnation"`
+	Revision    uint64                   `json:"revision"`
+	Role        camphorhinge.Role        `json:"role,omitempty"`
+	// Result is taken, repeated or the reason of the refusal.
+	Result string `json:"result"`
+}
+
+// Counters count what the engine did since New, over all its incarnations.
+type Counters struct {
+	// Runs counts starts of execution by BodyKey.
+	Runs      map[string]int `json:"runs"`
+	Orders    []OrderRecord  `json:"orders"`
+	Refused   int            `json:"refused"`
+	Cancelled int            `json:"cancelled"`
+	// Cut counts sequences that an order or a crash ended before their last token.
+	Cut       int                 `json:"cut"`
+	Crashes   int                 `json:"crashes"`
+	Changes   int                 `json:"changes"`
+	Imports   int                 `json:"imports"`
+	Prefilled camphorhinge.Tokens `json:"prefilled"`
+	Generated camphorhinge.Tokens `json:"generated"`
+}
+
+type state struct {
+	incarnation camphorhinge.Incarnation
+	seq         camphorhinge.Sequence
+	revision    uint64
+	role        camphorhinge.Role
+	models      []camphorhinge.ModelName
+	adapters    []camphorhinge.AdapterName
+	leaving     bool
+	busy        bool
+	last        camphorhinge.LastOrder
+	seen        mark
+	nonce       string
+}
+
+// Engine is one stand-in engine. Its methods may be called by several goroutines.
+type Engine struct {
+	cfg      Config
+	listener *wire.Listener
+	server   *server.Hertz
+	wake     chan struct{}
+	tell     chan struct{}
+	jobs     chan func(context.Context)
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	state    state
+	seqs     map[camphorhinge.AttemptID]*sequence
+	handles  map[string]kvExport
+	arrivals uint64
+	cache    *cache
+	loads    []sampledLoad
+	counters Counters
+	orders   int
+	pending  *Order // the change in progress
+	down     bool
+	paused   bool
+	quiet    bool
+	life     chan struct{} // closed when the incarnation ends
+}
+
+type sampledLoad struct {
+	at   time.Time
+	load camphorhinge.Load
+}
+
+// New opens the engine's listener; Run serves it.
+func New(c Config) (*Engine, error) {
+	c = c.withDefaults()
+	l, err := wire.Listen(c.Listen)
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: KindNetwork, Err: err}
+	}
+	rng := rand.New(rand.NewPCG(c.Seed, 0))
+	e := &Engine{
+		cfg: c, listener: l, rng: rng,
+		wake: make(chan struct{}, 1), tell: make(chan struct{}, 1), jobs: make(chan func(context.Context), 64),
+		seqs: map[camphorhinge.AttemptID]*sequence{}, handles: map[string]kvExport{},
+		cache:    newCache(c, rng),
+		counters: Counters{Runs: map[string]int{}},
+		life:     make(chan struct{}),
+		state: state{
+			incarnation: c.Incarnation, revision: 1, role: c.Role,
+			models: slices.Clone(c.Models), adapters: slices.Clone(c.Adapters),
+		},
+	}
+	e.server = server.New(
+		server.WithListener(l), server.WithTransport(standard.NewTransporter), server.WithDisablePrintRoute(true),
+		server.WithMaxRequestBodySize(64<<20),
+	)
+	e.routes()
+	return e, nil
+}
+
+// Addr returns the announced IP and port.
+func (e *Engine) Addr() string {
+	if e.cfg.Advertise != "" {
+		return e.cfg.Advertise
+	}
+	return e.listener.Addr().String()
+}
+
+// Run serves until ctx ends, and then resets all connections.
+func (e *Engine) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := e.server.Run(); err != nil {
+			return &Error{Op: "serve", Kind: KindNetwork, Err: err}
+		}
+		return nil
+	})
+	g.Go(func() error { return e.runBatch(ctx) })
+	g.Go(func() error {
+		return wire.NewAnnouncer(e.cfg.Announce).Run(ctx, e.tell, e.announcement)
+	})
+	g.Go(func() error { return e.sample(ctx) })
+	g.Go(func() error { // jobs outlive the request that started them, such as a role change
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case job := <-e.jobs:
+				g.Go(func() error { job(ctx); return nil })
+			}
+		}
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		e.mu.Lock()
+		if !e.down {
+			close(e.life)
+		}
+		e.down = true
+		e.mu.Unlock()
+		e.listener.Down()
+		return e.listener.Close()
+	})
+	return g.Wait()
+}
+
+func (e *Engine) sample(ctx context.Context) error {
+	tick := time.NewTicker(loadSample)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			e.mu.Lock()
+			e.loads = append(e.loads, sampledLoad{at: now, load: e.load()})
+			// The newest sample older than the lag is the one to report; what is older is dropped.
+			for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= e.cfg.LoadLag {
+				e.loads = e.loads[1:]
+			}
+			e.mu.Unlock()
+		}
+	}
+}
+
+// announcement returns the next announcement; false when none is to be sent.
+func (e *Engine) announcement() (camphorhinge.Announcement, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down || e.quiet || e.state.busy && e.cfg.VanishOnChange {
+		return camphorhinge.Announcement{}, false
+	}
+	a := e.describe()
+	a.Cache = e.cache.report(time.Now())
+	return a, true
+}
+
+// describe builds an announcement without cache events.
+func (e *Engine) describe() camphorhinge.Announcement {
+	e.state.seq++
+	s := &e.state
+	a := camphorhinge.Announcement{
+		Name: e.cfg.Name, Service: e.cfg.Service, Address: e.Addr(), Zone: e.cfg.Zone,
+		Incarnation: s.incarnation, Seq: s.seq, Kind: camphorhinge.KindEngine,
+		Role: s.role, Models: slices.Clone(s.models), Adapters: slices.Clone(s.adapters),
+		Fencing: e.cfg.Fencing, Orders: e.cfg.Orders,
+		Leaving: s.leaving, Busy: s.busy, Revision: s.revision, Last: s.last,
+		Cache: camphorhinge.CacheReport{Seq: e.cache.sent},
+	}
+	if e.cfg.LoadLag == 0 || len(e.loads) == 0 {
+		a.Load = e.load()
+	} else {
+		a.Load = e.loads[0].load
+		a.Load.Age = time.Since(e.loads[0].at).Milliseconds()
+	}
+	return a
+}
+
+// Counters returns a copy of the counters.
+func (e *Engine) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.counters
+	c.Runs = maps.Clone(c.Runs)
+	c.Orders = slices.Clone(c.Orders)
+	return c
+}
+
+// Target returns the announcement as it would be sent now, without cache events.
+func (e *Engine) Target() camphorhinge.Announcement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.describe()
+}
+
+// Crash resets all connections and returns after RestartTime with a new incarnation.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash()
+}
+
+// Leave makes the engine refuse new work and announce that it is leaving; false takes it back.
+func (e *Engine) Leave(leaving bool) {
+	e.mu.Lock()
+	e.state.leaving = leaving
+	e.mu.Unlock()
+	e.announceNow()
+}
+
+// Pause stops the batch, but not the answers of the control protocol; false goes on.
+func (e *Engine) Pause(paused bool) {
+	e.mu.Lock()
+	e.paused = paused
+	e.mu.Unlock()
+	notify(e.wake)
+}
+
+// Quiet stops the announcements; false goes on.
+func (e *Engine) Quiet(quiet bool) {
+	e.mu.Lock()
+	e.quiet = quiet
+	e.mu.Unlock()
+}
+
+// Mute makes all open connections fall silent for ever; new ones work.
+func (e *Engine) Mute() { e.listener.Mute() }
+
+func (e *Engine) crash() {
+	if e.down {
+		return
+	}
+	e.down = true
+	e.counters.Crashes++
+	close(e.life)
+	e.cutAll()
+	e.applyHalf()
+	e.listener.Down()
+	e.jobs <- func(ctx context.Context) {
+		if !sleep(ctx, e.cfg.RestartTime) {
+			return
+		}
+		e.mu.Lock()
+		e.restart()
+		e.mu.Unlock()
+		e.listener.Up()
+		e.announceNow()
+	}
+}
+
+// restart begins a new incarnation. What the process held in memory is gone; role and models are those on its start
+// line, which an order rewrites.
+func (e *Engine) restart() {
+	s := &e.state
+	s.incarnation++
+	s.seq, s.revision, s.busy, s.nonce = 0, 1, false, ""
+	s.last = camphorhinge.LastOrder{}
+	if !e.cfg.KeepFence {
+		s.seen = mark{}
+	}
+	e.seqs = map[camphorhinge.AttemptID]*sequence{}
+	e.handles = map[string]kvExport{}
+	e.cache = newCache(e.cfg, e.rng)
+	e.loads = nil
+	e.life = make(chan struct{})
+	e.down = false
+}
+
+// cutAll ends all sequences that still run, and counts those which an answer is owed.
+func (e *Engine) cutAll() {
+	for _, s := range e.seqs {
+		if s.phase <= decoding {
+			e.counters.Cut++
+			s.end(broken, time.Now())
+		}
+	}
+}
+
+func (e *Engine) announceNow() { notify(e.tell) }
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Kind classes an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindNetwork Kind = "network"
+	KindRequest Kind = "request"
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("engine: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,348 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/prefix"
+)
+
+// maxHashes bounds the prefix hashes of one prompt.
+const maxHashes = 256
+
+func (e *Engine) routes() {
+	e.server.POST("/v1/completions", e.complete)
+	e.server.POST("/v1/chat/completions", e.complete)
+	e.server.DELETE("/v1/attempts/:id", e.cancel)
+	e.server.GET("/v1/target", e.target)
+	e.server.GET("/v1/counters", func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, e.Counters()) })
+	e.server.POST("/v1/orders", func(_ context.Context, c *app.RequestContext) { handleOrder(c, e.order) })
+	e.server.POST("/v1/orders/prepare", func(_ context.Context, c *app.RequestContext) { handleOrder(c, e.prepare) })
+	e.server.POST("/v1/kv/export", e.handleExport)
+	e.server.POST("/v1/kv/import", e.handleImport)
+	e.server.POST("/v1/kv/fetch", e.handleFetch)
+}
+
+// failure is an answer that carries no result.
+type failure struct {
+	status int
+	run    camphorhinge.RunClass
+	reason string
+}
+
+func (f failure) write(c *app.RequestContext) {
+	c.Response.Header.Set(camphorhinge.HeaderRun, string(f.run))
+	c.JSON(f.status, map[string]any{"error": map[string]any{"message": f.reason, "run": f.run}})
+}
+
+func refusal(status int, reason string) *failure {
+	return &failure{status: status, run: camphorhinge.NotRun, reason: reason}
+}
+
+func (e *Engine) complete(_ context.Context, c *app.RequestContext) {
+	body := c.Request.Body()
+	req, err := ParseRequest(body)
+	if err != nil {
+		refusal(http.StatusBadRequest, err.Error()).write(c)
+		return
+	}
+	id := camphorhinge.AttemptID(c.Request.Header.Get(camphorhinge.HeaderAttempt))
+	if id == "" {
+		refusal(http.StatusBadRequest, camphorhinge.HeaderAttempt+" is missing").write(c)
+		return
+	}
+	s, offset, life, fail := e.enter(id, req, body, c)
+	if fail != nil {
+		fail.write(c)
+		return
+	}
+	defer e.detach(s)
+	chat := strings.Contains(string(c.Path()), "/chat/")
+	if req.Stream {
+		e.stream(c, s, offset, life, chat)
+	} else {
+		e.whole(c, s, life, chat)
+	}
+}
+
+// enter queues a new attempt or finds the one to resume, and attaches a reader to it.
+func (e *Engine) enter(id camphorhinge.AttemptID, req Request, body []byte, c *app.RequestContext) (*sequence, int, <-chan struct{}, *failure) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fail := func(f *failure) (*sequence, int, <-chan struct{}, *failure) {
+		e.counters.Refused++
+		return nil, 0, nil, f
+	}
+	old := e.seqs[id]
+	if resume := c.Request.Header.Get(camphorhinge.HeaderResume); resume != "" {
+		offset, err := strconv.Atoi(resume)
+		switch {
+		case err != nil || offset < 0:
+			return fail(refusal(http.StatusBadRequest, camphorhinge.HeaderResume+" is not an offset"))
+		case old == nil || old.phase == broken:
+			return fail(refusal(http.StatusNotFound, "no such attempt to resume"))
+		case old.key != BodyKey(body):
+			return fail(refusal(http.StatusConflict, "attempt has another body"))
+		case offset > req.MaxTokens:
+			return fail(refusal(http.StatusBadRequest, "offset is past the end"))
+		}
+		if old.phase == exported {
+			// The exporter still has the cache; it takes the attempt back and voids the handle.
+			old.phase = decoding
+			maps.DeleteFunc(e.handles, func(_ string, k kvExport) bool { return k.Attempt == id })
+			notify(e.wake)
+		}
+		old.readers++
+		return old, offset, e.life, nil
+	}
+	queued := len(e.inPhase(waiting))
+	switch {
+	case old != nil:
+		return fail(&failure{status: http.StatusConflict, run: camphorhinge.Run, reason: "attempt exists"})
+	case e.down || e.state.busy:
+		return fail(refusal(http.StatusServiceUnavailable, "changing"))
+	case e.state.leaving:
+		return fail(refusal(http.StatusServiceUnavailable, "leaving"))
+	case !e.serves(req):
+		return fail(refusal(http.StatusNotFound, "model or adapter is not loaded"))
+	case queued >= e.cfg.MaxWaiting:
+		return fail(refusal(http.StatusServiceUnavailable, "queue is full"))
+	}
+	s := &sequence{
+		attempt: id, req: req, key: BodyKey(body), arrival: e.arrivals, readers: 1, change: make(chan struct{}),
+		hashes: prefix.Hashes(req.Model, req.Adapter, req.Prompt, maxHashes), prompt: prefix.Tokens(req.Prompt),
+	}
+	e.arrivals++
+	if p, err := strconv.ParseUint(c.Request.Header.Get(camphorhinge.HeaderPriority), 10, 8); err == nil {
+		s.priority = min(camphorhinge.Priority(p), camphorhinge.MaxPriority)
+	}
+	if ms, err := strconv.ParseInt(c.Request.Header.Get(camphorhinge.HeaderDeadline), 10, 64); err == nil {
+		s.deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	e.seqs[id] = s
+	notify(e.wake)
+	return s, 0, e.life, nil
+}
+
+func (e *Engine) serves(r Request) bool {
+	has := r.Model == ""
+	for _, m := range e.state.models {
+		has = has || m == r.Model
+	}
+	hasAdapter := r.Adapter == ""
+	for _, a := range e.state.adapters {
+		// Clients of the common completion API name an adapter in the place of the model.
+		has = has || string(a) == string(r.Model)
+		hasAdapter = hasAdapter || a == r.Adapter
+	}
+	return has && hasAdapter
+}
+
+func (e *Engine) detach(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.readers--
+	s.idle = time.Now()
+}
+
+// await blocks until the sequence has more than n tokens or has ended, and returns how far it is. ok is false when the
+// incarnation ended.
+func (e *Engine) await(s *sequence, n int, life <-chan struct{}) (produced int, p phase, ok bool) {
+	for {
+		e.mu.Lock()
+		produced, p, change := s.produced, s.phase, s.change
+		e.mu.Unlock()
+		if produced > n || p >= done {
+			return produced, p, true
+		}
+		select {
+		case <-life:
+			return produced, p, false
+		case <-change:
+		}
+	}
+}
+
+func (e *Engine) stream(c *app.RequestContext, s *sequence, offset int, life <-chan struct{}, chat bool) {
+	produced, p, ok := e.await(s, offset, life)
+	if !ok || p == broken && produced == 0 {
+		e.unstarted(c, s, ok)
+		return
+	}
+	c.Response.Header.Set(camphorhinge.HeaderRun, string(camphorhinge.Run))
+	w := sse.NewWriter(c)
+	send := func(i int, data []byte) bool {
+		return w.WriteEvent(string(s.attempt)+"/"+strconv.Itoa(i), "", data) == nil
+	}
+	for i := offset; ; {
+		for ; i < produced; i++ {
+			if !send(i, chunk(s, Token(s.req.Prompt, i), "", chat)) {
+				return
+			}
+		}
+		switch {
+		case p == done:
+			if send(i, chunk(s, "", "length", chat)) {
+				send(i+1, []byte("[DONE]"))
+			}
+			return
+		case p > done:
+			return // the stream ends without its end mark
+		}
+		if produced, p, ok = e.await(s, i, life); !ok {
+			return
+		}
+	}
+}
+
+func (e *Engine) whole(c *app.RequestContext, s *sequence, life <-chan struct{}, chat bool) {
+	produced, p, ok := 0, waiting, true
+	for ok && p < done {
+		produced, p, ok = e.await(s, produced, life)
+	}
+	if !ok || p != done {
+		e.unstarted(c, s, ok)
+		return
+	}
+	text := Answer(s.req.Prompt, produced)
+	choice := map[string]any{"index": 0, "finish_reason": "length"}
+	if chat {
+		choice["message"] = Message{Role: "assistant", Content: text}
+	} else {
+		choice["text"] = text
+	}
+	c.Response.Header.Set(camphorhinge.HeaderRun, string(camphorhinge.Run))
+	c.JSON(http.StatusOK, map[string]any{
+		"id": s.attempt, "model": s.req.Model, "choices": []any{choice},
+		"usage": map[string]any{"prompt_tokens": s.prompt, "completion_tokens": produced},
+	})
+}
+
+// unstarted answers for a sequence that ended before anything was sent.
+func (e *Engine) unstarted(c *app.RequestContext, s *sequence, alive bool) {
+	e.mu.Lock()
+	ran := !alive || s.started
+	e.mu.Unlock()
+	f := failure{status: http.StatusServiceUnavailable, run: camphorhinge.NotRun, reason: "ended before its start"}
+	if ran {
+		f.run = camphorhinge.Unknown
+		f.reason = "ended before its end"
+	}
+	f.write(c)
+}
+
+// chunk encodes one event in the form of the common completion API.
+func chunk(s *sequence, text, finish string, chat bool) []byte {
+	choice := map[string]any{"index": 0, "finish_reason": nil}
+	if finish != "" {
+		choice["finish_reason"] = finish
+	}
+	object := "text_completion"
+	if chat {
+		object = "chat.completion.chunk"
+		choice["delta"] = map[string]any{"content": text}
+	} else {
+		choice["text"] = text
+	}
+	// A map of strings and numbers always encodes.
+	b, _ := json.Marshal(map[string]any{"id": s.attempt, "object": object, "model": s.req.Model, "choices": []any{choice}})
+	return b
+}
+
+func (e *Engine) cancel(_ context.Context, c *app.RequestContext) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.seqs[camphorhinge.AttemptID(c.Param("id"))]
+	if s == nil {
+		c.Status(http.StatusNotFound)
+		return
+	}
+	if s.phase <= decoding {
+		s.end(broken, time.Now())
+		e.counters.Cancelled++
+	}
+	c.Status(http.StatusNoContent)
+}
+
+// target answers with the announcement; with cache=full it carries all prefixes that the cache holds.
+func (e *Engine) target(_ context.Context, c *app.RequestContext) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.describe()
+	if c.Query("cache") == "full" {
+		a.Cache = e.cache.full()
+	}
+	c.JSON(http.StatusOK, a)
+}
+
+func handleOrder(c *app.RequestContext, take func(Order) OrderAnswer) {
+	var o Order
+	if err := json.Unmarshal(c.Request.Body(), &o); err != nil {
+		refusal(http.StatusBadRequest, err.Error()).write(c)
+		return
+	}
+	a := take(o)
+	status := http.StatusOK
+	if a.State == StateRefused {
+		status = http.StatusConflict
+	}
+	c.JSON(status, a)
+}
+
+func (e *Engine) handleExport(_ context.Context, c *app.RequestContext) {
+	var r ImportRequest
+	if err := json.Unmarshal(c.Request.Body(), &r); err != nil {
+		refusal(http.StatusBadRequest, err.Error()).write(c)
+		return
+	}
+	a, err := e.export(r.Attempt)
+	if err != nil {
+		refusal(http.StatusNotFound, err.Error()).write(c)
+		return
+	}
+	c.JSON(http.StatusOK, a)
+}
+
+func (e *Engine) handleImport(ctx context.Context, c *app.RequestContext) {
+	var r ImportRequest
+	if err := json.Unmarshal(c.Request.Body(), &r); err != nil {
+		refusal(http.StatusBadRequest, err.Error()).write(c)
+		return
+	}
+	k, err := e.importKV(ctx, r)
+	if err != nil {
+		refusal(http.StatusConflict, err.Error()).write(c)
+		return
+	}
+	c.JSON(http.StatusOK, map[string]any{"attempt": k.Attempt, "produced": k.Produced, "blocks": k.Blocks})
+}
+
+// handleFetch hands an export to the importer, once.
+func (e *Engine) handleFetch(_ context.Context, c *app.RequestContext) {
+	var r ImportRequest
+	if err := json.Unmarshal(c.Request.Body(), &r); err != nil {
+		refusal(http.StatusBadRequest, err.Error()).write(c)
+		return
+	}
+	e.mu.Lock()
+	k, ok := e.handles[r.Handle]
+	delete(e.handles, r.Handle)
+	if s := e.seqs[k.Attempt]; ok && s != nil && s.phase == exported {
+		s.phase = broken
+	}
+	e.mu.Unlock()
+	if !ok {
+		refusal(http.StatusNotFound, "no such handle").write(c)
+		return
+	}
+	c.JSON(http.StatusOK, k)
+}
--- /dev/null
+++ b/internal/standin/engine/order.go
@@ -0,0 +1,252 @@
+package engine
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+// mark is the position of an order among all orders: the fencing token, then the sequence.
+type mark struct {
+	fence camphorhinge.Term
+	seq   camphorhinge.Sequence
+}
+
+func (m mark) below(o mark) bool {
+	return cmp.Or(cmp.Compare(m.fence, o.fence), cmp.Compare(m.seq, o.seq)) < 0
+}
+
+// vanishDelay lets the answer to an order leave before connections are reset.
+const vanishDelay = 50 * time.Millisecond
+
+// Expect is the condition of an order: the engine's own state as the sender knows it.
+type Expect struct {
+	Incarnation camphorhinge.Incarnation `json:"incarnation"`
+	Revision    uint64                   `json:"revision"`
+}
+
+// Order is the body of POST /v1/orders; prepare uses Fence and Seq only.
+type Order struct {
+	Fence    camphorhinge.Term          `json:"fence"`
+	Seq      camphorhinge.Sequence      `json:"seq"`
+	Expect   *Expect                    `json:"expect,omitempty"`
+	Role     camphorhinge.Role          `json:"role,omitempty"`
+	Models   []camphorhinge.ModelName   `json:"models,omitempty"`
+	Adapters []camphorhinge.AdapterName `json:"adapters,omitempty"`
+	Nonce    string                     `json:"nonce,omitempty"`
+}
+
+// OrderAnswer is the answer to an order or a prepare.
+type OrderAnswer struct {
+	// State is changing, done or refused.
+	State       string                   `json:"state"`
+	Error       string                   `json:"error,omitempty"`
+	Incarnation camphorhinge.Incarnation `json:"incarnation"`
+	Revision    uint64                   `json:"revision"`
+	Nonce       string                   `json:"nonce,omitempty"`
+}
+
+// States of the last order in an OrderAnswer and a LastOrder.
+const (
+	StateChanging = "changing"
+	StateDone     = "done"
+	StateRefused  = "refused"
+)
+
+// Reasons for which an order is refused.
+const (
+	ReasonFence     = "fence"
+	ReasonCondition = "condition"
+	ReasonNonce     = "nonce"
+	ReasonBusy      = "busy"
+)
+
+// prepare hands out a single-use nonce and voids earlier ones.
+func (e *Engine) prepare(o Order) OrderAnswer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := mark{o.Fence, o.Seq}
+	if e.cfg.Fencing == camphorhinge.FencingChecked && m.below(e.state.seen) {
+		return e.refuse("prepare", o, ReasonFence)
+	}
+	e.raise(m)
+	e.state.nonce = fmt.Sprintf("%016x", e.rng.Uint64())
+	e.record("prepare", o, "taken")
+	a := e.answer(StateDone)
+	a.Nonce = e.state.nonce
+	return a
+}
+
+// order takes an order, or says why not. A change takes effect after its time; the revision rises at once.
+func (e *Engine) order(o Order) OrderAnswer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := &e.state
+	m := mark{o.Fence, o.Seq}
+	checked := e.cfg.Fencing == camphorhinge.FencingChecked
+	if checked && m.below(s.seen) {
+		return e.refuse("order", o, ReasonFence)
+	}
+	if s.last.State != "" && m == (mark{s.last.Fence, s.last.Seq}) && checked {
+		e.record("order", o, "repeated")
+		return e.answer(s.last.State)
+	}
+	// A checked engine is safe without the extra condition, but honours one that is given.
+	if (o.Expect != nil || !checked) && e.cfg.Orders == camphorhinge.OrdersConditional {
+		if o.Expect == nil || *o.Expect != (Expect{s.incarnation, s.revision}) {
+			return e.refuse("order", o, ReasonCondition)
+		}
+	}
+	if (o.Nonce != "" || !checked) && e.cfg.Orders == camphorhinge.OrdersTwoStep {
+		if o.Nonce == "" || o.Nonce != s.nonce {
+			return e.refuse("order", o, ReasonNonce)
+		}
+	}
+	if s.busy {
+		return e.refuse("order", o, ReasonBusy)
+	}
+	s.nonce = ""
+	e.raise(m)
+	s.revision++
+	s.last = camphorhinge.LastOrder{Fence: o.Fence, Seq: o.Seq, State: StateDone}
+	e.orders++
+	e.record("order", o, "taken")
+	e.begin(o)
+	e.announceNow()
+	return e.answer(s.last.State)
+}
+
+// begin starts the change that an order asks for. An order that changes nothing, which only raises the revision, takes
+// no time and cuts nothing.
+func (e *Engine) begin(o Order) {
+	s := &e.state
+	took := time.Duration(0)
+	roleChange := o.Role != "" && o.Role != s.role
+	if roleChange {
+		took += e.cfg.ChangeTime
+	}
+	loads := 0
+	for _, m := range o.Models {
+		if !slices.Contains(s.models, m) {
+			loads++
+		}
+	}
+	for _, a := range o.Adapters {
+		if !slices.Contains(s.adapters, a) {
+			loads++
+		}
+	}
+	took += time.Duration(loads) * e.cfg.LoadTime
+	unloads := o.Models != nil && !sameSet(o.Models, s.models) || o.Adapters != nil && !sameSet(o.Adapters, s.adapters)
+	if !roleChange && loads == 0 && !unloads {
+		return
+	}
+	e.counters.Changes++
+	s.busy = true
+	s.last.State = StateChanging
+	e.pending = &o
+	e.cutAll()
+	incarnation, number := s.incarnation, e.orders
+	e.jobs <- func(ctx context.Context) {
+		if e.cfg.VanishOnChange {
+			if !sleep(ctx, vanishDelay) {
+				return
+			}
+			e.listener.Down()
+		}
+		if sleep(ctx, took) {
+			e.finish(o, incarnation, number)
+		}
+	}
+}
+
+func (e *Engine) finish(o Order, incarnation camphorhinge.Incarnation, number int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := &e.state
+	if s.incarnation != incarnation || e.down {
+		return // the engine crashed meanwhile
+	}
+	if number == e.cfg.CrashOnOrder {
+		e.crash()
+		return
+	}
+	e.pending = nil
+	if o.Role != "" {
+		s.role = o.Role
+	}
+	if o.Models != nil {
+		s.models = slices.Clone(o.Models)
+	}
+	if o.Adapters != nil {
+		s.adapters = slices.Clone(o.Adapters)
+	}
+	s.busy = false
+	s.last.State = StateDone
+	e.cache = newCache(e.cfg, e.rng).after(e.cache)
+	if e.cfg.VanishOnChange {
+		e.listener.Up()
+	}
+	e.announceNow()
+}
+
+// applyHalf leaves the change in progress half applied, as a crash does: the role and the first half of the models.
+func (e *Engine) applyHalf() {
+	o := e.pending
+	e.pending = nil
+	if o == nil || !e.cfg.HalfApply {
+		return
+	}
+	if o.Role != "" {
+		e.state.role = o.Role
+	}
+	if o.Models != nil {
+		e.state.models = slices.Clone(o.Models[:len(o.Models)/2])
+	}
+}
+
+// after returns the empty cache with the event numbers of an older one, and evictions of all that the older one held.
+func (c *cache) after(old *cache) *cache {
+	c.seq, c.sent, c.events = old.seq, old.sent, old.events
+	for e := old.order.Back(); e != nil; e = e.Prev() {
+		h, _ := e.Value.(uint64)
+		c.note(h, true, time.Now())
+	}
+	return c
+}
+
+func (e *Engine) raise(m mark) {
+	if e.state.seen.below(m) {
+		e.state.seen = m
+	}
+}
+
+func (e *Engine) answer(state string) OrderAnswer {
+	return OrderAnswer{State: state, Incarnation: e.state.incarnation, Revision: e.state.revision}
+}
+
+func (e *Engine) refuse(kind string, o Order, reason string) OrderAnswer {
+	e.record(kind, o, reason)
+	return OrderAnswer{State: StateRefused, Error: reason, Incarnation: e.state.incarnation, Revision: e.state.revision}
+}
+
+func (e *Engine) record(kind string, o Order, result string) {
+	if len(e.counters.Orders) >= maxOrders {
+		e.counters.Orders = slices.Delete(e.counters.Orders, 0, maxOrders/2)
+	}
+	e.counters.Orders = append(e.counters.Orders, OrderRecord{
+		Kind: kind, Fence: o.Fence, Seq: o.Seq, Role: o.Role, Result: result,
+		Incarnation: e.state.incarnation, Revision: e.state.revision,
+	})
+}
+
+func sameSet[T cmp.Ordered](a, b []T) bool {
+	a, b = slices.Clone(a), slices.Clone(b)
+	slices.Sort(a)
+	slices.Sort(b)
+	return slices.Equal(slices.Compact(a), slices.Compact(b))
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,223 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/standin/wire"
+)
+
+// Config describes one process of a plain service.
+type Config struct {
+	Name    camphorhinge.TargetName
+	Service camphorhinge.ServiceName
+	Zone    camphorhinge.Zone
+	// Listen is the address to listen on; 127.0.0.1:0 by default.
+	Listen string
+	// Advertise is the announced address; that of the listener by default.
+	Advertise string
+	// Announce lists the base URLs of nodes.
+	Announce []string
+	// Incarnation is the number of this start; the wall clock in milliseconds by default.
+	Incarnation camphorhinge.Incarnation
+	// Delay is the time of one request.
+	Delay time.Duration
+	// CutOn closes the connection after the run, before the answer, of a request whose body contains this text.
+	CutOn string
+}
+
+// Counters count runs of requests.
+type Counters struct {
+	// Runs counts by Key.
+	Runs    map[string]int `json:"runs"`
+	Refused int            `json:"refused"`
+}
+
+// Answer is the body of each answer.
+type Answer struct {
+	Target camphorhinge.TargetName `json:"target"`
+	Key    string                  `json:"key"`
+	// Run is how often the request with this key has run in this process.
+	Run  int    `json:"run"`
+	Path string `json:"path"`
+	Body string `json:"body"`
+}
+
+// Service is one stand-in process.
+type Service struct {
+	cfg      Config
+	listener *wire.Listener
+	server   *server.Hertz
+	tell     chan struct{}
+
+	mu       sync.Mutex
+	seq      camphorhinge.Sequence
+	running  int
+	leaving  bool
+	quiet    bool
+	counters Counters
+}
+
+// New opens the listener; Run serves it.
+func New(c Config) (*Service, error) {
+	if c.Listen == "" {
+		c.Listen = "127.0.0.1:0"
+	}
+	if c.Incarnation == 0 {
+		c.Incarnation = camphorhinge.Incarnation(time.Now().UnixMilli())
+	}
+	l, err := wire.Listen(c.Listen)
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: KindNetwork, Err: err}
+	}
+	s := &Service{cfg: c, listener: l, tell: make(chan struct{}, 1), counters: Counters{Runs: map[string]int{}}}
+	s.server = server.New(
+		server.WithListener(l), server.WithTransport(standard.NewTransporter), server.WithDisablePrintRoute(true),
+	)
+	s.server.GET("/v1/counters", func(_ context.Context, ctx *app.RequestContext) { ctx.JSON(http.StatusOK, s.Counters()) })
+	s.server.GET("/v1/target", func(_ context.Context, ctx *app.RequestContext) {
+		a, _ := s.announcement()
+		ctx.JSON(http.StatusOK, a)
+	})
+	s.server.NoRoute(s.handle)
+	return s, nil
+}
+
+// Key is the key by which a request is counted: the Idempotency-Key, or else a hash of the body.
+func Key(idempotencyKey string, body []byte) string {
+	if idempotencyKey != "" {
+		return idempotencyKey
+	}
+	return fmt.Sprintf("%016x", xxhash.Sum64(body))
+}
+
+// Addr returns the announced IP and port.
+func (s *Service) Addr() string {
+	if s.cfg.Advertise != "" {
+		return s.cfg.Advertise
+	}
+	return s.listener.Addr().String()
+}
+
+// Run serves until ctx ends, and then resets all connections.
+func (s *Service) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := s.server.Run(); err != nil {
+			return &Error{Op: "serve", Kind: KindNetwork, Err: err}
+		}
+		return nil
+	})
+	g.Go(func() error { return wire.NewAnnouncer(s.cfg.Announce).Run(ctx, s.tell, s.announcement) })
+	g.Go(func() error {
+		<-ctx.Done()
+		s.listener.Down()
+		return s.listener.Close()
+	})
+	return g.Wait()
+}
+
+// Leave makes the process refuse new work and announce that it is leaving; false takes it back.
+func (s *Service) Leave(leaving bool) {
+	s.mu.Lock()
+	s.leaving = leaving
+	s.mu.Unlock()
+	select {
+	case s.tell <- struct{}{}:
+	default:
+	}
+}
+
+// Quiet stops the announcements; false goes on.
+func (s *Service) Quiet(quiet bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quiet = quiet
+}
+
+// Mute makes all open connections fall silent for ever; new ones work.
+func (s *Service) Mute() { s.listener.Mute() }
+
+// Counters returns a copy of the counters.
+func (s *Service) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.counters
+	c.Runs = maps.Clone(c.Runs)
+	return c
+}
+
+func (s *Service) announcement() (camphorhinge.Announcement, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seq++
+	return camphorhinge.Announcement{
+		Name: s.cfg.Name, Service: s.cfg.Service, Address: s.Addr(), Zone: s.cfg.Zone,
+		Incarnation: s.cfg.Incarnation, Seq: s.seq, Kind: camphorhinge.KindService,
+		Leaving: s.leaving, Load: camphorhinge.Load{Running: s.running},
+	}, !s.quiet
+}
+
+func (s *Service) handle(ctx context.Context, c *app.RequestContext) {
+	body := c.Request.Body()
+	key := Key(c.Request.Header.Get(camphorhinge.HeaderIdempotencyKey), body)
+	s.mu.Lock()
+	if s.leaving {
+		s.counters.Refused++
+		s.mu.Unlock()
+		c.Response.Header.Set(camphorhinge.HeaderRun, string(camphorhinge.NotRun))
+		c.JSON(http.StatusServiceUnavailable, map[string]any{"error": map[string]any{"message": "leaving"}})
+		return
+	}
+	s.counters.Runs[key]++
+	run := s.counters.Runs[key]
+	s.running++
+	s.mu.Unlock()
+	if s.cfg.Delay > 0 {
+		timer := time.NewTimer(s.cfg.Delay)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	if s.cfg.CutOn != "" && bytes.Contains(body, []byte(s.cfg.CutOn)) {
+		c.GetConn().Close()
+		return
+	}
+	c.Response.Header.Set(camphorhinge.HeaderRun, string(camphorhinge.Run))
+	c.JSON(http.StatusOK, Answer{Target: s.cfg.Name, Key: key, Run: run, Path: string(c.Path()), Body: string(body)})
+}
+
+// Kind classes an Error.
+type Kind string
+
+// KindNetwork marks a failure to listen or to serve.
+const KindNetwork Kind = "network"
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("service: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/standin/wire/listener.go
@@ -0,0 +1,116 @@
+package wire
+
+import (
+	"net"
+	"sync"
+)
+
+// Listener is a TCP listener that keeps its open connections, to inject faults of the network and of the process.
+type Listener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	down  bool
+	conns map[*conn]struct{}
+}
+
+// Listen opens a listener; addr may leave the port to the kernel.
+func Listen(addr string) (*Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{Listener: l, conns: map[*conn]struct{}{}}, nil
+}
+
+// Accept returns the next connection. While the listener is down, new connections are reset at once.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: inner, owner: l}
+		l.mu.Lock()
+		if l.down {
+			l.mu.Unlock()
+			reset(inner)
+			continue
+		}
+		l.conns[c] = struct{}{}
+		l.mu.Unlock()
+		return c, nil
+	}
+}
+
+// Down resets all open connections and, until Up, each new one.
+func (l *Listener) Down() {
+	l.mu.Lock()
+	l.down = true
+	open := l.open()
+	l.mu.Unlock()
+	for _, c := range open {
+		reset(c.Conn)
+	}
+}
+
+// Up accepts connections again after Down.
+func (l *Listener) Up() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = false
+}
+
+// Mute makes all open connections swallow what is written to them, for ever; new connections work.
+func (l *Listener) Mute() {
+	l.mu.Lock()
+	open := l.open()
+	l.mu.Unlock()
+	for _, c := range open {
+		c.mu.Lock()
+		c.muted = true
+		c.mu.Unlock()
+	}
+}
+
+func (l *Listener) open() []*conn {
+	open := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		open = append(open, c)
+	}
+	return open
+}
+
+type conn struct {
+	net.Conn
+	owner *Listener
+
+	mu    sync.Mutex
+	muted bool
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	muted := c.muted
+	c.mu.Unlock()
+	if muted {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *conn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.conns, c)
+	c.owner.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// reset closes a connection with a TCP reset, as the system does for the connections of a killed process.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		// A failure leaves an ordinary close, which ends the connection as well.
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
