--- /dev/null
+++ b/internal/request/exchange/client.go
@@ -0,0 +1,395 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"example.org/camphorhinge"
+	"github.com/VictoriaMetrics/metrics"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+)
+
+// Dialer opens connections; *net.Dialer implements it.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Config holds the dependencies and limits of a Client. Zero limits take the defaults below.
+type Config struct {
+	Dialer Dialer
+	// Connect bounds the connecting.
+	Connect time.Duration
+	// FirstByte bounds the time from the sent request to the first byte of the answer.
+	FirstByte time.Duration
+	// Between bounds the time between two bytes of an answer, and between two writes of a request.
+	Between time.Duration
+	// Probe bounds a probe of a target, and each control call (cancel, export, import).
+	Probe time.Duration
+	// Idle is the greatest number of idle connections per target.
+	Idle    int
+	Metrics *metrics.Set
+	Tracer  trace.Tracer
+}
+
+// Defaults of Config.
+const (
+	// DefaultConnect is far above the one-way delay of 1.5 ms between zones and allows one lost SYN.
+	DefaultConnect = 1500 * time.Millisecond
+	// DefaultFirstByte covers a long prompt that waits behind others.
+	DefaultFirstByte = 20 * time.Second
+	// DefaultBetween covers a pause of an engine between two batches.
+	DefaultBetween = 5 * time.Second
+	// DefaultProbe bounds a small answer from a target under load.
+	DefaultProbe = 2 * time.Second
+	// DefaultIdle is enough for the bursts of one node to one target.
+	DefaultIdle = 32
+
+	// headerLimit bounds an answer's status line and header, in bytes.
+	headerLimit = 64 << 10
+	// keepIdle stays below the usual 60 s idle limit of servers.
+	keepIdle = 30 * time.Second
+)
+
+// Client runs attempts. It is safe for concurrent use.
+type Client struct {
+	cfg    Config
+	pool   *pool
+	probes errgroup.Group
+	mu     sync.Mutex
+	// probing holds the addresses with a probe under way.
+	probing map[string]struct{}
+	stop    context.CancelFunc
+	base    context.Context
+	dropped *metrics.Counter
+}
+
+// New returns a Client; Close ends it.
+func New(cfg Config) *Client {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&cfg.Connect, DefaultConnect)
+	set(&cfg.FirstByte, DefaultFirstByte)
+	set(&cfg.Between, DefaultBetween)
+	set(&cfg.Probe, DefaultProbe)
+	if cfg.Idle == 0 {
+		cfg.Idle = DefaultIdle
+	}
+	if cfg.Dialer == nil {
+		cfg.Dialer = &net.Dialer{}
+	}
+	base, stop := context.WithCancel(context.Background())
+	return &Client{
+		cfg: cfg, pool: newPool(cfg.Idle, keepIdle), probing: make(map[string]struct{}),
+		base: base, stop: stop,
+		dropped: cfg.Metrics.GetOrCreateCounter("camphorhinge_exchange_siblings_dropped_total"),
+	}
+}
+
+// Close closes all connections and waits for probes under way.
+func (c *Client) Close() error {
+	c.stop()
+	c.pool.shut()
+	return c.probes.Wait()
+}
+
+// Call describes one attempt.
+type Call struct {
+	Target  *camphorhinge.Target
+	Attempt camphorhinge.AttemptID
+	Method  string
+	// Path is the request target with its query.
+	Path   string
+	Header http.Header
+	// Body is read once; Length is its size in bytes, or -1 when it is not known.
+	Body   io.Reader
+	Length int64
+	// Priority is passed on to the target.
+	Priority camphorhinge.Priority
+	// Resume is the offset at which a stream goes on, or 0 for a new one.
+	Resume int
+	// Fresh asks for a new connection. An idle one may be closed by the target just when the request is written, which
+	// leaves the class unknown; calls that can't be repeated avoid this.
+	Fresh bool
+}
+
+// Answer is an answer whose body is still being received. Close must be called; before the body's end it abandons the
+// exchange and closes the connection.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the body's size in bytes, or -1 for chunks.
+	Length int64
+
+	client *Client
+	ctx    context.Context
+	conn   *conn
+	resp   *http.Response
+	span   trace.Span
+	stop   func() bool
+	// whole is true once the body was read to its end.
+	whole  bool
+	closed bool
+	began  time.Time
+	first  time.Duration
+	err    error
+}
+
+// FirstByte returns the time from the start of the attempt to the first byte of the answer.
+func (a *Answer) FirstByte() time.Duration { return a.first }
+
+// Open sends a request and reads the answer's header. An answer of class not-run by the target's own word is returned
+// as an Error of KindRefused; other error statuses are returned as an Answer. The context's deadline is passed on to
+// the target, and its end closes the connection.
+func (c *Client) Open(ctx context.Context, call Call) (*Answer, error) {
+	ctx, span := c.cfg.Tracer.Start(ctx, "target "+call.Method, trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(
+			attribute.String("camphorhinge.target", string(call.Target.Name)),
+			attribute.String("camphorhinge.attempt", string(call.Attempt)),
+			attribute.Int("camphorhinge.resume", call.Resume)))
+	a, err := c.open(ctx, span, call)
+	if err != nil {
+		c.count(err)
+		span.SetStatus(codes.Error, err.Error())
+		span.End()
+		return nil, err
+	}
+	return a, nil
+}
+
+func (c *Client) open(ctx context.Context, span trace.Span, call Call) (*Answer, error) {
+	began := time.Now()
+	cn, err := c.connect(ctx, call.Target.Address, call.Fresh)
+	if err != nil {
+		return nil, err
+	}
+	cn.begin(c.cfg.FirstByte, c.cfg.Between, headerLimit)
+	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	// Closing a body of net/http would read it to its end; here the connection is closed or kept instead.
+	resp, err := c.roundTrip(ctx, cn, call) //nolint:bodyclose // see above
+	if err != nil {
+		stop()
+		c.pool.remove(cn)
+		c.suspect(err, call.Target.Address)
+		return nil, err
+	}
+	cn.header = math.MaxInt64
+	a := &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		client: c, ctx: ctx, conn: cn, resp: resp, span: span, stop: stop, began: began, first: time.Since(began),
+	}
+	if id := resp.Header.Get(camphorhinge.HeaderAttempt); id != "" && id != string(call.Attempt) {
+		err := a.broken("open", fmt.Errorf("%w: header %.80q", errAttempt, id))
+		a.finish()
+		return nil, err
+	}
+	if resp.StatusCode >= http.StatusBadRequest &&
+		resp.Header.Get(camphorhinge.HeaderRun) == string(camphorhinge.NotRun) {
+		_, _ = io.Copy(io.Discard, io.LimitReader(a, 64<<10))
+		a.finish()
+		return nil, &Error{
+			Op: "open", Kind: KindRefused, Run: camphorhinge.NotRun, Status: resp.StatusCode,
+			Err: fmt.Errorf("target %s refused with status %d", call.Target.Name, resp.StatusCode),
+		}
+	}
+	return a, nil
+}
+
+// connect returns a connection. Its errors are of class not-run, since nothing was sent.
+func (c *Client) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
+	if !fresh {
+		if cn := c.pool.take(address); cn != nil {
+			return cn, nil
+		}
+	}
+	dctx, cancel := context.WithTimeout(ctx, c.cfg.Connect)
+	defer cancel()
+	nc, err := c.cfg.Dialer.DialContext(dctx, "tcp", address)
+	if err != nil {
+		e := &Error{Op: "connect", Kind: KindConnect, Run: camphorhinge.NotRun, Err: err}
+		switch cause := ctx.Err(); {
+		case errors.Is(cause, context.DeadlineExceeded):
+			e.Kind = KindDeadline
+		case cause != nil:
+			e.Kind = KindLeft
+		}
+		return nil, e
+	}
+	cn := &conn{Conn: nc, address: address}
+	cn.br = bufio.NewReaderSize(cn, 8<<10)
+	if !c.pool.add(cn) {
+		cn.Close()
+		return nil, &Error{Op: "connect", Kind: KindConnect, Run: camphorhinge.NotRun, Err: errClosed}
+	}
+	return cn, nil
+}
+
+// source remembers the error of the caller's body, which is not the target's fault.
+type source struct {
+	io.Reader
+	err error
+}
+
+func (s *source) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.err = err
+	}
+	return n, err
+}
+
+func (c *Client) roundTrip(ctx context.Context, cn *conn, call Call) (*http.Response, error) {
+	req, src, err := c.request(ctx, call)
+	if err != nil {
+		return nil, &Error{Op: "request", Kind: KindProtocol, Run: camphorhinge.NotRun, Err: err}
+	}
+	werr := req.Write(cn)
+	if src != nil && src.err != nil {
+		e := fail(ctx, "write", cn, src.err)
+		if e.Kind != KindLeft && e.Kind != KindDeadline {
+			e.Kind, e.Reset = KindBody, false
+		}
+		return nil, e
+	}
+	if werr != nil && (cn.sent.Load() == 0 || ctx.Err() != nil) {
+		return nil, fail(ctx, "write", cn, werr)
+	}
+	// After a failed write the target may still have answered, such as with a refusal of a large body.
+	for range 5 {
+		resp, err := http.ReadResponse(cn.br, req)
+		if err != nil {
+			if werr != nil {
+				err = werr
+			}
+			return nil, fail(ctx, "read header", cn, err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			if werr != nil {
+				resp.Close = true
+			}
+			return resp, nil
+		}
+	}
+	return nil, fail(ctx, "read header", cn, errFraming)
+}
+
+func (c *Client) request(ctx context.Context, call Call) (*http.Request, *source, error) {
+	u, err := url.ParseRequestURI(call.Path)
+	if err != nil {
+		return nil, nil, err
+	}
+	u.Scheme, u.Host = "http", call.Target.Address
+	h := make(http.Header, len(call.Header)+8)
+	for k, v := range call.Header {
+		h[k] = v
+	}
+	h.Set(camphorhinge.HeaderAttempt, string(call.Attempt))
+	h.Set(camphorhinge.HeaderPriority, strconv.Itoa(int(call.Priority)))
+	if d, ok := ctx.Deadline(); ok {
+		h.Set(camphorhinge.HeaderDeadline, strconv.FormatInt(max(time.Until(d).Milliseconds(), 1), 10))
+	}
+	if call.Resume > 0 {
+		h.Set(camphorhinge.HeaderResume, strconv.Itoa(call.Resume))
+	}
+	if h.Get("User-Agent") == "" {
+		h.Set("User-Agent", "camphorhinge")
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(h))
+	req := &http.Request{
+		Method: call.Method, URL: u, Host: u.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if call.Body == nil || call.Length == 0 {
+		return req, nil, nil
+	}
+	src := &source{Reader: call.Body}
+	req.Body, req.ContentLength = io.NopCloser(src), call.Length
+	if call.Length < 0 {
+		req.TransferEncoding = []string{"chunked"}
+	}
+	return req, src, nil
+}
+
+// framed reports whether the end of the body can be told from a cut connection.
+func (a *Answer) framed() bool {
+	chunked := len(a.resp.TransferEncoding) > 0 && strings.EqualFold(a.resp.TransferEncoding[0], "chunked")
+	return a.resp.ContentLength >= 0 || chunked || a.resp.Body == http.NoBody
+}
+
+// Read reads the body. It returns io.EOF only when the whole body was received; other errors are of type *Error.
+func (a *Answer) Read(p []byte) (int, error) {
+	if a.whole {
+		return 0, io.EOF
+	}
+	if a.err != nil {
+		return 0, a.err
+	}
+	if !a.framed() {
+		return 0, a.broken("read body", errFraming)
+	}
+	n, err := a.resp.Body.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		a.whole = true
+		return n, io.EOF
+	case err != nil:
+		return n, a.broken("read body", err)
+	}
+	return n, nil
+}
+
+// broken records the failure of the exchange and returns it.
+func (a *Answer) broken(op string, err error) error {
+	e := fail(a.ctx, op, a.conn, err)
+	e.Status = a.Status
+	a.err = e
+	a.span.SetStatus(codes.Error, e.Error())
+	a.client.count(e)
+	a.client.suspect(e, a.conn.address)
+	return e
+}
+
+// Close ends the exchange. Unless the whole body was received it closes the connection.
+func (a *Answer) Close() {
+	if !a.closed {
+		a.finish()
+		a.span.End()
+	}
+}
+
+func (a *Answer) finish() {
+	a.closed = true
+	// A stopped AfterFunc did not run, so the connection is still open.
+	if a.stop() && a.whole && a.err == nil && !a.resp.Close {
+		a.client.pool.put(a.conn)
+		return
+	}
+	a.client.pool.remove(a.conn)
+}
+
+func (c *Client) count(err error) {
+	var e *Error
+	if errors.As(err, &e) {
+		c.cfg.Metrics.GetOrCreateCounter(
+			fmt.Sprintf("camphorhinge_exchange_failures_total{kind=%q,run=%q}", e.Kind, e.Run)).Inc()
+	}
+}
+
+// Whole reports whether the body was read to its end.
+func (a *Answer) Whole() bool { return a.whole }
--- /dev/null
+++ b/internal/request/exchange/conn.go
@@ -0,0 +1,91 @@
+package exchange
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// conn is a connection that counts its bytes and bounds the time without progress.
+type conn struct {
+	net.Conn
+	br      *bufio.Reader
+	address string
+	// sent counts the bytes of the current request that the kernel accepted.
+	sent atomic.Int64
+	// got counts the bytes of the current answer.
+	got atomic.Int64
+	// header bounds the bytes read before the answer's header is complete.
+	header int64
+	// suspect is set when a sibling fell silent; the connection is then not used again.
+	suspect atomic.Bool
+	idle    time.Time
+	first   time.Duration
+	between time.Duration
+}
+
+var errHeader = errors.New("answer header exceeds the size limit")
+
+// begin resets the counters for a new request.
+func (c *conn) begin(first, between time.Duration, header int64) {
+	c.sent.Store(0)
+	c.got.Store(0)
+	c.first, c.between, c.header = first, between, header
+}
+
+// Write implements io.Writer; it fails after the between limit without progress.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.between)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// Read implements io.Reader; it fails after the first or between limit without progress.
+func (c *conn) Read(p []byte) (int, error) {
+	limit := c.between
+	if c.got.Load() == 0 {
+		limit = c.first
+	}
+	if c.header <= 0 {
+		return 0, errHeader
+	}
+	if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.got.Add(int64(n))
+	c.header -= int64(n)
+	return n, err
+}
+
+// usable reports whether an idle connection is still open and has nothing to read. Bytes that arrive while no request
+// is in flight belong to no request, so such a connection must not be used.
+func (c *conn) usable() bool {
+	if c.suspect.Load() || c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	usable := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		usable = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && usable
+}
--- /dev/null
+++ b/internal/request/exchange/pool.go
@@ -0,0 +1,129 @@
+package exchange
+
+import (
+	"sync"
+	"time"
+)
+
+// pool holds the connections of a Client by target address.
+type pool struct {
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	all    map[string]map[*conn]struct{}
+	max    int
+	keep   time.Duration
+	closed bool
+}
+
+func newPool(limit int, keep time.Duration) *pool {
+	return &pool{
+		idle: make(map[string][]*conn),
+		all:  make(map[string]map[*conn]struct{}),
+		max:  limit, keep: keep,
+	}
+}
+
+// take returns a usable idle connection, or nil.
+func (p *pool) take(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		list := p.idle[address]
+		if len(list) == 0 {
+			return nil
+		}
+		c := list[len(list)-1]
+		p.setIdle(address, list[:len(list)-1])
+		if time.Since(c.idle) < p.keep && c.usable() {
+			return c
+		}
+		p.forget(c)
+	}
+}
+
+// add registers a new connection that is in use. It returns false when the pool is closed.
+func (p *pool) add(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	set := p.all[c.address]
+	if set == nil {
+		set = make(map[*conn]struct{})
+		p.all[c.address] = set
+	}
+	set[c] = struct{}{}
+	return true
+}
+
+// put makes a connection idle, or closes it.
+func (p *pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.address]
+	if len(list) > 0 && time.Since(list[0].idle) >= p.keep {
+		p.forget(list[0])
+		list = append([]*conn(nil), list[1:]...)
+	}
+	if p.closed || c.suspect.Load() || c.br.Buffered() > 0 || len(list) >= p.max {
+		p.forget(c)
+		p.setIdle(c.address, list)
+		return
+	}
+	c.idle = time.Now()
+	p.setIdle(c.address, append(list, c))
+}
+
+// remove closes a connection that is in use.
+func (p *pool) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(c)
+}
+
+// drop closes the idle connections to an address and marks those in use, which end their exchange but are not used
+// again. It returns the number of both.
+func (p *pool) drop(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.all[address])
+	for _, c := range p.idle[address] {
+		p.forget(c)
+	}
+	delete(p.idle, address)
+	for c := range p.all[address] {
+		c.suspect.Store(true)
+	}
+	return n
+}
+
+// shut closes all connections, including those in use.
+func (p *pool) shut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, set := range p.all {
+		for c := range set {
+			c.Close()
+		}
+	}
+	clear(p.all)
+	clear(p.idle)
+}
+
+func (p *pool) forget(c *conn) {
+	c.Close()
+	delete(p.all[c.address], c)
+	if len(p.all[c.address]) == 0 {
+		delete(p.all, c.address)
+	}
+}
+
+func (p *pool) setIdle(address string, list []*conn) {
+	if len(list) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = list
+}
--- /dev/null
+++ b/internal/request/exchange/probe.go
@@ -0,0 +1,126 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"example.org/camphorhinge"
+)
+
+// suspect starts a probe of an address on which a connection fell silent.
+func (c *Client) suspect(err error, address string) {
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != KindSilent {
+		return
+	}
+	c.mu.Lock()
+	_, running := c.probing[address]
+	c.probing[address] = struct{}{}
+	c.mu.Unlock()
+	if running || c.base.Err() != nil {
+		return
+	}
+	c.probes.Go(func() error {
+		defer func() {
+			c.mu.Lock()
+			delete(c.probing, address)
+			c.mu.Unlock()
+		}()
+		if c.Probe(c.base, address) == nil {
+			c.dropped.Add(c.pool.drop(address))
+		}
+		return nil
+	})
+}
+
+// Probe asks a target for its state on a new connection. Any HTTP answer shows that new connections work.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Probe)
+	defer cancel()
+	a, err := c.Open(ctx, Call{
+		Target: &camphorhinge.Target{Announcement: camphorhinge.Announcement{Address: address}},
+		Method: http.MethodGet, Path: "/v1/target", Fresh: true,
+	})
+	var e *Error
+	if errors.As(err, &e) && e.Kind == KindRefused {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	a.Close()
+	return nil
+}
+
+// Handle names an exported KV cache on its exporter.
+type Handle struct {
+	Handle string              `json:"handle"`
+	Blocks camphorhinge.Blocks `json:"blocks"`
+}
+
+// Cancel asks a target to end an attempt and to free what it holds.
+func (c *Client) Cancel(ctx context.Context, target *camphorhinge.Target, attempt camphorhinge.AttemptID) error {
+	return c.control(ctx, target, http.MethodDelete, "/v1/attempts/"+url.PathEscape(string(attempt)), nil, nil)
+}
+
+// Export asks an engine to export the KV cache of an attempt.
+func (c *Client) Export(
+	ctx context.Context, target *camphorhinge.Target, attempt camphorhinge.AttemptID,
+) (Handle, error) {
+	var h Handle
+	err := c.control(ctx, target, http.MethodPost, "/v1/kv/export", map[string]any{"attempt": attempt}, &h)
+	return h, err
+}
+
+// Import asks an engine to fetch an exported KV cache from another engine, after which the attempt can be resumed there.
+func (c *Client) Import(
+	ctx context.Context, target, from *camphorhinge.Target, h Handle, attempt camphorhinge.AttemptID,
+) error {
+	return c.control(ctx, target, http.MethodPost, "/v1/kv/import",
+		map[string]any{"from": from.Address, "handle": h.Handle, "attempt": attempt}, nil)
+}
+
+// control runs a small JSON call. An error status is an Error of KindStatus.
+func (c *Client) control(
+	ctx context.Context, target *camphorhinge.Target, method, path string, in, out any,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Probe)
+	defer cancel()
+	call := Call{Target: target, Method: method, Path: path, Header: http.Header{}}
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return &Error{Op: path, Kind: KindProtocol, Run: camphorhinge.NotRun, Err: err}
+		}
+		call.Body, call.Length = bytes.NewReader(body), int64(len(body))
+		call.Header.Set("Content-Type", "application/json")
+	}
+	a, err := c.Open(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(io.LimitReader(a, 64<<10))
+	if err != nil {
+		return err
+	}
+	if a.Status >= http.StatusBadRequest {
+		return &Error{
+			Op: path, Kind: KindStatus, Run: camphorhinge.Run, Status: a.Status,
+			Err: fmt.Errorf("status %d", a.Status),
+		}
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return &Error{Op: path, Kind: KindProtocol, Run: camphorhinge.Run, Status: a.Status, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/exchange/stream.go
@@ -0,0 +1,222 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	// eventLimit bounds one event of a stream, in bytes.
+	eventLimit = 1 << 20
+	// lastChunk bounds the wait for the end of a chunked body after the end mark.
+	lastChunk = 50 * time.Millisecond
+	// refusalLimit bounds the part of an error answer that is kept.
+	refusalLimit = 64 << 10
+)
+
+// Event is one piece of a streamed answer.
+type Event struct {
+	// Offset numbers the events of a stream from 0.
+	Offset int
+	Data   []byte
+}
+
+// Stream is a streamed answer of one attempt.
+type Stream struct {
+	answer  *Answer
+	attempt camphorhinge.AttemptID
+	lines   *bufio.Reader
+	next    int
+	// finished is true after an event with a finish reason.
+	finished bool
+	ended    bool
+	err      error
+}
+
+// Refused is the answer of a target with an error status.
+type Refused struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Error implements error.
+func (r *Refused) Error() string { return fmt.Sprintf("target answered with status %d", r.Status) }
+
+// Stream sends a request whose answer is an event stream. An error status is an Error of KindStatus that wraps a
+// *Refused.
+func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
+	a, err := c.Open(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	if a.Status != http.StatusOK {
+		defer a.Close()
+		body, err := io.ReadAll(io.LimitReader(a, refusalLimit))
+		if err != nil {
+			return nil, err
+		}
+		e := &Error{
+			Op: "stream", Kind: KindStatus, Run: camphorhinge.Run, Status: a.Status,
+			Err: &Refused{Status: a.Status, Header: a.Header, Body: body},
+		}
+		c.count(e)
+		return nil, e
+	}
+	if !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		defer a.Close()
+		return nil, a.broken("stream", errNoStream)
+	}
+	return &Stream{
+		answer: a, attempt: call.Attempt, lines: bufio.NewReaderSize(a, 16<<10), next: call.Resume,
+	}, nil
+}
+
+// Answer returns the answer that carries the stream.
+func (s *Stream) Answer() *Answer { return s.answer }
+
+// Next returns the next event, or io.EOF after the end mark. Any other error is an *Error and ends the stream.
+func (s *Stream) Next() (Event, error) {
+	if s.ended {
+		return Event{}, io.EOF
+	}
+	if s.err != nil {
+		return Event{}, s.err
+	}
+	e, err := s.read()
+	switch {
+	case err == nil:
+		return e, nil
+	case s.ended:
+		return Event{}, io.EOF
+	case s.answer.err != nil:
+		s.err = s.answer.err
+	default:
+		s.err = s.answer.broken("stream", err)
+	}
+	return Event{}, s.err
+}
+
+func (s *Stream) read() (Event, error) {
+	var id string
+	var data []byte
+	size, seen := 0, false
+	for {
+		line, err := s.line(&size)
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) == 0 {
+			if !seen {
+				id, size = "", 0
+				continue
+			}
+			return s.event(id, data)
+		}
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(field) {
+		case "id":
+			id = string(value)
+		case "data":
+			if seen {
+				data = append(data, '\n')
+			}
+			data, seen = append(data, value...), true
+		}
+	}
+}
+
+// line reads one line without its end; size counts the bytes of the event so far.
+func (s *Stream) line(size *int) ([]byte, error) {
+	var long []byte
+	for {
+		part, err := s.lines.ReadSlice('\n')
+		if *size += len(part); *size > eventLimit {
+			return nil, errTooLong
+		}
+		switch {
+		case err == nil && long == nil:
+			return bytes.TrimRight(part, "\r\n"), nil
+		case err == nil:
+			return bytes.TrimRight(append(long, part...), "\r\n"), nil
+		case errors.Is(err, bufio.ErrBufferFull):
+			long = append(long, part...)
+		case errors.Is(err, io.EOF):
+			return nil, errNoEnd
+		default:
+			return nil, err
+		}
+	}
+}
+
+// event checks one received event against the attempt and the expected offset.
+func (s *Stream) event(id string, data []byte) (Event, error) {
+	done := string(data) == "[DONE]"
+	if id != "" || !done {
+		cut := strings.LastIndexByte(id, '/')
+		if cut < 0 || id[:cut] != string(s.attempt) {
+			return Event{}, fmt.Errorf("%w: id %.80q", errAttempt, id)
+		}
+		n, err := strconv.Atoi(id[cut+1:])
+		if err != nil || n != s.next {
+			return Event{}, fmt.Errorf("%w: id %.80q, expected offset %d", errOffset, id, s.next)
+		}
+	}
+	if done {
+		if !s.finished {
+			return Event{}, errNoFinish
+		}
+		s.ended = true
+		return Event{}, io.EOF
+	}
+	s.next++
+	s.finished = s.finished || finishes(data)
+	return Event{Offset: s.next - 1, Data: data}, nil
+}
+
+// Close ends the exchange. Before the end mark, or when anything but the last chunk follows it, the connection is closed.
+func (s *Stream) Close() {
+	if s.ended && !s.answer.closed && s.lines.Buffered() == 0 {
+		var b [1]byte
+		// The last chunk normally came with the end mark; a target that delays it loses its connection.
+		s.answer.conn.between = lastChunk
+		_, _ = s.answer.Read(b[:])
+	}
+	s.answer.Close()
+}
+
+// finishes reports whether an event carries a finish reason.
+func finishes(data []byte) bool {
+	if !bytes.Contains(data, []byte("finish_reason")) {
+		return false
+	}
+	var e struct {
+		Choices []struct {
+			Finish *string `json:"finish_reason"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal(data, &e) != nil {
+		return false
+	}
+	for _, c := range e.Choices {
+		if c.Finish != nil && *c.Finish != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// Offset returns the offset of the event that Next returns next.
+func (s *Stream) Offset() int { return s.next }
--- /dev/null
+++ b/internal/request/frontend/frontend.go
@@ -0,0 +1,217 @@
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/claim"
+	"example.org/camphorhinge/internal/request/exchange"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+)
+
+// Service is what the configuration says of a service.
+type Service struct {
+	Name camphorhinge.ServiceName
+	// Idempotent holds the methods that may be repeated; it is not used for model requests.
+	Idempotent []string
+	// Priority is the default of requests to the service.
+	Priority camphorhinge.Priority
+	// Deadline bounds each request; it is above 0.
+	Deadline time.Duration
+}
+
+// Model is what the configuration says of a name that callers use as model.
+type Model struct {
+	Service Service
+	Model   camphorhinge.ModelName
+	Adapter camphorhinge.AdapterName
+}
+
+// Workspace is what the configuration says of a workspace.
+type Workspace struct {
+	Name camphorhinge.WorkspaceName
+	// Priority is the highest that its requests may ask for.
+	Priority camphorhinge.Priority
+}
+
+// Configuration looks up the configuration in force on this node. Its methods are safe for concurrent use and don't
+// block.
+type Configuration interface {
+	// Ready reports whether the node should get new requests from the balancer.
+	Ready() bool
+	// MayServe reports whether the configuration is recent enough for new requests.
+	MayServe() bool
+	// Model returns the route of a model or adapter name.
+	Model(name string) (Model, bool)
+	// Path returns the plain service with the longest matching path prefix.
+	Path(path string) (Service, bool)
+	// Workspace returns the workspace whose API key has this SHA-256, in lower-case hexadecimal.
+	Workspace(keyDigest string) (Workspace, bool)
+}
+
+// Claimer grants non-idempotent requests; *claim.Client implements it.
+type Claimer interface {
+	// Claim asks for a claim. Its *claim.Error is of KindAbsent when the claim is known to have no effect.
+	Claim(ctx context.Context, req claim.Request) (claim.Grant, error)
+	// Complete stores the answer of a granted claim.
+	Complete(ctx context.Context, g claim.Grant, a claim.Answer) error
+	// Lose notes that the outcome of a granted claim is unknown.
+	Lose(ctx context.Context, g claim.Grant) error
+	// Release gives up a granted claim of which no byte was sent.
+	Release(ctx context.Context, g claim.Grant) error
+}
+
+// Quarantine refuses requests that crash targets; *quarantine.Client implements it.
+type Quarantine interface {
+	// Refused reports whether a fingerprint is refused, and for how long.
+	Refused(fp camphorhinge.Fingerprint) (time.Duration, bool)
+	// Begin notes that a request is in flight at a target. The returned function is called once at the attempt's end:
+	// crashed tells that the connection was reset or closed during it, succeeded that the answer was complete.
+	Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
+}
+
+// jitterer is an optional ability of an Admission: a random delay before a repeated attempt.
+type jitterer interface {
+	Jitter() time.Duration
+}
+
+// Config holds the dependencies and limits of a Frontend. Claims and Quarantine may be nil. Zero limits take the
+// defaults below.
+type Config struct {
+	Router        camphorhinge.Router
+	Admission     camphorhinge.Admission
+	Targets       camphorhinge.Targets
+	Decisions     camphorhinge.Decisions
+	Configuration Configuration
+	Exchange      *exchange.Client
+	Claims        Claimer
+	Quarantine    Quarantine
+	Metrics       *metrics.Set
+	Tracer        trace.Tracer
+	// Prefixes hashes the leading blocks of a prompt; nil takes PromptPrefixes.
+	Prefixes func(prompt []byte) []uint64
+	// NewID draws ids of requests and attempts; nil takes random UUIDs.
+	NewID func() string
+
+	// ModelBody bounds the body of a model request, PlainBody that of a call to a plain service, in bytes.
+	ModelBody int64
+	PlainBody int64
+	// Answer bounds a whole answer to a model request, in bytes.
+	Answer int64
+	// Receive bounds the time in which a caller sends the body.
+	Receive time.Duration
+}
+
+// Defaults of Config.
+const (
+	// DefaultModelBody holds a prompt of about two million tokens.
+	DefaultModelBody = 8 << 20
+	// DefaultPlainBody holds a photo or a document.
+	DefaultPlainBody = 16 << 20
+	// DefaultAnswer holds several answers of the longest context.
+	DefaultAnswer = 16 << 20
+	// DefaultReceive lets a slow phone link send a few MB.
+	DefaultReceive = 20 * time.Second
+
+	// keepBody bounds the part of a plain call's body or answer that is held in memory. A call with a longer body is not
+	// repeated.
+	keepBody = 256 << 10
+	// tries bounds the attempts of a request, so that a request that each target refuses ends.
+	tries = 4
+	// control bounds a claim's completion, release or loss after the exchange.
+	control = 2 * time.Second
+	// prefixBytes is the prompt text of one memory block of 1,000 tokens, at 4 bytes per token.
+	prefixBytes = 4000
+	// tokenBytes is the estimated prompt text of one token.
+	tokenBytes = 4
+	// maxPrefixes bounds the hashes that are looked up per request.
+	maxPrefixes = 256
+)
+
+// Frontend serves callers. It is safe for concurrent use.
+type Frontend struct {
+	cfg    Config
+	meters *meters
+	// after runs control calls that no caller waits for, such as cancels.
+	after errgroup.Group
+}
+
+// afterLimit bounds the control calls under way; further ones run before their handler returns.
+const afterLimit = 256
+
+// New returns a Frontend; Close ends it.
+func New(cfg Config) *Frontend {
+	if cfg.NewID == nil {
+		cfg.NewID = uuid.NewString
+	}
+	if cfg.Prefixes == nil {
+		cfg.Prefixes = PromptPrefixes
+	}
+	if cfg.ModelBody == 0 {
+		cfg.ModelBody = DefaultModelBody
+	}
+	if cfg.PlainBody == 0 {
+		cfg.PlainBody = DefaultPlainBody
+	}
+	if cfg.Answer == 0 {
+		cfg.Answer = DefaultAnswer
+	}
+	if cfg.Receive == 0 {
+		cfg.Receive = DefaultReceive
+	}
+	f := &Frontend{cfg: cfg, meters: newMeters(cfg.Metrics)}
+	f.after.SetLimit(afterLimit)
+	return f
+}
+
+// Close waits for control calls under way.
+func (f *Frontend) Close() error { return f.after.Wait() }
+
+// PromptPrefixes returns the xxhash64 of each leading part of a prompt that is a multiple of 4,000 bytes long, the
+// shortest first.
+func PromptPrefixes(prompt []byte) []uint64 {
+	n := min(len(prompt)/prefixBytes, maxPrefixes)
+	if n == 0 {
+		return nil
+	}
+	out := make([]uint64, 0, n)
+	d := xxhash.New()
+	for i := range n {
+		_, _ = d.Write(prompt[i*prefixBytes : (i+1)*prefixBytes])
+		out = append(out, d.Sum64())
+	}
+	return out
+}
+
+// later runs a control call that no caller waits for.
+func (f *Frontend) later(call func(ctx context.Context) error) {
+	run := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), control)
+		defer cancel()
+		if call(ctx) != nil {
+			f.meters.controlFailures.Inc()
+		}
+		return nil
+	}
+	if !f.after.TryGo(run) {
+		_ = run()
+	}
+}
+
+// sink receives the answer for a caller.
+type sink interface {
+	// Whole sends a complete answer.
+	Whole(status int, header http.Header, body []byte) error
+	// Head starts an answer that is sent in pieces.
+	Head(status int, header http.Header) error
+	// Write sends one piece at once; an error means that the caller is gone.
+	Write(p []byte) (int, error)
+	// Abort cuts the connection, so that the caller can't take the pieces for the whole answer.
+	Abort()
+}
--- /dev/null
+++ b/internal/request/frontend/inbound.go
@@ -0,0 +1,258 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"example.org/camphorhinge"
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// inbound is one request of a caller.
+type inbound struct {
+	method string
+	path   string
+	// target is the path with the query, as sent.
+	target string
+	header http.Header
+	body   io.Reader
+	// length is the body's size in bytes, or -1 when it is not known.
+	length int64
+
+	id        camphorhinge.RequestID
+	began     time.Time
+	workspace Workspace
+	service   camphorhinge.ServiceName
+	priority  camphorhinge.Priority
+}
+
+// serve answers one request.
+func (f *Frontend) serve(ctx context.Context, in *inbound, out sink) {
+	in.id, in.began = camphorhinge.RequestID(f.cfg.NewID()), time.Now()
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(in.header))
+	ctx, span := f.cfg.Tracer.Start(ctx, "request "+in.method, trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("camphorhinge.request", string(in.id))))
+	defer span.End()
+
+	err := f.dispatch(ctx, in, out)
+	span.SetAttributes(attribute.String("camphorhinge.workspace", string(in.workspace.Name)),
+		attribute.String("camphorhinge.service", string(in.service)))
+	if err == nil {
+		f.meters.end(in.service, camphorhinge.Run, "", true, time.Since(in.began))
+		return
+	}
+	span.SetStatus(codes.Error, err.Error())
+	f.meters.end(in.service, err.Run, err.Kind, false, time.Since(in.began))
+	if err.Kind != KindLeft {
+		f.cfg.Decisions.Note("refuse", string(in.id), string(err.Kind), map[string]string{
+			"run": string(err.Run), "workspace": string(in.workspace.Name), "service": string(in.service),
+			"cause": err.Err.Error(),
+		})
+	}
+	if !errors.Is(err, errWritten) {
+		_ = out.Whole(err.Status, f.header(in, err.Run, err.RetryAfter, "application/json"), err.body(in.id))
+	}
+}
+
+func (f *Frontend) dispatch(ctx context.Context, in *inbound, out sink) *Error {
+	if !f.cfg.Configuration.MayServe() {
+		err := refuse(KindStale, http.StatusServiceUnavailable, "the configuration of this node is stale")
+		err.RetryAfter = retryHint
+		return err
+	}
+	if err := f.authorize(in); err != nil {
+		return err
+	}
+	switch {
+	case !modelPath(in.path):
+		return f.plain(ctx, in, out)
+	case in.method != http.MethodPost:
+		return refuse(KindInvalid, http.StatusMethodNotAllowed, "%s must be called with POST", in.path)
+	}
+	return f.model(ctx, in, out)
+}
+
+// errWritten marks an Error that the caller was already told within the answer.
+var errWritten = errors.New("the answer had begun")
+
+func modelPath(path string) bool {
+	return path == "/v1/completions" || path == "/v1/chat/completions"
+}
+
+// header returns the header of an answer of our own.
+func (f *Frontend) header(
+	in *inbound, class camphorhinge.RunClass, retry time.Duration, contentType string,
+) http.Header {
+	h := http.Header{}
+	h.Set("Content-Type", contentType)
+	h.Set(camphorhinge.HeaderRun, string(class))
+	h.Set(camphorhinge.HeaderRequest, string(in.id))
+	if retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((retry+time.Second-1)/time.Second)))
+	}
+	return h
+}
+
+// authorize finds the workspace of the caller's API key.
+func (f *Frontend) authorize(in *inbound) *Error {
+	key, ok := strings.CutPrefix(in.header.Get("Authorization"), "Bearer ")
+	if ok && key != "" {
+		sum := sha256.Sum256([]byte(key))
+		in.workspace, ok = f.cfg.Configuration.Workspace(hex.EncodeToString(sum[:]))
+	}
+	if !ok || key == "" {
+		return refuse(KindUnauthorized, http.StatusUnauthorized, "the API key is missing or unknown")
+	}
+	return nil
+}
+
+// limits sets the request's priority and returns the time left for it.
+func (in *inbound) limits(s Service) (time.Duration, *Error) {
+	in.service = s.Name
+	in.priority = min(s.Priority, in.workspace.Priority)
+	if v := in.header.Get(camphorhinge.HeaderPriority); v != "" {
+		n, err := strconv.ParseUint(v, 10, 8)
+		if err != nil || camphorhinge.Priority(n) > camphorhinge.MaxPriority {
+			return 0, refuse(KindInvalid, http.StatusBadRequest, "%s must be a number from 0 to %d",
+				camphorhinge.HeaderPriority, camphorhinge.MaxPriority)
+		}
+		in.priority = min(camphorhinge.Priority(n), in.workspace.Priority)
+	}
+	left := s.Deadline
+	if v := in.header.Get(camphorhinge.HeaderDeadline); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || n <= 0 {
+			return 0, refuse(KindInvalid, http.StatusBadRequest, "%s must be a positive number of milliseconds",
+				camphorhinge.HeaderDeadline)
+		}
+		if n < left.Milliseconds() {
+			left = time.Duration(n) * time.Millisecond
+		}
+	}
+	return left - time.Since(in.began), nil
+}
+
+// read reads the whole body.
+func (in *inbound) read(limit int64) ([]byte, *Error) {
+	if in.length > limit {
+		return nil, refuse(KindTooLarge, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
+	}
+	if in.body == nil {
+		return nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(in.body, limit+1))
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refuse(KindSlow, http.StatusRequestTimeout, "the body was not received in time")
+	case err != nil:
+		return nil, refuse(KindInvalid, http.StatusBadRequest, "the body could not be read: %w", err)
+	case int64(len(body)) > limit:
+		return nil, refuse(KindTooLarge, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
+	case in.length >= 0 && int64(len(body)) < in.length:
+		return nil, refuse(KindInvalid, http.StatusBadRequest, "the body is shorter than its content length")
+	}
+	return body, nil
+}
+
+// fingerprint returns the hash by which crashing requests are counted.
+func (in *inbound) fingerprint(body []byte) camphorhinge.Fingerprint {
+	d := xxhash.New()
+	for _, part := range [][]byte{[]byte(in.workspace.Name), {0}, []byte(in.service), {0}, body} {
+		_, _ = d.Write(part)
+	}
+	return camphorhinge.Fingerprint(d.Sum64())
+}
+
+// prompt is the part of a model request's body that the frontend reads.
+type prompt struct {
+	Model       string            `json:"model"`
+	Prompt      json.RawMessage   `json:"prompt"`
+	Messages    []json.RawMessage `json:"messages"`
+	Stream      bool              `json:"stream"`
+	MaxTokens   *int64            `json:"max_tokens"`
+	MaxOutput   *int64            `json:"max_completion_tokens"`
+	Seed        *int64            `json:"seed"`
+	Temperature *float64          `json:"temperature"`
+	N           *int64            `json:"n"`
+}
+
+// defaultOutput is the expected number of output tokens when the caller names no limit.
+const defaultOutput = 256
+
+// parse reads a model request.
+func parse(path string, body []byte) (*prompt, *Error) {
+	var p prompt
+	if err := json.Unmarshal(body, &p); err != nil {
+		return nil, refuse(KindInvalid, http.StatusBadRequest, "the body is not a valid request: %w", err)
+	}
+	switch {
+	case p.Model == "":
+		return nil, refuse(KindInvalid, http.StatusBadRequest, "model is missing")
+	case path == "/v1/completions" && len(p.Prompt) == 0:
+		return nil, refuse(KindInvalid, http.StatusBadRequest, "prompt is missing")
+	case path != "/v1/completions" && len(p.Messages) == 0:
+		return nil, refuse(KindInvalid, http.StatusBadRequest, "messages is missing or empty")
+	case p.output() <= 0:
+		return nil, refuse(KindInvalid, http.StatusBadRequest, "max_tokens must be positive")
+	}
+	return &p, nil
+}
+
+func (p *prompt) output() camphorhinge.Tokens {
+	switch {
+	case p.MaxOutput != nil:
+		return camphorhinge.Tokens(*p.MaxOutput)
+	case p.MaxTokens != nil:
+		return camphorhinge.Tokens(*p.MaxTokens)
+	}
+	return defaultOutput
+}
+
+// deterministic reports whether a second run gives the same answer.
+func (p *prompt) deterministic() bool {
+	return p.Seed != nil && p.Temperature != nil && *p.Temperature == 0 && (p.N == nil || *p.N == 1)
+}
+
+// text returns the prompt as the bytes whose prefixes are hashed: a string prompt, or each message's role and content.
+func (p *prompt) text() []byte {
+	var s string
+	if json.Unmarshal(p.Prompt, &s) == nil {
+		return []byte(s)
+	}
+	if len(p.Prompt) > 0 {
+		return p.Prompt
+	}
+	var b bytes.Buffer
+	for _, raw := range p.Messages {
+		var m struct {
+			Role    string          `json:"role"`
+			Content json.RawMessage `json:"content"`
+		}
+		if json.Unmarshal(raw, &m) != nil {
+			continue
+		}
+		b.WriteString(m.Role)
+		b.WriteByte('\n')
+		if json.Unmarshal(m.Content, &s) == nil {
+			b.WriteString(s)
+		} else {
+			b.Write(m.Content)
+		}
+		b.WriteByte('\n')
+	}
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/request/frontend/job.go
@@ -0,0 +1,204 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/exchange"
+)
+
+// job is a request on its way through its attempts.
+type job struct {
+	f     *Frontend
+	in    *inbound
+	out   sink
+	route camphorhinge.RouteRequest
+	fp    camphorhinge.Fingerprint
+	// header is sent to targets.
+	header http.Header
+	tried  int
+	// touched is true once an attempt was not of class NotRun.
+	touched bool
+}
+
+// admit decides whether the request may start, and gives its first target.
+func (j *job) admit(ctx context.Context) (camphorhinge.RouteChoice, func(), *Error) {
+	var none camphorhinge.RouteChoice
+	if q := j.f.cfg.Quarantine; q != nil {
+		if left, refused := q.Refused(j.fp); refused {
+			j.f.cfg.Decisions.Note("quarantine", string(j.in.id), "fingerprint refused", map[string]string{
+				"fingerprint": strconv.FormatUint(uint64(j.fp), 16), "left": left.String(),
+			})
+			err := refuse(KindQuarantined, http.StatusUnprocessableEntity,
+				"the request is refused because it ended the targets that ran it")
+			err.RetryAfter = left
+			return none, nil, err
+		}
+	}
+	if ctx.Err() != nil {
+		return none, nil, refuse(KindDeadline, http.StatusGatewayTimeout, "the deadline passed before the request started")
+	}
+	choice, ok := j.pick(ctx)
+	if !ok {
+		err := refuse(KindNoTarget, http.StatusServiceUnavailable, "no target of %s can take the request", j.in.service)
+		err.RetryAfter = retryHint
+		return none, nil, err
+	}
+	release, refusal := j.f.cfg.Admission.Admit(camphorhinge.AdmitRequest{
+		Workspace: j.in.workspace.Name, Service: j.in.service, Priority: j.in.priority,
+		Tokens: j.route.Prompt + j.route.Output, Expected: choice.Expected, Deadline: j.route.Deadline,
+	})
+	if refusal != nil {
+		kind, status := Kind(refusal.Kind), http.StatusServiceUnavailable
+		if kind == KindLimit {
+			status = http.StatusTooManyRequests
+		}
+		err := refuse(kind, status, "%s", refusal.Message)
+		err.RetryAfter = refusal.RetryAfter
+		return none, nil, err
+	}
+	return choice, release, nil
+}
+
+// pick asks the router for the next target.
+func (j *job) pick(ctx context.Context) (camphorhinge.RouteChoice, bool) {
+	j.route.Deadline = math.MaxInt64
+	if d, ok := ctx.Deadline(); ok {
+		j.route.Deadline = time.Until(d)
+	}
+	choice, ok := j.f.cfg.Router.Pick(j.route)
+	if ok {
+		j.f.cfg.Decisions.Note("route", string(j.in.id), choice.Reason, map[string]string{
+			"target": string(choice.Target.Name), "expected": choice.Expected.String(),
+			"attempt": strconv.Itoa(j.tried + 1),
+		})
+	}
+	return choice, ok
+}
+
+// again decides on a further attempt after a failed one. It returns the caller's error when there is none. rerun tells
+// whether the request may run a second time.
+func (j *job) again(
+	ctx context.Context, failure error, target *camphorhinge.Target, rerun bool,
+) (camphorhinge.RouteChoice, *Error) {
+	var none camphorhinge.RouteChoice
+	e := attemptError(failure)
+	if e.Run != camphorhinge.NotRun {
+		j.touched = true
+	}
+	class := camphorhinge.NotRun
+	switch {
+	case e.Kind == exchange.KindStatus:
+		class = e.Run
+	case j.touched:
+		class = camphorhinge.Unknown
+	}
+	switch e.Kind {
+	case exchange.KindStatus, exchange.KindLeft, exchange.KindDeadline, exchange.KindBody:
+		return none, failed(failure, class)
+	}
+	if ctx.Err() != nil || j.tried >= tries {
+		return none, failed(failure, class)
+	}
+	if e.Run != camphorhinge.NotRun {
+		if !rerun || !j.f.cfg.Admission.Retry() || !j.jitter(ctx) {
+			return none, failed(failure, class)
+		}
+	}
+	if !slices.Contains(j.route.Exclude, target.Name) {
+		j.route.Exclude = append(slices.Clone(j.route.Exclude), target.Name)
+	}
+	choice, ok := j.pick(ctx)
+	if !ok && e.Run != camphorhinge.NotRun {
+		// The only targets left are those that broke a connection; they may be well on a new one.
+		j.route.Exclude = nil
+		choice, ok = j.pick(ctx)
+	}
+	if !ok {
+		return none, failed(failure, class)
+	}
+	j.f.meters.retries.Inc()
+	j.f.cfg.Decisions.Note("retry", string(j.in.id), string(e.Kind), map[string]string{
+		"from": string(target.Name), "to": string(choice.Target.Name), "run": string(e.Run),
+	})
+	return choice, nil
+}
+
+// jitter waits a short random time before a repeated attempt; it returns false when the request ended meanwhile.
+func (j *job) jitter(ctx context.Context) bool {
+	source, ok := j.f.cfg.Admission.(jitterer)
+	if !ok {
+		return true
+	}
+	t := time.NewTimer(source.Jitter())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attemptError returns the *exchange.Error of a failed attempt.
+func attemptError(err error) *exchange.Error {
+	var e *exchange.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &exchange.Error{Op: "attempt", Kind: exchange.KindProtocol, Run: camphorhinge.Unknown, Err: err}
+}
+
+// leg is one attempt at one target, as the router and the quarantine see it.
+type leg struct {
+	choice  camphorhinge.RouteChoice
+	attempt camphorhinge.AttemptID
+	began   time.Time
+	first   time.Duration
+	pieces  camphorhinge.Tokens
+	sent    func(camphorhinge.AttemptResult)
+	flight  func(crashed, succeeded bool)
+}
+
+func (j *job) begin(choice camphorhinge.RouteChoice, attempt camphorhinge.AttemptID) *leg {
+	l := &leg{choice: choice, attempt: attempt, began: time.Now(), flight: func(bool, bool) {}}
+	l.sent = j.f.cfg.Router.Sent(choice, j.route)
+	if q := j.f.cfg.Quarantine; q != nil {
+		l.flight = q.Begin(choice.Target, j.fp)
+	}
+	return l
+}
+
+// end reports the attempt's end; err is nil for a complete answer. Later calls have no effect.
+func (l *leg) end(err error) {
+	if l.sent == nil {
+		return
+	}
+	r := camphorhinge.AttemptResult{Class: camphorhinge.Run, FirstByte: l.first, Output: l.pieces}
+	crashed := false
+	if err != nil {
+		e := attemptError(err)
+		r.Class, crashed = e.Run, e.Reset
+		switch e.Kind {
+		case exchange.KindConnect, exchange.KindCut, exchange.KindSilent, exchange.KindProtocol:
+			r.Failed = true
+		case exchange.KindStatus:
+			r.Failed = e.Status >= http.StatusInternalServerError
+		}
+	}
+	l.sent(r)
+	l.flight(crashed, err == nil)
+	l.sent = nil
+}
+
+// cancel asks the target to end an attempt that nobody waits for.
+func (j *job) cancel(l *leg) {
+	target, attempt := l.choice.Target, l.attempt
+	j.f.later(func(ctx context.Context) error { return j.f.cfg.Exchange.Cancel(ctx, target, attempt) })
+}
--- /dev/null
+++ b/internal/request/frontend/metrics.go
@@ -0,0 +1,53 @@
+package frontend
+
+import (
+	"fmt"
+	"time"
+
+	"example.org/camphorhinge"
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters counts requests.
+type meters struct {
+	set             *metrics.Set
+	retries         *metrics.Counter
+	resumed         *metrics.Counter
+	moved           *metrics.Counter
+	replayed        *metrics.Counter
+	diverged        *metrics.Counter
+	goodput         *metrics.Counter
+	tokens          *metrics.Counter
+	controlFailures *metrics.Counter
+	firstToken      *metrics.Histogram
+	token           *metrics.Histogram
+}
+
+func newMeters(set *metrics.Set) *meters {
+	return &meters{
+		set:             set,
+		retries:         set.GetOrCreateCounter("camphorhinge_request_retries_total"),
+		resumed:         set.GetOrCreateCounter("camphorhinge_streams_resumed_total"),
+		moved:           set.GetOrCreateCounter("camphorhinge_streams_moved_total"),
+		replayed:        set.GetOrCreateCounter("camphorhinge_streams_replayed_total"),
+		diverged:        set.GetOrCreateCounter("camphorhinge_streams_diverged_total"),
+		goodput:         set.GetOrCreateCounter("camphorhinge_requests_good_total"),
+		tokens:          set.GetOrCreateCounter("camphorhinge_pieces_total"),
+		controlFailures: set.GetOrCreateCounter("camphorhinge_control_failures_total"),
+		firstToken:      set.GetOrCreateHistogram("camphorhinge_first_piece_seconds"),
+		token:           set.GetOrCreateHistogram("camphorhinge_piece_seconds"),
+	}
+}
+
+// end counts a finished request. kind is empty for an answer; good marks one that was complete and in time.
+func (m *meters) end(
+	service camphorhinge.ServiceName, class camphorhinge.RunClass, kind Kind, good bool, took time.Duration,
+) {
+	m.set.GetOrCreateCounter(
+		fmt.Sprintf("camphorhinge_requests_total{service=%q,run=%q,error=%q}", service, class, kind)).Inc()
+	m.set.GetOrCreateHistogram(
+		fmt.Sprintf("camphorhinge_request_seconds{service=%q}", service)).Update(took.Seconds())
+	if good {
+		m.goodput.Inc()
+	}
+}
--- /dev/null
+++ b/internal/request/frontend/model.go
@@ -0,0 +1,123 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/exchange"
+)
+
+// model serves a model request.
+func (f *Frontend) model(ctx context.Context, in *inbound, out sink) *Error {
+	body, err := in.read(f.cfg.ModelBody)
+	if err != nil {
+		return err
+	}
+	p, err := parse(in.path, body)
+	if err != nil {
+		return err
+	}
+	m, ok := f.cfg.Configuration.Model(p.Model)
+	if !ok {
+		return refuse(KindUnknown, http.StatusNotFound, "no service serves the model %q", p.Model)
+	}
+	left, err := in.limits(m.Service)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	text := p.text()
+	j := &job{
+		f: f, in: in, out: out, fp: in.fingerprint(body),
+		route: camphorhinge.RouteRequest{
+			Service: m.Service.Name, Model: m.Model, Adapter: m.Adapter, Priority: in.priority,
+			Prompt: camphorhinge.Tokens(len(text)/tokenBytes + 1), Output: p.output(), Prefixes: f.cfg.Prefixes(text),
+		},
+		header: http.Header{
+			"Content-Type":             {"application/json"},
+			"Camphorhinge-Workspace":   {string(in.workspace.Name)},
+			camphorhinge.HeaderRequest: {string(in.id)},
+		},
+	}
+	choice, release, err := j.admit(ctx)
+	if err != nil {
+		return err
+	}
+	defer release()
+	if p.Stream {
+		r := &relay{job: j, body: body, keep: p.deterministic(), last: in.began}
+		return r.run(ctx, choice)
+	}
+	return j.whole(ctx, choice, body)
+}
+
+// call describes an attempt of a model request.
+func (j *job) call(l *leg, body []byte, resume int) exchange.Call {
+	return exchange.Call{
+		Target: l.choice.Target, Attempt: l.attempt, Method: j.in.method, Path: j.in.target, Header: j.header,
+		Body: bytes.NewReader(body), Length: int64(len(body)), Priority: j.in.priority, Resume: resume,
+	}
+}
+
+// whole runs a model request whose answer is sent in one piece, so that each attempt may be repeated until then.
+func (j *job) whole(ctx context.Context, choice camphorhinge.RouteChoice, body []byte) *Error {
+	for {
+		j.tried++
+		l := j.begin(choice, camphorhinge.AttemptID(j.f.cfg.NewID()))
+		a, answer, err := j.fetch(ctx, l, body)
+		l.end(err)
+		if err == nil {
+			h := j.f.header(j.in, camphorhinge.Run, 0, a.Header.Get("Content-Type"))
+			if j.out.Whole(a.Status, h, answer) != nil {
+				return failed(errCaller, camphorhinge.Run)
+			}
+			j.f.meters.firstToken.Update(time.Since(j.in.began).Seconds())
+			return nil
+		}
+		if attemptError(err).Run == camphorhinge.Unknown {
+			j.cancel(l)
+		}
+		var final *Error
+		if choice, final = j.again(ctx, err, choice.Target, true); final != nil {
+			return final
+		}
+	}
+}
+
+// errCaller marks a caller that left.
+var errCaller = &exchange.Error{
+	Op: "answer", Kind: exchange.KindLeft, Run: camphorhinge.Unknown, Err: errors.New("the caller closed the connection"),
+}
+
+// fetch runs one attempt and reads the whole answer.
+func (j *job) fetch(ctx context.Context, l *leg, body []byte) (*exchange.Answer, []byte, error) {
+	a, err := j.f.cfg.Exchange.Open(ctx, j.call(l, body, 0))
+	if err != nil {
+		return nil, nil, err
+	}
+	defer a.Close()
+	l.first = a.FirstByte()
+	answer, err := io.ReadAll(io.LimitReader(a, j.f.cfg.Answer+1))
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case int64(len(answer)) > j.f.cfg.Answer:
+		return nil, nil, &exchange.Error{
+			Op: "read body", Kind: exchange.KindProtocol, Run: camphorhinge.Unknown,
+			Err: fmt.Errorf("the answer exceeds %d bytes", j.f.cfg.Answer),
+		}
+	case a.Status >= http.StatusBadRequest:
+		return nil, nil, &exchange.Error{
+			Op: "read body", Kind: exchange.KindStatus, Run: camphorhinge.Run, Status: a.Status,
+			Err: &exchange.Refused{Status: a.Status, Header: a.Header, Body: answer},
+		}
+	}
+	return a, answer, nil
+}
