--- /dev/null
+++ b/internal/record/schema/decode.go
@@ -0,0 +1,147 @@
+package schema
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	wantName = "a name of at most 63 lower-case letters, digits, '.', '_' and '-' that starts with a letter or digit"
+	wantKind = "one of adapter, model, service, workspace"
+)
+
+// validName reports whether the text is a name of a record, model or adapter.
+func validName(text string) bool {
+	if len(text) == 0 || len(text) > MaxName {
+		return false
+	}
+	for i := range len(text) {
+		c := text[i]
+		alnum := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		if !alnum && (i == 0 || c != '.' && c != '_' && c != '-') {
+			return false
+		}
+	}
+	return true
+}
+
+// ValidKey reports whether the kind is known and the name is well-formed.
+func ValidKey(key Key) bool { return slices.Contains(Kinds(), key.Kind) && validName(key.Name) }
+
+// Decode reads one document. An error of KindInvalid wraps Faults with all faults of the document.
+func Decode(raw []byte) (*Document, error) {
+	tree, err := parse(raw)
+	if err != nil {
+		return nil, err
+	}
+	text, err := canonical(tree)
+	if err != nil {
+		return nil, err
+	}
+	f := &findings{}
+	top := newFields("", tree, f)
+	doc := &Document{Raw: slices.Clone(raw), Digest: digest(text)}
+	if doc.Schema, err = schemaOf(top); err != nil {
+		return nil, err
+	}
+	doc.Kind = Kind(top.text("kind", wantKind, true, func(s string) bool { return slices.Contains(Kinds(), Kind(s)) }))
+	doc.Name = top.text("name", wantName, true, validName)
+	if _, ok := top.get("version"); !ok {
+		top.fault("version", "a whole number from 1")
+	}
+	doc.Version = camphorhinge.Version(top.integer("version", 1, math.MaxInt64, 0))
+	spec := top.object("spec", "a mapping", true)
+	switch doc.Kind {
+	case KindService:
+		doc.Service = readService(spec, doc.Schema, doc.Name)
+	case KindModel:
+		doc.Model = readModel(spec, doc.Schema, doc.Name)
+	case KindAdapter:
+		doc.Adapter = readAdapter(spec, doc.Schema, doc.Name)
+	case KindWorkspace:
+		doc.Workspace = readWorkspace(spec, doc.Schema, doc.Name)
+	}
+	top.done()
+	if len(f.faults) > 0 {
+		return nil, &Error{Op: "decode", Kind: KindInvalid, Err: f.faults}
+	}
+	slices.Sort(f.unknown)
+	doc.Unknown = f.unknown
+	return doc, nil
+}
+
+// schemaOf returns the schema version. An unknown one is refused at once, since its fields can't be checked.
+func schemaOf(top *fields) (int, error) {
+	want := fmt.Sprintf("a schema version from %d to %d", MinSchema, MaxSchema)
+	v, ok := top.get("schema")
+	if !ok {
+		return 0, &Error{Op: "decode", Kind: KindInvalid, Err: Faults{{Field: "schema", Want: want}}}
+	}
+	n, _ := v.(json.Number)
+	i, err := n.Int64()
+	if err != nil || i < MinSchema || i > MaxSchema {
+		return 0, &Error{Op: "decode", Kind: KindUnknownSchema, Err: Faults{{Field: "schema", Want: want, Got: shorten(v)}}}
+	}
+	return int(i), nil
+}
+
+// DecodeAll reads all documents of a YAML stream, or one JSON document. It reports the faults of all documents
+// together, and a record that occurs twice as a fault.
+func DecodeAll(stream []byte) ([]*Document, error) {
+	parts, err := Split(stream)
+	if err != nil {
+		return nil, err
+	}
+	if len(parts) == 0 {
+		return nil, &Error{Op: "decode", Kind: KindSyntax, Err: errors.New("no document")}
+	}
+	var docs []*Document
+	var faults Faults
+	kind := KindInvalid
+	seen := map[Key]int{}
+	for i, part := range parts {
+		doc, err := Decode(part)
+		if err != nil {
+			more := faultsOf(err)
+			if len(more) == 0 {
+				more = Faults{{Field: "document", Want: "a readable record", Got: err.Error()}}
+			}
+			var own *Error
+			if len(parts) == 1 && errors.As(err, &own) {
+				kind = own.Kind
+			}
+			for _, one := range more {
+				one.Document = i + 1
+				faults = append(faults, one)
+			}
+			continue
+		}
+		if first, dup := seen[doc.Key]; dup {
+			faults = append(faults, Fault{
+				Document: i + 1, Field: "name", Want: fmt.Sprintf("each record once, %s is also document %d", doc.Key, first),
+			})
+			continue
+		}
+		seen[doc.Key] = i + 1
+		docs = append(docs, doc)
+	}
+	if len(faults) > 0 {
+		return nil, &Error{Op: "decode", Kind: kind, Err: faults}
+	}
+	return docs, nil
+}
+
+// faultsOf returns the faults that an error wraps, or nil.
+func faultsOf(err error) Faults {
+	var faults Faults
+	errors.As(err, &faults)
+	return faults
+}
+
+func matcher(pattern string) func(string) bool { return regexp.MustCompile(pattern).MatchString }
