--- a/internal/node/control/renewer.go
+++ b/internal/node/control/renewer.go
@@ -14,26 +14,17 @@
 	"example.org/camphorhinge/internal/node/member"
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/record/table"
 )
 
 // renewTimeout bounds one renewal, longer than the leader may hold it and shorter than the lease.
 const renewTimeout = config.RenewHold + 700*time.Millisecond
 
-// Mirror is a node's copy of the records.
-type Mirror interface {
-	// Revision returns the revision in force, or 0 before the first configuration.
-	Revision() camphorhinge.Revision
-	// Restore replaces the copy by an encoded snapshot.
-	Restore(snapshot []byte) error
-	// Apply puts encoded changes in force, in order.
-	Apply(changes [][]byte) error
-}
-
 // RenewerConfig holds what a Renewer needs.
 type RenewerConfig struct {
 	Self   *peerpb.Node
 	Client *Client
-	Mirror Mirror
+	Mirror *table.Mirror
 	Holder *config.Holder
 	Clock  camphorhinge.Clock
 	// Changed is called after the engine holds have changed.
@@ -49,6 +40,8 @@
 	mu    sync.Mutex
 	term  uint64
 	holds uint64
+	// gap asks for all records, after changes that did not fit.
+	gap   bool
 	nodes []member.Node
 	fresh bool
 }
@@ -94,9 +87,9 @@
 	r.mu.Unlock()
 	switch {
 	case fresh && !was:
-		r.cfg.Log.Info("configuration lease held", "revision", r.cfg.Mirror.Revision())
+		r.cfg.Log.Info("configuration lease held", "revision", r.cfg.Mirror.View().Revision())
 	case !fresh && was:
-		r.cfg.Log.Warn("configuration lease lost", "revision", r.cfg.Mirror.Revision(), "error", err)
+		r.cfg.Log.Warn("configuration lease lost", "revision", r.cfg.Mirror.View().Revision(), "error", err)
 	}
 }
 
@@ -106,7 +99,8 @@
 	r.mu.Lock()
 	req := &peerpb.RenewRequest{
 		Node: r.cfg.Self.GetName(), Address: r.cfg.Self.GetAddress(), Zone: r.cfg.Self.GetZone(),
-		Revision: uint64(r.cfg.Mirror.Revision()), Term: r.term, Holds: r.holds, Leaving: leaving,
+		Revision: uint64(r.cfg.Mirror.View().Revision()), Term: r.term, Holds: r.holds, Leaving: leaving,
+		Full: r.gap || !r.cfg.Mirror.Known(),
 	}
 	r.mu.Unlock()
 
@@ -134,7 +128,11 @@
 	if resp.GetTerm() < r.term {
 		return &Error{Op: "renew", Kind: KindRefused, Err: errors.New("answer of a deposed leader")}
 	}
-	if err := r.install(resp); err != nil {
+	_, err := r.cfg.Mirror.Apply(table.Changes{
+		Changes: resp.GetChanges(), Full: resp.GetFull(), Revision: camphorhinge.Revision(resp.GetRevision()),
+	})
+	r.gap = err != nil
+	if err != nil {
 		return &Error{Op: "renew", Kind: KindMalformed, Err: err}
 	}
 	if resp.GetHolds() != r.holds {
@@ -153,16 +151,3 @@
 	r.cfg.Holder.Renewed(sent, time.Duration(resp.GetLease())*time.Millisecond)
 	return nil
 }
-
-func (r *Renewer) install(resp *peerpb.RenewResponse) error {
-	if resp.GetFull() {
-		if len(resp.GetChanges()) != 1 {
-			return errors.New("expected one snapshot")
-		}
-		return r.cfg.Mirror.Restore(resp.GetChanges()[0])
-	}
-	if len(resp.GetChanges()) == 0 {
-		return nil
-	}
-	return r.cfg.Mirror.Apply(resp.GetChanges())
-}
--- a/internal/node/control/server.go
+++ b/internal/node/control/server.go
@@ -150,12 +150,10 @@
 	if err := s.cfg.Leases.Renew(name, position); err != nil {
 		return s.notLeader(), nil
 	}
-	s.await(ctx, position)
-
-	resp, err := s.changesFor(position)
-	if err != nil {
-		return nil, err
+	if !req.GetFull() {
+		s.await(ctx, position)
 	}
+	resp := s.changesFor(position, req.GetFull())
 	// The lease starts at the sending of the request, so the authority is checked after all that may take long.
 	if now, ok := s.leads(); !ok || now != term {
 		return s.notLeader(), nil
@@ -219,21 +217,18 @@
 	}
 }
 
-func (s *Server) changesFor(p config.Position) (*peerpb.RenewResponse, error) {
-	changes, full, to, err := s.cfg.Records.Changes(p.Revision)
-	if err != nil {
-		return nil, err
-	}
-	resp := &peerpb.RenewResponse{Changes: changes, Full: full, Revision: uint64(to)}
+func (s *Server) changesFor(p config.Position, full bool) *peerpb.RenewResponse {
+	changes := s.cfg.Records.Since(p.Revision, full)
+	resp := &peerpb.RenewResponse{Changes: changes.Changes, Full: changes.Full, Revision: uint64(changes.Revision)}
 	held, version := s.cfg.Holds.Held()
 	resp.Holds = version
-	if version != p.Holds {
+	if full || version != p.Holds {
 		resp.Held = held
 	}
 	for _, n := range s.cfg.Members.Nodes() {
 		resp.Nodes = append(resp.Nodes, encodeNode(n))
 	}
-	return resp, nil
+	return resp
 }
 
 // Join adds the caller as an entry node and its replica as a learner.
--- a/internal/node/control/types.go
+++ b/internal/node/control/types.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/record/table"
 )
 
 // Outcomes of calls to the leader, as they travel.
@@ -66,9 +67,8 @@
 type Records interface {
 	// Revision returns the latest applied revision.
 	Revision() camphorhinge.Revision
-	// Changes returns the encoded changes after a revision in order, or one encoded snapshot and full when they are no
-	// longer kept, with the revision that they lead to.
-	Changes(after camphorhinge.Revision) (changes [][]byte, full bool, to camphorhinge.Revision, err error)
+	// Since returns the changes after a revision, or all records when full is set or the changes are no longer kept.
+	Since(after camphorhinge.Revision, full bool) table.Changes
 }
 
 // Holds is the leader's view of the engines that must get no new work.
