--- a/internal/record/schema/fields.go
+++ b/internal/record/schema/fields.go
@@ -74,13 +74,26 @@
 		return ""
 	}
 	text, isText := v.(string)
-	if !isText || !valid(text) {
+	if !isText {
+		s.fault(name, want+quoteHint(v))
+		return ""
+	}
+	if !valid(text) {
 		s.fault(name, want)
 		return ""
 	}
 	return text
 }
 
+// quoteHint explains why a plain word of YAML is no string: no, on and 04:30 are read as booleans and numbers.
+func quoteHint(v any) string {
+	switch v.(type) {
+	case bool, json.Number:
+		return ", in quotes"
+	}
+	return ""
+}
+
 func (s *fields) integer(name string, least, most, otherwise int64) int64 {
 	v, ok := s.get(name)
 	if !ok {
@@ -160,7 +173,7 @@
 		path := s.at(name) + "[" + strconv.Itoa(i) + "]"
 		switch {
 		case !ok || !valid(text):
-			s.f.add(path, each, v)
+			s.f.add(path, each+quoteHint(v), v)
 		case slices.Contains(out, text):
 			s.f.add(path, "each entry once", v)
 		default:
--- a/internal/record/schema/schema_test.go
+++ b/internal/record/schema/schema_test.go
@@ -167,7 +167,9 @@
 			require.Equal(t, c.fields, got)
 		})
 	}
-	_, err := schema.Decode([]byte("schema: 3"))
+	_, err := schema.Decode([]byte("schema: 1\nkind: model\nname: no\nversion: 1\nspec: {weights: w, context: 1}"))
+	require.ErrorContains(t, err, "in quotes, got false")
+	_, err = schema.Decode([]byte("schema: 3"))
 	require.ErrorContains(t, err, "from 1 to 2")
 	_, err = schema.DecodeAll([]byte(strings.Repeat("---\na: 1\n", schema.MaxDocuments+1)))
 	var own *schema.Error
--- /dev/null
+++ b/internal/record/table/history.go
@@ -0,0 +1,116 @@
+package table
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/record/schema"
+)
+
+// HistoryLimit is the number of versions per name whose writes are kept to recognise resends.
+const HistoryLimit = 4096
+
+// digestBytes is the length of a digest in the encoded history.
+const digestBytes = 32
+
+// past is a Write in compact form: 4,096 versions of several hundred names are kept in memory.
+type past struct {
+	version  camphorhinge.Version
+	revision camphorhinge.Revision
+	time     int64
+	withdraw bool
+	digest   [digestBytes]byte
+}
+
+func (p past) write() Write {
+	w := Write{Version: p.version, Withdraw: p.withdraw, Revision: p.revision, Time: p.time}
+	if !p.withdraw {
+		w.Digest = schema.Digest(hex.EncodeToString(p.digest[:]))
+	}
+	return w
+}
+
+// history holds the latest writes of one name, by rising version.
+type history []past
+
+func (h history) find(v camphorhinge.Version) (past, bool) {
+	i, ok := slices.BinarySearchFunc(h, v, func(p past, v camphorhinge.Version) int {
+		switch {
+		case p.version < v:
+			return -1
+		case p.version > v:
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return past{}, false
+	}
+	return h[i], true
+}
+
+func (h history) add(p past) history {
+	if len(h) >= HistoryLimit {
+		// Copies once per added write; moving the start of the slice would keep the dropped ones in memory.
+		copy(h, h[len(h)-HistoryLimit+1:])
+		h = h[:HistoryLimit-1]
+	}
+	return append(h, p)
+}
+
+func (h history) encode() []byte {
+	var b []byte
+	for _, p := range h {
+		b = binary.AppendUvarint(b, uint64(p.version))
+		b = binary.AppendUvarint(b, uint64(p.revision))
+		b = binary.AppendVarint(b, p.time)
+		if p.withdraw {
+			b = append(b, 1)
+			continue
+		}
+		b = append(b, 0)
+		b = append(b, p.digest[:]...)
+	}
+	return b
+}
+
+func decodeHistory(b []byte) (history, error) {
+	var h history
+	short := errors.New("history is cut off")
+	for len(b) > 0 {
+		var p past
+		version, n := binary.Uvarint(b)
+		if n <= 0 {
+			return nil, short
+		}
+		b = b[n:]
+		revision, n := binary.Uvarint(b)
+		if n <= 0 {
+			return nil, short
+		}
+		b = b[n:]
+		stamp, n := binary.Varint(b)
+		if n <= 0 || len(b) == n {
+			return nil, short
+		}
+		flag := b[n]
+		b = b[n+1:]
+		p.version, p.revision, p.time, p.withdraw = camphorhinge.Version(version), camphorhinge.Revision(revision), stamp, flag == 1
+		if !p.withdraw {
+			if len(b) < digestBytes {
+				return nil, short
+			}
+			copy(p.digest[:], b)
+			b = b[digestBytes:]
+		}
+		if len(h) > 0 && p.version <= h[len(h)-1].version {
+			return nil, fmt.Errorf("version %d does not rise", p.version)
+		}
+		h = append(h, p)
+	}
+	return h, nil
+}
