--- /dev/null
+++ b/internal/cli/command/standin.go
@@ -0,0 +1,114 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/standin/engine"
+	"example.org/camphorhinge/internal/standin/load"
+	"example.org/camphorhinge/internal/standin/service"
+)
+
+// splitNames turns a comma-separated list into named values.
+func splitNames[T ~string](list string) []T {
+	var names []T
+	for _, s := range strings.Split(list, ",") {
+		if s = strings.TrimSpace(s); s != "" {
+			names = append(names, T(s))
+		}
+	}
+	return names
+}
+
+func (a *app) standinEngine(cmd *kingpin.CmdClause) func(context.Context) error {
+	var cfg engine.Config
+	var models, adapters string
+	cmd.Flag("name", "Name of the engine.").Required().StringVar((*string)(&cfg.Name))
+	cmd.Flag("service", "Service that it belongs to.").Required().StringVar((*string)(&cfg.Service))
+	cmd.Flag("zone", "Availability zone.").Default("zone-a").StringVar((*string)(&cfg.Zone))
+	cmd.Flag("listen", "IP:port to listen on.").Default("127.0.0.1:0").StringVar(&cfg.Listen)
+	cmd.Flag("announce", "Base URL of a node's target port; may be repeated.").Required().StringsVar(&cfg.Announce)
+	cmd.Flag("role", "Role at the start.").Default("mixed").EnumVar((*string)(&cfg.Role), "mixed", "prefill", "decode")
+	cmd.Flag("models", "Models loaded at the start, separated by commas.").StringVar(&models)
+	cmd.Flag("adapters", "Adapters loaded at the start, separated by commas.").StringVar(&adapters)
+	cmd.Flag("fencing", "Whether orders with an old fencing token are refused.").Default("checked").
+		EnumVar((*string)(&cfg.Fencing), "checked", "ignored")
+	cmd.Flag("orders", "Condition that orders support.").Default("plain").
+		EnumVar((*string)(&cfg.Orders), "plain", "twostep", "conditional")
+	cmd.Flag("prefill-rate", "Prompt tokens per second.").Float64Var(&cfg.PrefillRate)
+	cmd.Flag("token-time", "Time of one output token at batch size 1.").DurationVar(&cfg.TokenTime)
+	cmd.Flag("change-time", "Time of a role change.").DurationVar(&cfg.ChangeTime)
+	cmd.Flag("load-time", "Time to load a model or adapter.").DurationVar(&cfg.LoadTime)
+	cmd.Flag("load-lag", "Least age of a load report.").DurationVar(&cfg.LoadLag)
+	cmd.Flag("cache-loss", "Share of cache events that are never sent.").Float64Var(&cfg.CacheLoss)
+	cmd.Flag("crash-on", "Crash on a prompt that contains this text.").StringVar(&cfg.CrashOn)
+	cmd.Flag("max-batch", "Greatest number of sequences in the batch.").IntVar(&cfg.MaxBatch)
+	cmd.Flag("seed", "Seed of lost cache events and nonces.").Uint64Var(&cfg.Seed)
+	return func(ctx context.Context) error {
+		cfg.Models = splitNames[camphorhinge.ModelName](models)
+		cfg.Adapters = splitNames[camphorhinge.AdapterName](adapters)
+		e, err := engine.New(cfg)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(a.out, "engine %s listens on %s\n", cfg.Name, e.Addr())
+		return e.Run(ctx)
+	}
+}
+
+func (a *app) standinService(cmd *kingpin.CmdClause) func(context.Context) error {
+	var cfg service.Config
+	cmd.Flag("name", "Name of the process.").Required().StringVar((*string)(&cfg.Name))
+	cmd.Flag("service", "Service that it belongs to.").Required().StringVar((*string)(&cfg.Service))
+	cmd.Flag("zone", "Availability zone.").Default("zone-a").StringVar((*string)(&cfg.Zone))
+	cmd.Flag("listen", "IP:port to listen on.").Default("127.0.0.1:0").StringVar(&cfg.Listen)
+	cmd.Flag("announce", "Base URL of a node's target port; may be repeated.").Required().StringsVar(&cfg.Announce)
+	cmd.Flag("delay", "Time of one request.").DurationVar(&cfg.Delay)
+	return func(ctx context.Context) error {
+		s, err := service.New(cfg)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(a.out, "service %s listens on %s\n", cfg.Name, s.Addr())
+		return s.Run(ctx)
+	}
+}
+
+func (a *app) load(cmd *kingpin.CmdClause) func(context.Context) error {
+	var cfg load.Config
+	output := outputFlag(cmd)
+	cmd.Flag("nodes", "Base URL of a caller port; may be repeated.").Required().StringsVar(&cfg.Nodes)
+	cmd.Flag("requests", "Number of requests.").Default("100").IntVar(&cfg.Requests)
+	cmd.Flag("workers", "Requests that run at once.").Default("8").IntVar(&cfg.Workers)
+	cmd.Flag("rate", "Requests per second; 0 for as fast as the workers can.").Float64Var(&cfg.Rate)
+	cmd.Flag("model", "Model to ask for completions.").StringVar(&cfg.Model)
+	cmd.Flag("words", "Words of each prompt.").Default("64").IntVar(&cfg.Words)
+	cmd.Flag("tokens", "Output tokens of each completion.").Default("32").IntVar(&cfg.Output)
+	cmd.Flag("deposit", "Path of non-idempotent requests.").StringVar(&cfg.Deposit)
+	cmd.Flag("key", "API key.").StringVar(&cfg.Key)
+	cmd.Flag("counters", "Base URL of a stand-in service to compare with; may be repeated.").StringsVar(&cfg.Counters)
+	cmd.Flag("settle", "Time for which a caller resends a deposit of unknown outcome.").Default("30s").DurationVar(&cfg.Settle)
+	cmd.Flag("seed", "Seed of prompts and keys.").Default("1").Uint64Var(&cfg.Seed)
+	return func(ctx context.Context) error {
+		if cfg.Model == "" && cfg.Deposit == "" {
+			return &Error{Op: "load", Kind: KindUsage, Err: fmt.Errorf("expected --model or --deposit")}
+		}
+		started := time.Now()
+		report, err := load.Run(ctx, cfg)
+		if err != nil {
+			return err
+		}
+		if err := a.print(*output, report, report.Print); err != nil {
+			return err
+		}
+		if report.Failed() {
+			return &Error{Op: "load", Kind: KindRun, Err: fmt.Errorf("a promise was broken within %v", time.Since(started).Round(time.Second))}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/node/server/configuration.go
@@ -0,0 +1,66 @@
+package server
+
+import (
+	"encoding/hex"
+	"sync/atomic"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/config"
+	"example.org/camphorhinge/internal/record/schema"
+	"example.org/camphorhinge/internal/record/table"
+	"example.org/camphorhinge/internal/request/frontend"
+)
+
+// configuration is what the frontend sees of the records in force; it implements frontend.Configuration.
+type configuration struct {
+	mirror   *table.Mirror
+	holder   *config.Holder
+	stopping atomic.Bool
+}
+
+// Ready reports whether the node has a valid configuration lease and is not stopping.
+func (c *configuration) Ready() bool { return !c.stopping.Load() && c.holder.Ready() }
+
+// MayServe reports whether the configuration is recent enough for new requests.
+func (c *configuration) MayServe() bool { return c.holder.MayServe() }
+
+// Model returns the route of a model or adapter name.
+func (c *configuration) Model(name string) (frontend.Model, bool) {
+	v := c.mirror.View()
+	m := frontend.Model{Model: camphorhinge.ModelName(name)}
+	if a := v.Adapter(camphorhinge.AdapterName(name)); a != nil {
+		m.Model, m.Adapter = a.Model, a.Name
+	}
+	s := v.ServiceByModel(m.Model)
+	if s == nil {
+		return frontend.Model{}, false
+	}
+	m.Service = service(s)
+	return m, true
+}
+
+// Path returns the plain service with the longest matching path prefix.
+func (c *configuration) Path(path string) (frontend.Service, bool) {
+	s := c.mirror.View().ServiceByPath(path)
+	if s == nil {
+		return frontend.Service{}, false
+	}
+	return service(s), true
+}
+
+func service(s *schema.Service) frontend.Service {
+	return frontend.Service{Name: s.Name, Idempotent: s.Idempotent, Priority: s.Priority, Deadline: s.Deadline}
+}
+
+// Workspace returns the workspace whose API key has the given SHA-256, in lower-case hexadecimal.
+func (c *configuration) Workspace(keyDigest string) (frontend.Workspace, bool) {
+	var key schema.KeyDigest
+	if n, err := hex.Decode(key[:], []byte(keyDigest)); err != nil || n != len(key) {
+		return frontend.Workspace{}, false
+	}
+	w := c.mirror.View().Workspace(key)
+	if w == nil {
+		return frontend.Workspace{}, false
+	}
+	return frontend.Workspace{Name: w.Name, Priority: w.Ceiling}, true
+}
--- a/internal/node/web/server.go
+++ b/internal/node/web/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
+	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"golang.org/x/sync/errgroup"
 )
@@ -45,12 +46,10 @@
 type Config struct {
 	// Address is the IP:port to listen on.
 	Address string
-	// MaxBody is the largest request body, in bytes.
+	// MaxBody is the largest request body that hertz reads by itself, in bytes.
 	MaxBody int
-	// StreamBody hands request bodies to handlers while they arrive.
-	StreamBody bool
-	// DetectDisconnect ends a handler's context when its client disconnects.
-	DetectDisconnect bool
+	// Options are added after the server's own, so that they take precedence.
+	Options []hertzconfig.Option
 }
 
 // Server is a hertz server on its own port.
@@ -67,17 +66,16 @@
 	if err != nil {
 		return nil, &Error{Op: "new", Kind: KindListen, Err: err}
 	}
-	h := server.New(
+	options := []hertzconfig.Option{
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(cfg.MaxBody),
 		server.WithMaxHeaderBytes(headerLimit),
-		server.WithStreamBody(cfg.StreamBody),
-		server.WithSenseClientDisconnection(cfg.DetectDisconnect),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithDisablePrintRoute(true),
-	)
+	}
+	h := server.New(append(options, cfg.Options...)...)
 	return &Server{Hertz: h, listener: listener}, nil
 }
 
