Add claims: the replicated machine and the client that run a request at most once

A release leaves the token void for 10 minutes. Without that a claim that is applied after its own release would be granted to nobody and block its key for 24 h.

--- /dev/null
+++ b/internal/request/claim/client.go
@@ -0,0 +1,150 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"example.org/camphorhinge"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+)
+
+// DefaultKeep is how long claims are kept after their last change.
+const DefaultKeep = 24 * time.Hour
+
+// Config holds the dependencies of a Client.
+type Config struct {
+	Proposer camphorhinge.Proposer
+	Node     camphorhinge.NodeID
+	Metrics  *metrics.Set
+	// Keep is how long claims are kept after their last change; 0 takes DefaultKeep.
+	Keep time.Duration
+	// NewToken draws tokens that are never drawn again; nil takes random UUIDs.
+	NewToken func() string
+}
+
+// Client makes claims on behalf of one node. It is safe for concurrent use.
+type Client struct{ cfg Config }
+
+// New returns a Client.
+func New(cfg Config) *Client {
+	if cfg.Keep == 0 {
+		cfg.Keep = DefaultKeep
+	}
+	if cfg.NewToken == nil {
+		cfg.NewToken = uuid.NewString
+	}
+	return &Client{cfg: cfg}
+}
+
+// proposals bounds how often a claim of uncertain outcome is proposed. Each proposal ends by its own timeout, so more
+// would only delay the answer "unknown".
+const proposals = 3
+
+// Claim asks for a claim. When the outcome of a proposal is uncertain the same claim is proposed again; its token makes
+// that safe. An *Error of KindAbsent states that the claim has no effect; after any other the claim may come into being,
+// and the returned Grant names it for Release.
+func (c *Client) Claim(ctx context.Context, req Request) (Grant, error) {
+	g := Grant{Key: req.Key, Token: c.cfg.NewToken()}
+	cmd := command{
+		Op: opClaim, Key: req.Key, Token: g.Token, Node: c.cfg.Node, Digest: req.Digest[:],
+		Left: req.Deadline.Milliseconds(), Keep: c.cfg.Keep.Milliseconds(),
+	}
+	uncertain := false
+	for n := 1; ; n++ {
+		r, err := c.propose(ctx, cmd)
+		var e *Error
+		switch {
+		case err == nil && r.Kind != "":
+			return g, c.failed(&Error{Op: "claim", Kind: r.Kind, Err: errors.New("the claim was refused")})
+		case err == nil:
+			g.State, g.Answer = r.State, r.Answer
+			c.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf("camphorhinge_claims_total{state=%q}", g.State)).Inc()
+			return g, nil
+		case errors.As(err, &e) && e.Kind == KindAbsent && !uncertain:
+			return g, c.failed(err)
+		}
+		uncertain = true
+		if n == proposals || ctx.Err() != nil {
+			return g, c.failed(&Error{Op: "claim", Kind: KindUncertain, Err: err})
+		}
+	}
+}
+
+// storedHeaders names the headers of an answer that are kept.
+func storedHeaders() []string {
+	return []string{"Content-Type", "Content-Language", "Content-Encoding", "Location", "Etag", "Last-Modified"}
+}
+
+// Complete stores the answer of a granted claim. A body above BodyLimit is left out.
+func (c *Client) Complete(ctx context.Context, g Grant, a Answer) error {
+	kept := Answer{Status: a.Status, Body: a.Body, Omitted: a.Omitted, Header: make(map[string][]string)}
+	if len(kept.Body) > BodyLimit {
+		kept.Body, kept.Omitted = nil, true
+	}
+	for _, name := range storedHeaders() {
+		if v := a.Header[name]; len(v) > 0 {
+			kept.Header[name] = v
+		}
+	}
+	return c.change(ctx, command{
+		Op: opComplete, Key: g.Key, Token: g.Token, Keep: c.cfg.Keep.Milliseconds(), Answer: &kept,
+	})
+}
+
+// Lose notes that the outcome of a granted claim is unknown, ahead of its deadline.
+func (c *Client) Lose(ctx context.Context, g Grant) error {
+	return c.change(ctx, command{Op: opLose, Key: g.Key, Token: g.Token, Keep: c.cfg.Keep.Milliseconds()})
+}
+
+// Release gives up a claim of which no byte was sent, or one of uncertain outcome. It also keeps a claim that is still
+// under way from being granted later.
+func (c *Client) Release(ctx context.Context, g Grant) error {
+	return c.change(ctx, command{Op: opRelease, Key: g.Key, Token: g.Token})
+}
+
+// change proposes a change of an own claim until its outcome is certain; proposing it twice has no further effect.
+func (c *Client) change(ctx context.Context, cmd command) error {
+	for n := 1; ; n++ {
+		r, err := c.propose(ctx, cmd)
+		switch {
+		case err == nil && r.Kind != "" && n == 1:
+			return c.failed(&Error{Op: string(cmd.Op), Kind: r.Kind, Err: errors.New("the change was refused")})
+		case err == nil:
+			return nil
+		case n == proposals || ctx.Err() != nil:
+			return c.failed(err)
+		}
+	}
+}
+
+func (c *Client) propose(ctx context.Context, cmd command) (result, error) {
+	var r result
+	encoded, err := json.Marshal(cmd)
+	if err != nil {
+		return r, &Error{Op: string(cmd.Op), Kind: KindAbsent, Err: err}
+	}
+	out, err := c.cfg.Proposer.Propose(ctx, camphorhinge.CommandClaim, encoded)
+	switch {
+	case errors.Is(err, camphorhinge.ErrUncertain):
+		return r, &Error{Op: string(cmd.Op), Kind: KindUncertain, Err: err}
+	case err != nil:
+		return r, &Error{Op: string(cmd.Op), Kind: KindAbsent, Err: err}
+	}
+	if err := json.Unmarshal(out, &r); err != nil {
+		return r, &Error{Op: string(cmd.Op), Kind: KindUncertain, Err: err}
+	}
+	return r, nil
+}
+
+func (c *Client) failed(err error) error {
+	kind := KindUncertain
+	if e := (*Error)(nil); errors.As(err, &e) {
+		kind = e.Kind
+	}
+	c.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf("camphorhinge_claim_failures_total{kind=%q}", kind)).Inc()
+	return err
+}
--- /dev/null
+++ b/internal/request/claim/machine.go
@@ -0,0 +1,298 @@
+package claim
+
+import (
+	"cmp"
+	"container/heap"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+// The bounds and times below are part of the replicated state's rules: they must be equal on all replicas.
+const (
+	// maxClaims bounds the claims that are kept. Further ones are refused, since dropping one would let it run twice.
+	maxClaims = 200_000
+	// maxBytes bounds the bodies that are kept with claims; further answers are kept without their body.
+	maxBytes = 64 << 20
+	// voidFor is how long the token of a released claim stays void, so that a claim which is applied after its release
+	// is not granted. It is far above the time for which a proposal may be under way.
+	voidFor = 10 * time.Minute
+	// maxVoid bounds the void tokens; the oldest is dropped first.
+	maxVoid = 65_536
+)
+
+// op is what a command does.
+type op string
+
+const (
+	opClaim    op = "claim"
+	opComplete op = "complete"
+	opLose     op = "lose"
+	opRelease  op = "release"
+)
+
+// command is one command of kind CommandClaim.
+type command struct {
+	Op     op                  `json:"o"`
+	Key    Key                 `json:"k"`
+	Token  string              `json:"t"`
+	Node   camphorhinge.NodeID `json:"n,omitempty"`
+	Digest []byte              `json:"d,omitempty"`
+	// Left is the time until the deadline, Keep the retention; both in milliseconds from the entry's stamp.
+	Left   int64   `json:"l,omitempty"`
+	Keep   int64   `json:"p,omitempty"`
+	Answer *Answer `json:"a,omitempty"`
+}
+
+// result is the outcome of a command. State is set for a claim, Kind for a refused change.
+type result struct {
+	State  State   `json:"s,omitempty"`
+	Kind   Kind    `json:"e,omitempty"`
+	Answer *Answer `json:"a,omitempty"`
+}
+
+// held is one claim. It is unresolved until Answer is set, Lost is true or its deadline has passed.
+type held struct {
+	Key    Key                 `json:"k"`
+	Token  string              `json:"t"`
+	Node   camphorhinge.NodeID `json:"n"`
+	Digest []byte              `json:"d"`
+	// Deadline and Expiry are stamps in milliseconds.
+	Deadline int64   `json:"l"`
+	Expiry   int64   `json:"x"`
+	Lost     bool    `json:"u,omitempty"`
+	Answer   *Answer `json:"a,omitempty"`
+}
+
+// void is the token of a released claim.
+type void struct {
+	Token  string `json:"t"`
+	Expiry int64  `json:"x"`
+}
+
+// Machine is the replicated state of claims; it implements camphorhinge.Machine.
+type Machine struct {
+	mu     sync.Mutex
+	claims map[Key]*held
+	// due orders claims by expiry. An item whose expiry differs from its claim's is out of date.
+	due    expiries
+	bytes  int64
+	voids  []void
+	voided map[string]struct{}
+}
+
+var _ camphorhinge.Machine = (*Machine)(nil)
+
+// NewMachine returns an empty Machine.
+func NewMachine() *Machine {
+	return &Machine{claims: make(map[Key]*held), voided: make(map[string]struct{})}
+}
+
+// Len returns the number of claims that are kept.
+func (m *Machine) Len() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.claims)
+}
+
+// Apply implements camphorhinge.Machine.
+func (m *Machine) Apply(e camphorhinge.Entry, encoded []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire(e.Stamp)
+	var c command
+	r := result{Kind: KindCorrupt}
+	if json.Unmarshal(encoded, &c) == nil {
+		switch c.Op {
+		case opClaim:
+			r = m.claim(e.Stamp, c)
+		case opComplete, opLose:
+			r = m.resolve(e.Stamp, c)
+		case opRelease:
+			r = m.release(e.Stamp, c)
+		}
+	}
+	out, err := json.Marshal(r)
+	if err != nil {
+		panic("claim result of plain fields can't be encoded: " + err.Error())
+	}
+	return out
+}
+
+func (m *Machine) claim(stamp int64, c command) result {
+	if _, ok := m.voided[c.Token]; ok {
+		return result{Kind: KindNotOwned}
+	}
+	h, ok := m.claims[c.Key]
+	switch {
+	case !ok && len(m.claims) >= maxClaims:
+		return result{State: Full}
+	case !ok:
+		h = &held{
+			Key: c.Key, Token: c.Token, Node: c.Node, Digest: c.Digest,
+			Deadline: stamp + c.Left, Expiry: stamp + max(c.Keep, c.Left),
+		}
+		m.claims[c.Key] = h
+		heap.Push(&m.due, expiry{h.Expiry, c.Key})
+		return result{State: Granted}
+	case !slices.Equal(h.Digest, c.Digest):
+		return result{State: Differs}
+	case h.Answer != nil:
+		return result{State: Stored, Answer: h.Answer}
+	case h.Lost || stamp > h.Deadline:
+		return result{State: Lost}
+	case h.Token == c.Token:
+		// The same claim was proposed again by its owner, which had no answer.
+		return result{State: Granted}
+	}
+	return result{State: Busy}
+}
+
+// resolve records the owner's word on the outcome. A stored answer is not changed again.
+func (m *Machine) resolve(stamp int64, c command) result {
+	h, ok := m.claims[c.Key]
+	if !ok || h.Token != c.Token {
+		return result{Kind: KindNotOwned}
+	}
+	if h.Answer != nil {
+		return result{}
+	}
+	if c.Op == opLose {
+		h.Lost = true
+	} else if h.Answer = c.Answer; h.Answer == nil {
+		h.Answer = &Answer{Omitted: true}
+	}
+	if h.Answer != nil {
+		if n := int64(len(h.Answer.Body)); n > BodyLimit || m.bytes+n > maxBytes {
+			h.Answer.Body, h.Answer.Omitted = nil, true
+		}
+		m.bytes += int64(len(h.Answer.Body))
+	}
+	h.Expiry = max(h.Expiry, stamp+c.Keep)
+	heap.Push(&m.due, expiry{h.Expiry, c.Key})
+	return result{}
+}
+
+func (m *Machine) release(stamp int64, c command) result {
+	if _, ok := m.voided[c.Token]; !ok {
+		if len(m.voids) >= maxVoid {
+			m.unvoid(1)
+		}
+		m.voids = append(m.voids, void{c.Token, stamp + voidFor.Milliseconds()})
+		m.voided[c.Token] = struct{}{}
+	}
+	h, ok := m.claims[c.Key]
+	if !ok || h.Token != c.Token || h.Answer != nil || h.Lost {
+		return result{Kind: KindNotOwned}
+	}
+	delete(m.claims, c.Key)
+	return result{}
+}
+
+// expire drops what is past its retention.
+func (m *Machine) expire(stamp int64) {
+	for len(m.due) > 0 && m.due[0].at <= stamp {
+		x, ok := heap.Pop(&m.due).(expiry)
+		if !ok {
+			panic("heap of expiries holds another type")
+		}
+		if h := m.claims[x.key]; h != nil && h.Expiry == x.at {
+			if h.Answer != nil {
+				m.bytes -= int64(len(h.Answer.Body))
+			}
+			delete(m.claims, x.key)
+		}
+	}
+	n := 0
+	for n < len(m.voids) && m.voids[n].Expiry <= stamp {
+		n++
+	}
+	m.unvoid(n)
+}
+
+// unvoid drops the n oldest void tokens.
+func (m *Machine) unvoid(n int) {
+	for _, v := range m.voids[:n] {
+		delete(m.voided, v.Token)
+	}
+	m.voids = slices.Delete(m.voids, 0, n)
+}
+
+// snapshot is the encoded state; claims are sorted by key.
+type snapshot struct {
+	Claims []*held `json:"claims"`
+	Voids  []void  `json:"voids"`
+}
+
+// Snapshot implements camphorhinge.Machine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := snapshot{Claims: make([]*held, 0, len(m.claims)), Voids: m.voids}
+	for _, h := range m.claims {
+		s.Claims = append(s.Claims, h)
+	}
+	slices.SortFunc(s.Claims, func(a, b *held) int {
+		return cmp.Or(cmp.Compare(a.Key.Workspace, b.Key.Workspace), cmp.Compare(a.Key.Service, b.Key.Service),
+			cmp.Compare(a.Key.Key, b.Key.Key))
+	})
+	out, err := json.Marshal(s)
+	if err != nil {
+		return nil, &Error{Op: "snapshot", Kind: KindCorrupt, Err: err}
+	}
+	return out, nil
+}
+
+// Restore implements camphorhinge.Machine.
+func (m *Machine) Restore(encoded []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(encoded, &s); err != nil {
+		return &Error{Op: "restore", Kind: KindCorrupt, Err: err}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.claims, m.due, m.bytes = make(map[Key]*held, len(s.Claims)), nil, 0
+	for _, h := range s.Claims {
+		m.claims[h.Key] = h
+		m.due = append(m.due, expiry{h.Expiry, h.Key})
+		if h.Answer != nil {
+			m.bytes += int64(len(h.Answer.Body))
+		}
+	}
+	heap.Init(&m.due)
+	m.voids, m.voided = s.Voids, make(map[string]struct{}, len(s.Voids))
+	for _, v := range s.Voids {
+		m.voided[v.Token] = struct{}{}
+	}
+	return nil
+}
+
+// expiry is when a claim was last known to expire.
+type expiry struct {
+	at  int64
+	key Key
+}
+
+// expiries implements heap.Interface.
+type expiries []expiry
+
+func (x expiries) Len() int           { return len(x) }
+func (x expiries) Less(i, j int) bool { return x[i].at < x[j].at }
+func (x expiries) Swap(i, j int)      { x[i], x[j] = x[j], x[i] }
+
+// Push implements heap.Interface.
+func (x *expiries) Push(v any) {
+	if e, ok := v.(expiry); ok {
+		*x = append(*x, e)
+	}
+}
+
+// Pop implements heap.Interface.
+func (x *expiries) Pop() any {
+	last := (*x)[len(*x)-1]
+	*x = (*x)[:len(*x)-1]
+	return last
+}
