Bound the wait for a stream's first piece by the first-byte limit, and hand streams over from prefill engines

A target may send the header of a stream before it has computed the first piece, so the shorter limit between bytes would cut a long prefill.

--- a/internal/request/exchange/conn.go
+++ b/internal/request/exchange/conn.go
@@ -18,14 +18,13 @@
 	address string
 	// sent counts the bytes of the current request that the kernel accepted.
 	sent atomic.Int64
-	// got counts the bytes of the current answer.
-	got atomic.Int64
 	// header bounds the bytes read before the answer's header is complete.
 	header int64
 	// suspect is set when a sibling fell silent; the connection is then not used again.
 	suspect atomic.Bool
 	idle    time.Time
-	first   time.Duration
+	// limit bounds the time of one read, between that of one write.
+	limit   time.Duration
 	between time.Duration
 }
 
@@ -34,8 +33,7 @@
 // begin resets the counters for a new request.
 func (c *conn) begin(first, between time.Duration, header int64) {
 	c.sent.Store(0)
-	c.got.Store(0)
-	c.first, c.between, c.header = first, between, header
+	c.limit, c.between, c.header = first, between, header
 }
 
 // Write implements io.Writer; it fails after the between limit without progress.
@@ -48,20 +46,15 @@
 	return n, err
 }
 
-// Read implements io.Reader; it fails after the first or between limit without progress.
+// Read implements io.Reader; it fails after limit without progress.
 func (c *conn) Read(p []byte) (int, error) {
-	limit := c.between
-	if c.got.Load() == 0 {
-		limit = c.first
-	}
 	if c.header <= 0 {
 		return 0, errHeader
 	}
-	if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	c.got.Add(int64(n))
 	c.header -= int64(n)
 	return n, err
 }
--- a/internal/request/exchange/probe.go
+++ b/internal/request/exchange/probe.go
@@ -20,12 +20,11 @@
 		return
 	}
 	c.mu.Lock()
-	_, running := c.probing[address]
-	c.probing[address] = struct{}{}
-	c.mu.Unlock()
-	if running || c.base.Err() != nil {
+	defer c.mu.Unlock()
+	if _, running := c.probing[address]; running || c.base.Err() != nil {
 		return
 	}
+	c.probing[address] = struct{}{}
 	c.probes.Go(func() error {
 		defer func() {
 			c.mu.Lock()
@@ -112,7 +111,7 @@
 	}
 	if a.Status >= http.StatusBadRequest {
 		return &Error{
-			Op: path, Kind: KindStatus, Run: camphorhinge.Run, Status: a.Status,
+			Op: path, Kind: KindStatus, Run: a.Class(), Status: a.Status,
 			Err: fmt.Errorf("status %d", a.Status),
 		}
 	}
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -68,7 +68,7 @@
 			return nil, err
 		}
 		e := &Error{
-			Op: "stream", Kind: KindStatus, Run: camphorhinge.Run, Status: a.Status,
+			Op: "stream", Kind: KindStatus, Run: a.Class(), Status: a.Status,
 			Err: &Refused{Status: a.Status, Header: a.Header, Body: body},
 		}
 		c.count(e)
@@ -78,6 +78,8 @@
 		defer a.Close()
 		return nil, a.broken("stream", errNoStream)
 	}
+	// A target may send the header before it has computed the first piece.
+	a.conn.limit = c.cfg.FirstByte
 	return &Stream{
 		answer: a, attempt: call.Attempt, lines: bufio.NewReaderSize(a, 16<<10), next: call.Resume,
 	}, nil
@@ -97,6 +99,7 @@
 	e, err := s.read()
 	switch {
 	case err == nil:
+		s.answer.conn.limit = s.answer.client.cfg.Between
 		return e, nil
 	case s.ended:
 		return Event{}, io.EOF
@@ -191,7 +194,7 @@
 	if s.ended && !s.answer.closed && s.lines.Buffered() == 0 {
 		var b [1]byte
 		// The last chunk normally came with the end mark; a target that delays it loses its connection.
-		s.answer.conn.between = lastChunk
+		s.answer.conn.limit = lastChunk
 		_, _ = s.answer.Read(b[:])
 	}
 	s.answer.Close()
--- a/internal/request/frontend/frontend.go
+++ b/internal/request/frontend/frontend.go
@@ -57,7 +57,8 @@
 
 // Claimer grants non-idempotent requests; *claim.Client implements it.
 type Claimer interface {
-	// Claim asks for a claim. Its *claim.Error is of KindAbsent when the claim is known to have no effect.
+	// Claim asks for a claim. Its *claim.Error is of KindAbsent when the claim is known to have no effect; otherwise the
+	// Grant names the claim for a Release.
 	Claim(ctx context.Context, req claim.Request) (claim.Grant, error)
 	// Complete stores the answer of a granted claim.
 	Complete(ctx context.Context, g claim.Grant, a claim.Answer) error
--- a/internal/request/frontend/inbound.go
+++ b/internal/request/frontend/inbound.go
@@ -38,6 +38,8 @@
 	workspace Workspace
 	service   camphorhinge.ServiceName
 	priority  camphorhinge.Priority
+	// poor is set when the answer that was passed on is an error of the target.
+	poor bool
 }
 
 // serve answers one request.
@@ -52,17 +54,18 @@
 	span.SetAttributes(attribute.String("camphorhinge.workspace", string(in.workspace.Name)),
 		attribute.String("camphorhinge.service", string(in.service)))
 	if err == nil {
-		f.meters.end(in.service, camphorhinge.Run, "", true, time.Since(in.began))
+		f.meters.end(in.service, camphorhinge.Run, "", !in.poor, time.Since(in.began))
 		return
 	}
 	span.SetStatus(codes.Error, err.Error())
 	f.meters.end(in.service, err.Run, err.Kind, false, time.Since(in.began))
-	if err.Kind != KindLeft {
-		f.cfg.Decisions.Note("refuse", string(in.id), string(err.Kind), map[string]string{
-			"run": string(err.Run), "workspace": string(in.workspace.Name), "service": string(in.service),
-			"cause": err.Err.Error(),
-		})
+	if err.Kind == KindLeft {
+		return
 	}
+	f.cfg.Decisions.Note("refuse", string(in.id), string(err.Kind), map[string]string{
+		"run": string(err.Run), "workspace": string(in.workspace.Name), "service": string(in.service),
+		"cause": err.Err.Error(),
+	})
 	if !errors.Is(err, errWritten) {
 		_ = out.Whole(err.Status, f.header(in, err.Run, err.RetryAfter, "application/json"), err.body(in.id))
 	}
--- a/internal/request/frontend/model.go
+++ b/internal/request/frontend/model.go
@@ -115,7 +115,7 @@
 		}
 	case a.Status >= http.StatusBadRequest:
 		return nil, nil, &exchange.Error{
-			Op: "read body", Kind: exchange.KindStatus, Run: camphorhinge.Run, Status: a.Status,
+			Op: "read body", Kind: exchange.KindStatus, Run: a.Class(), Status: a.Status,
 			Err: &exchange.Refused{Status: a.Status, Header: a.Header, Body: answer},
 		}
 	}
--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -167,8 +167,9 @@
 	if err != nil && !whole {
 		return nil, err
 	}
+	c.in.poor = a.Status >= http.StatusInternalServerError
 	h := backward(a.Header)
-	h.Set(camphorhinge.HeaderRun, string(camphorhinge.Run))
+	h.Set(camphorhinge.HeaderRun, string(a.Class()))
 	h.Set(camphorhinge.HeaderRequest, string(c.in.id))
 	if whole {
 		c.complete(claim.Answer{Status: a.Status, Header: h, Body: head})
@@ -271,6 +272,8 @@
 		var e *claim.Error
 		if !errors.As(err, &e) || e.Kind != claim.KindAbsent {
 			out.Run = camphorhinge.Unknown
+			// If the claim takes effect it is ours and unsent, so it is given up for the caller's next try.
+			c.f.later(func(ctx context.Context) error { return c.f.cfg.Claims.Release(ctx, g) })
 		}
 		return false, out
 	}
--- a/internal/request/frontend/relay.go
+++ b/internal/request/frontend/relay.go
@@ -44,7 +44,7 @@
 	headed bool
 	last   time.Time
 	looked time.Time
-	// moved is true after an attempt to move the stream off a draining engine.
+	// moved is true after an attempt to move the stream off its engine.
 	moved bool
 }
 
@@ -122,12 +122,12 @@
 			l.end(err)
 			return l, err
 		}
-		if r.draining(l) {
+		if r.leaves(l) {
 			if next, nl := r.move(ctx, l, s.Offset()); next != nil {
 				s.Close()
 				l.end(nil)
 				r.cancel(l)
-				s, l = next, nl
+				s, l, r.moved = next, nl, false
 			}
 		}
 	}
@@ -208,10 +208,18 @@
 	return r.move(ctx, l, offset)
 }
 
-// draining reports whether the stream should leave its engine, at most once per stream.
-func (r *relay) draining(l *leg) bool {
+// leaves reports whether the stream should leave its engine: one that only computes prompts, or one that is drained. A
+// move that failed is not tried again on the same engine.
+func (r *relay) leaves(l *leg) bool {
+	if r.moved || int(r.route.Output)-r.sent < moveMin {
+		return false
+	}
+	if l.choice.Target.Role == camphorhinge.RolePrefill {
+		r.moved = true
+		return true
+	}
 	now := time.Now()
-	if r.moved || now.Sub(r.looked) < lookEvery || int(r.route.Output)-r.sent < moveMin {
+	if now.Sub(r.looked) < lookEvery {
 		return false
 	}
 	r.looked = now
@@ -224,12 +232,17 @@
 	return false
 }
 
-// move exports the attempt's KV cache, imports it on another engine and resumes the stream there. It returns nil when
-// any step fails; the attempt's old connection is not touched.
+// move exports the attempt's KV cache, imports it on another engine and resumes the stream there. The router is asked
+// for a prompt of 0 tokens, which tells it that the engine only decodes. move returns nil when any step fails; the
+// attempt's old connection is not touched.
 func (r *relay) move(ctx context.Context, l *leg, offset int) (*exchange.Stream, *leg) {
 	x := r.f.cfg.Exchange
 	route := r.route
 	route.Exclude = append(slices.Clone(route.Exclude), l.choice.Target.Name)
+	route.Prompt, route.Output = 0, max(route.Output-camphorhinge.Tokens(r.sent), 1)
+	if d, ok := ctx.Deadline(); ok {
+		route.Deadline = time.Until(d)
+	}
 	choice, ok := r.f.cfg.Router.Pick(route)
 	if !ok {
 		return nil, nil
