Add the quarantine of requests that crash targets

Reports of several nodes on one target within 2 s are one crash, since otherwise each node would count its own requests in flight as all there were.

--- a/internal/request/exchange/error.go
+++ b/internal/request/exchange/error.go
@@ -89,7 +89,7 @@
 		e.Kind = KindProtocol
 	case errors.Is(err, errNoEnd):
 	case ended(err):
-		e.Reset = true
+		e.Reset = e.Run != camphorhinge.NotRun
 	case !errors.As(err, &ne):
 		// net/http reports a malformed header or chunk by untyped errors.
 		e.Kind = KindProtocol
--- /dev/null
+++ b/internal/request/quarantine/machine.go
@@ -0,0 +1,275 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+// The values below are part of the replicated state's rules: they must be equal on all replicas.
+const (
+	// unit is the count 1. It is divisible by 1 to 16, so that the shares of small crashes are exact, and sums of integers
+	// don't depend on their order, unlike those of floating-point numbers.
+	unit = 720_720
+	// threshold is the count 1.5, from which a fingerprint is refused. Two crashes alone in flight reach it; a request that
+	// is merely in flight next to a crashing one has at most 1/2 per crash.
+	threshold = unit + unit/2
+	// Window is how long a crash counts, and how long a fingerprint is refused.
+	Window = 10 * time.Minute
+	// merge is the time in which reports of several nodes on one target count as one crash. Connections of one crash end
+	// within round trips; an engine that restarts is gone for seconds.
+	merge = 2 * time.Second
+	// maxCrashes bounds the crashes that are kept; the oldest is dropped first.
+	maxCrashes = 4096
+	// maxPrints bounds the fingerprints of one crash. With more, each would count less than 1/1000.
+	maxPrints = 1000
+)
+
+// Kind tells how a call failed.
+type Kind string
+
+// Kinds of failed calls.
+const (
+	// KindCorrupt marks a command, result or snapshot that can't be decoded.
+	KindCorrupt Kind = "corrupt"
+	// KindPropose marks a report that could not be committed.
+	KindPropose Kind = "propose"
+)
+
+// Error is a failed call.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("quarantine %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// command reports a crash with the fingerprints in flight, or the success of a fingerprint.
+type command struct {
+	Node        camphorhinge.NodeID        `json:"n"`
+	Target      camphorhinge.TargetName    `json:"t,omitempty"`
+	Incarnation camphorhinge.Incarnation   `json:"i,omitempty"`
+	Prints      []camphorhinge.Fingerprint `json:"f"`
+	Success     bool                       `json:"s,omitempty"`
+}
+
+// Score is the count of one fingerprint.
+type Score struct {
+	Print camphorhinge.Fingerprint `json:"f"`
+	Count float64                  `json:"c"`
+	// Left is the time in milliseconds for which the fingerprint is refused, or 0.
+	Left int64 `json:"l"`
+}
+
+// crash is one crash of a target.
+type crash struct {
+	Stamp       int64                    `json:"at"`
+	Target      camphorhinge.TargetName  `json:"t"`
+	Incarnation camphorhinge.Incarnation `json:"i"`
+	Nodes       []camphorhinge.NodeID    `json:"n"`
+	// Prints are the fingerprints in flight, sorted; Cleared are those which succeeded later.
+	Prints  []camphorhinge.Fingerprint `json:"f"`
+	Cleared []camphorhinge.Fingerprint `json:"c,omitempty"`
+}
+
+// Machine is the replicated state of crash counts; it implements camphorhinge.Machine.
+type Machine struct {
+	mu sync.Mutex
+	// crashes are ordered by stamp.
+	crashes []*crash
+	// refused holds until which stamp a fingerprint is refused.
+	refused map[camphorhinge.Fingerprint]int64
+	// index holds the crashes of a fingerprint that count.
+	index map[camphorhinge.Fingerprint][]*crash
+	stamp int64
+}
+
+var _ camphorhinge.Machine = (*Machine)(nil)
+
+// NewMachine returns an empty Machine.
+func NewMachine() *Machine {
+	return &Machine{
+		refused: make(map[camphorhinge.Fingerprint]int64),
+		index:   make(map[camphorhinge.Fingerprint][]*crash),
+	}
+}
+
+// Apply implements camphorhinge.Machine. The result is the encoded list of the Scores of the command's fingerprints.
+func (m *Machine) Apply(e camphorhinge.Entry, encoded []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stamp = e.Stamp
+	m.expire()
+	var c command
+	if json.Unmarshal(encoded, &c) != nil {
+		return []byte("[]")
+	}
+	if c.Success {
+		m.clear(c.Prints)
+	} else {
+		m.count(c)
+	}
+	scores := make([]Score, 0, len(c.Prints))
+	for _, p := range c.Prints {
+		scores = append(scores, m.score(p))
+	}
+	out, err := json.Marshal(scores)
+	if err != nil {
+		panic("scores of plain numbers can't be encoded: " + err.Error())
+	}
+	return out
+}
+
+// count adds a report to the crash that it belongs to, or to a new one.
+func (m *Machine) count(c command) {
+	var at *crash
+	for _, k := range slices.Backward(m.crashes) {
+		if m.stamp-k.Stamp > merge.Milliseconds() {
+			break
+		}
+		// A node reports each attempt once, so a second report of one node is about another crash.
+		if k.Target == c.Target && k.Incarnation == c.Incarnation && !slices.Contains(k.Nodes, c.Node) {
+			at = k
+			break
+		}
+	}
+	if at == nil {
+		at = &crash{Stamp: m.stamp, Target: c.Target, Incarnation: c.Incarnation}
+		if len(m.crashes) >= maxCrashes {
+			m.drop(1)
+		}
+		m.crashes = append(m.crashes, at)
+	}
+	at.Nodes = append(at.Nodes, c.Node)
+	for _, p := range c.Prints {
+		if i, found := slices.BinarySearch(at.Prints, p); !found && len(at.Prints) < maxPrints {
+			at.Prints = slices.Insert(at.Prints, i, p)
+			m.index[p] = append(m.index[p], at)
+		}
+	}
+	for _, p := range at.Prints {
+		if m.sum(p) >= threshold {
+			m.refused[p] = m.stamp + Window.Milliseconds()
+		}
+	}
+}
+
+// sum adds up the shares of a fingerprint in the crashes that count.
+func (m *Machine) sum(p camphorhinge.Fingerprint) int {
+	total := 0
+	for _, k := range m.index[p] {
+		total += unit / len(k.Prints)
+	}
+	return total
+}
+
+// drop forgets the n oldest crashes.
+func (m *Machine) drop(n int) {
+	for _, k := range m.crashes[:n] {
+		for _, p := range k.Prints {
+			list := slices.DeleteFunc(m.index[p], func(o *crash) bool { return o == k })
+			if m.index[p] = list; len(list) == 0 {
+				delete(m.index, p)
+			}
+		}
+	}
+	m.crashes = slices.Delete(m.crashes, 0, n)
+}
+
+func (m *Machine) score(p camphorhinge.Fingerprint) Score {
+	return Score{Print: p, Count: float64(m.sum(p)) / unit, Left: max(m.refused[p]-m.stamp, 0)}
+}
+
+// clear resets the counts of fingerprints that succeeded. The shares of others in the same crashes stay.
+func (m *Machine) clear(prints []camphorhinge.Fingerprint) {
+	for _, p := range prints {
+		delete(m.refused, p)
+		for _, k := range m.index[p] {
+			k.Cleared = append(k.Cleared, p)
+		}
+		delete(m.index, p)
+	}
+}
+
+func (m *Machine) expire() {
+	n := 0
+	for n < len(m.crashes) && m.stamp-m.crashes[n].Stamp >= Window.Milliseconds() {
+		n++
+	}
+	m.drop(n)
+	for p, until := range m.refused {
+		if until <= m.stamp {
+			delete(m.refused, p)
+		}
+	}
+}
+
+// Scores returns the counts above 0, sorted by fingerprint, for Client.Learn on other nodes.
+func (m *Machine) Scores() []Score {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := make(map[camphorhinge.Fingerprint]struct{}, len(m.refused))
+	for p := range m.refused {
+		seen[p] = struct{}{}
+	}
+	for p := range m.index {
+		seen[p] = struct{}{}
+	}
+	out := make([]Score, 0, len(seen))
+	for p := range seen {
+		out = append(out, m.score(p))
+	}
+	slices.SortFunc(out, func(a, b Score) int { return cmp.Compare(a.Print, b.Print) })
+	return out
+}
+
+// snapshot is the encoded state.
+type snapshot struct {
+	Stamp   int64                              `json:"at"`
+	Crashes []*crash                           `json:"crashes"`
+	Refused map[camphorhinge.Fingerprint]int64 `json:"refused"`
+}
+
+// Snapshot implements camphorhinge.Machine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out, err := json.Marshal(snapshot{m.stamp, m.crashes, m.refused})
+	if err != nil {
+		return nil, &Error{Op: "snapshot", Kind: KindCorrupt, Err: err}
+	}
+	return out, nil
+}
+
+// Restore implements camphorhinge.Machine.
+func (m *Machine) Restore(encoded []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(encoded, &s); err != nil {
+		return &Error{Op: "restore", Kind: KindCorrupt, Err: err}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stamp, m.crashes, m.refused = s.Stamp, s.Crashes, s.Refused
+	if m.refused == nil {
+		m.refused = make(map[camphorhinge.Fingerprint]int64)
+	}
+	m.index = make(map[camphorhinge.Fingerprint][]*crash)
+	for _, k := range m.crashes {
+		for _, p := range k.Prints {
+			if !slices.Contains(k.Cleared, p) {
+				m.index[p] = append(m.index[p], k)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/quarantine/quarantine_test.go
@@ -0,0 +1,169 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.org/camphorhinge"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+)
+
+// report is one command at a time in milliseconds.
+type report struct {
+	at      int64
+	node    camphorhinge.NodeID
+	target  camphorhinge.TargetName
+	inc     camphorhinge.Incarnation
+	prints  []camphorhinge.Fingerprint
+	success bool
+}
+
+// TestMachine guards the counting: what is refused, what is not, and for how long.
+func TestMachine(t *testing.T) {
+	type prints = []camphorhinge.Fingerprint
+	for _, tc := range []struct {
+		name    string
+		reports []report
+		at      int64
+		count   float64
+		refused bool
+	}{
+		{"one crash alone", []report{{0, "n1", "a", 1, prints{7}, false}}, 1, 1, false},
+		{"two crashes alone", []report{{0, "n1", "a", 1, prints{7}, false}, {5000, "n2", "b", 1, prints{7}, false}}, 5001, 2, true},
+		{"two crashes on one node within the merge time", []report{
+			{0, "n1", "a", 1, prints{7}, false}, {500, "n1", "a", 1, prints{7}, false},
+		}, 501, 2, true},
+		{"one crash seen by two nodes", []report{
+			{0, "n1", "a", 1, prints{7}, false}, {500, "n2", "a", 1, prints{7, 8}, false},
+		}, 501, 0.5, false},
+		{"two nodes' reports on a target too far apart", []report{
+			{0, "n1", "a", 1, prints{7}, false}, {2500, "n2", "a", 1, prints{7}, false},
+		}, 2501, 2, true},
+		{"next to a crashing request, twice", []report{
+			{0, "n1", "a", 1, prints{7, 8}, false}, {5000, "n1", "a", 2, prints{7, 8}, false},
+		}, 5001, 1, false},
+		{"three times next to another", []report{
+			{0, "n1", "a", 1, prints{7, 8}, false}, {5000, "n1", "a", 2, prints{7, 9}, false}, {9000, "n1", "a", 3, prints{7, 9}, false},
+		}, 9001, 1.5, true},
+		{"success between", []report{
+			{0, "n1", "a", 1, prints{7}, false}, {100, "n1", "", 0, prints{7}, true}, {5000, "n1", "a", 2, prints{7}, false},
+		}, 5001, 1, false},
+		{"success when refused", []report{
+			{0, "n1", "a", 1, prints{7}, false}, {5000, "n1", "a", 2, prints{7}, false}, {5001, "n1", "", 0, prints{7}, true},
+		}, 5002, 0, false},
+		{"first crash too old", []report{
+			{0, "n1", "a", 1, prints{7}, false}, {600_000, "n1", "a", 2, prints{7}, false},
+		}, 600_001, 1, false},
+		{"refused until 10 min after the last crash", []report{
+			{0, "n1", "a", 1, prints{7}, false}, {500_000, "n1", "a", 2, prints{7}, false},
+		}, 1_099_999, 1, true},
+		{"refusal over", []report{
+			{0, "n1", "a", 1, prints{7}, false}, {500_000, "n1", "a", 2, prints{7}, false},
+		}, 1_100_000, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := NewMachine()
+			for _, r := range tc.reports {
+				cmd, err := json.Marshal(command{r.node, r.target, r.inc, r.prints, r.success})
+				require.NoError(t, err)
+				m.Apply(camphorhinge.Entry{Stamp: r.at}, cmd)
+				saved, err := m.Snapshot()
+				require.NoError(t, err)
+				m = NewMachine()
+				require.NoError(t, m.Restore(saved))
+			}
+			m.Apply(camphorhinge.Entry{Stamp: tc.at}, nil)
+			got := Score{Print: 7}
+			for _, s := range m.Scores() {
+				if s.Print == 7 {
+					got = s
+				}
+			}
+			require.InDelta(t, tc.count, got.Count, 1e-9)
+			require.Equal(t, tc.refused, got.Left > 0)
+		})
+	}
+}
+
+// clock follows the time of a synctest bubble.
+type clock struct{ zero time.Time }
+
+func (c clock) Now() camphorhinge.Instant { return camphorhinge.Instant(time.Since(c.zero)) }
+
+type quiet struct{}
+
+func (quiet) Note(string, string, string, map[string]string) {}
+
+// log applies proposals to a Machine; the first failing ones fail.
+type log struct {
+	*Machine
+	zero    time.Time
+	failing int
+	applied int
+}
+
+func (l *log) Propose(_ context.Context, _ camphorhinge.CommandKind, cmd []byte) ([]byte, error) {
+	if l.failing--; l.failing >= 0 {
+		return nil, errors.New("no leader")
+	}
+	l.applied++
+	return l.Apply(camphorhinge.Entry{Stamp: time.Since(l.zero).Milliseconds()}, cmd), nil
+}
+
+// TestClient guards the node's side: one report per crash with all that was in flight, a refusal after two crashes that
+// another node learns, its end after 10 minutes, and a reset by a success.
+func TestClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		zero := time.Now()
+		l := &log{Machine: NewMachine(), zero: zero, failing: 2}
+		start := func(node camphorhinge.NodeID) *Client {
+			return New(Config{Proposer: l, Node: node, Clock: clock{zero}, Decisions: quiet{}, Metrics: metrics.NewSet()})
+		}
+		c, other := start("n1"), start("n2")
+		defer func() { require.NoError(t, errors.Join(c.Close(), other.Close())) }()
+		target := func(inc camphorhinge.Incarnation) *camphorhinge.Target {
+			return &camphorhinge.Target{Announcement: camphorhinge.Announcement{Name: "a", Incarnation: inc}}
+		}
+		settle := func() { time.Sleep(3 * time.Second); synctest.Wait() }
+
+		ends := []func(bool, bool){c.Begin(target(1), 7), c.Begin(target(1), 8), c.Begin(target(1), 9)}
+		for _, end := range ends {
+			end(true, false)
+		}
+		settle()
+		require.Equal(t, 1, l.applied, "all attempts ended by one crash")
+		for inc := camphorhinge.Incarnation(2); inc < 4; inc++ {
+			_, refused := c.Refused(7)
+			require.False(t, refused)
+			end := c.Begin(target(inc), 7)
+			if inc == 2 {
+				end(true, false)
+			} else {
+				c.Restarted("a", inc+1)
+				end(true, false)
+			}
+			settle()
+		}
+		left, refused := c.Refused(7)
+		require.True(t, refused)
+		require.Greater(t, left, 9*time.Minute)
+		_, refused = c.Refused(8)
+		require.False(t, refused)
+		other.Learn(l.Scores())
+		_, refused = other.Refused(7)
+		require.True(t, refused)
+
+		c.Begin(target(9), 8)(false, true)
+		settle()
+		require.Len(t, l.Scores(), 2, "a success resets the count of a neighbour")
+		time.Sleep(Window)
+		_, refused = c.Refused(7)
+		require.False(t, refused)
+		require.Empty(t, c.flights)
+	})
+}
