Hash prompts as engines do and pass on refusals that blame the request

A target that refuses a malformed body states not-run; other targets were tried for it and the caller got 503. The engine hashes prefixes over the model and adapter that the body names, so the hash function is now a dependency.

--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -212,11 +212,12 @@
 	}
 	if resp.StatusCode >= http.StatusBadRequest &&
 		resp.Header.Get(camphorhinge.HeaderRun) == string(camphorhinge.NotRun) {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a, 64<<10))
+		// The refusal is certain by its header; a cut body only shortens the message.
+		body, _ := io.ReadAll(io.LimitReader(a, refusalLimit))
 		a.finish()
 		return nil, &Error{
 			Op: "open", Kind: KindRefused, Run: camphorhinge.NotRun, Status: resp.StatusCode,
-			Err: fmt.Errorf("target %s refused with status %d", call.Target.Name, resp.StatusCode),
+			Err: &Refused{Status: resp.StatusCode, Header: resp.Header, Body: body},
 		}
 	}
 	return a, nil
--- a/internal/request/frontend/error.go
+++ b/internal/request/frontend/error.go
@@ -92,6 +92,10 @@
 	if !errors.As(err, &e) {
 		return out
 	}
+	var r *exchange.Refused
+	if errors.As(err, &r) && len(r.Body) > 0 {
+		out.Err = fmt.Errorf("%w: %.1024s", r, r.Body)
+	}
 	switch e.Kind {
 	case exchange.KindDeadline, exchange.KindSilent:
 		out.Status = http.StatusGatewayTimeout
@@ -100,12 +104,11 @@
 		}
 	case exchange.KindConnect, exchange.KindRefused:
 		out.Status, out.Kind, out.RetryAfter = http.StatusServiceUnavailable, KindNoTarget, retryHint
+		if faulty(e.Status) {
+			out.Status, out.Kind, out.RetryAfter = e.Status, KindInvalid, 0
+		}
 	case exchange.KindStatus:
 		out.Status = e.Status
-		var r *exchange.Refused
-		if errors.As(err, &r) && len(r.Body) > 0 {
-			out.Err = fmt.Errorf("%w: %.1024s", r, r.Body)
-		}
 	case exchange.KindLeft:
 		out.Kind, out.Status = KindLeft, statusLeft
 	case exchange.KindBody:
--- a/internal/request/frontend/frontend.go
+++ b/internal/request/frontend/frontend.go
@@ -9,7 +9,6 @@
 	"example.org/camphorhinge/internal/request/claim"
 	"example.org/camphorhinge/internal/request/exchange"
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
@@ -95,8 +94,8 @@
 	Quarantine    Quarantine
 	Metrics       *metrics.Set
 	Tracer        trace.Tracer
-	// Prefixes hashes the leading blocks of a prompt; nil takes PromptPrefixes.
-	Prefixes func(prompt []byte) []uint64
+	// Prefixes hashes the leading blocks of a prompt, as engines do; nil turns prefix affinity off.
+	Prefixes func(model camphorhinge.ModelName, adapter camphorhinge.AdapterName, prompt string) []uint64
 	// NewID draws ids of requests and attempts; nil takes random UUIDs.
 	NewID func() string
 
@@ -127,12 +126,8 @@
 	tries = 4
 	// control bounds a claim's completion, release or loss after the exchange.
 	control = 2 * time.Second
-	// prefixBytes is the prompt text of one memory block of 1,000 tokens, at 4 bytes per token.
-	prefixBytes = 4000
 	// tokenBytes is the estimated prompt text of one token.
 	tokenBytes = 4
-	// maxPrefixes bounds the hashes that are looked up per request.
-	maxPrefixes = 256
 )
 
 // Frontend serves callers. It is safe for concurrent use.
@@ -151,9 +146,6 @@
 	if cfg.NewID == nil {
 		cfg.NewID = uuid.NewString
 	}
-	if cfg.Prefixes == nil {
-		cfg.Prefixes = PromptPrefixes
-	}
 	if cfg.ModelBody == 0 {
 		cfg.ModelBody = DefaultModelBody
 	}
@@ -174,22 +166,6 @@
 // Close waits for control calls under way.
 func (f *Frontend) Close() error { return f.after.Wait() }
 
-// PromptPrefixes returns the xxhash64 of each leading part of a prompt that is a multiple of 4,000 bytes long, the
-// shortest first.
-func PromptPrefixes(prompt []byte) []uint64 {
-	n := min(len(prompt)/prefixBytes, maxPrefixes)
-	if n == 0 {
-		return nil
-	}
-	out := make([]uint64, 0, n)
-	d := xxhash.New()
-	for i := range n {
-		_, _ = d.Write(prompt[i*prefixBytes : (i+1)*prefixBytes])
-		out = append(out, d.Sum64())
-	}
-	return out
-}
-
 // later runs a control call that no caller waits for.
 func (f *Frontend) later(call func(ctx context.Context) error) {
 	run := func() error {
--- a/internal/request/frontend/http.go
+++ b/internal/request/frontend/http.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/netpoll"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cloudwego/hertz/pkg/route"
@@ -33,6 +34,8 @@
 // that leave.
 func Options() []config.Option {
 	return []config.Option{
+		// Only this transport notices a caller that leaves while its body is streamed.
+		server.WithTransport(netpoll.NewTransporter),
 		server.WithStreamBody(true),
 		server.WithSenseClientDisconnection(true),
 		server.WithMaxHeaderBytes(maxHeader),
--- a/internal/request/frontend/inbound.go
+++ b/internal/request/frontend/inbound.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -183,6 +182,7 @@
 // prompt is the part of a model request's body that the frontend reads.
 type prompt struct {
 	Model       string            `json:"model"`
+	Adapter     string            `json:"adapter"`
 	Prompt      json.RawMessage   `json:"prompt"`
 	Messages    []json.RawMessage `json:"messages"`
 	Stream      bool              `json:"stream"`
@@ -230,16 +230,16 @@
 	return p.Seed != nil && p.Temperature != nil && *p.Temperature == 0 && (p.N == nil || *p.N == 1)
 }
 
-// text returns the prompt as the bytes whose prefixes are hashed: a string prompt, or each message's role and content.
-func (p *prompt) text() []byte {
+// text returns the prompt as one string, in the form in which engines hash its prefixes.
+func (p *prompt) text() string {
 	var s string
-	if json.Unmarshal(p.Prompt, &s) == nil {
-		return []byte(s)
+	if json.Unmarshal(p.Prompt, &s) == nil && len(p.Messages) == 0 {
+		return s
 	}
-	if len(p.Prompt) > 0 {
-		return p.Prompt
+	if len(p.Messages) == 0 {
+		return string(p.Prompt)
 	}
-	var b bytes.Buffer
+	var b strings.Builder
 	for _, raw := range p.Messages {
 		var m struct {
 			Role    string          `json:"role"`
@@ -248,14 +248,10 @@
 		if json.Unmarshal(raw, &m) != nil {
 			continue
 		}
-		b.WriteString(m.Role)
-		b.WriteByte('\n')
-		if json.Unmarshal(m.Content, &s) == nil {
-			b.WriteString(s)
-		} else {
-			b.Write(m.Content)
+		if json.Unmarshal(m.Content, &s) != nil {
+			s = string(m.Content)
 		}
-		b.WriteByte('\n')
+		b.WriteString(m.Role + ": " + s + "\n")
 	}
-	return b.Bytes()
+	return b.String()
 }
--- a/internal/request/frontend/job.go
+++ b/internal/request/frontend/job.go
@@ -94,16 +94,12 @@
 	}
 	class := camphorhinge.NotRun
 	switch {
-	case e.Kind == exchange.KindStatus:
-		class = e.Run
+	case e.Kind == exchange.KindStatus && e.Run == camphorhinge.Run:
+		class = camphorhinge.Run
 	case j.touched:
 		class = camphorhinge.Unknown
 	}
-	switch e.Kind {
-	case exchange.KindStatus, exchange.KindLeft, exchange.KindDeadline, exchange.KindBody:
-		return none, failed(failure, class)
-	}
-	if ctx.Err() != nil || j.tried >= tries {
+	if final(e) || ctx.Err() != nil || j.tried >= tries {
 		return none, failed(failure, class)
 	}
 	if e.Run != camphorhinge.NotRun {
@@ -130,6 +126,29 @@
 	return choice, nil
 }
 
+// final reports whether another target would not change the outcome.
+func final(e *exchange.Error) bool {
+	switch e.Kind {
+	case exchange.KindLeft, exchange.KindDeadline, exchange.KindBody:
+		return true
+	case exchange.KindStatus:
+		return e.Run == camphorhinge.Run
+	case exchange.KindRefused:
+		return faulty(e.Status)
+	}
+	return false
+}
+
+// faulty reports whether a status blames the request itself.
+func faulty(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnsupportedMediaType,
+		http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
+
 // jitter waits a short random time before a repeated attempt; it returns false when the request ended meanwhile.
 func (j *job) jitter(ctx context.Context) bool {
 	source, ok := j.f.cfg.Admission.(jitterer)
--- a/internal/request/frontend/model.go
+++ b/internal/request/frontend/model.go
@@ -27,6 +27,9 @@
 	if !ok {
 		return refuse(KindUnknown, http.StatusNotFound, "no service serves the model %q", p.Model)
 	}
+	if p.Adapter != "" {
+		m.Adapter = camphorhinge.AdapterName(p.Adapter)
+	}
 	left, err := in.limits(m.Service)
 	if err != nil {
 		return err
@@ -38,7 +41,7 @@
 		f: f, in: in, out: out, fp: in.fingerprint(body),
 		route: camphorhinge.RouteRequest{
 			Service: m.Service.Name, Model: m.Model, Adapter: m.Adapter, Priority: in.priority,
-			Prompt: camphorhinge.Tokens(len(text)/tokenBytes + 1), Output: p.output(), Prefixes: f.cfg.Prefixes(text),
+			Prompt: camphorhinge.Tokens(max(1, (len(text)+tokenBytes-1)/tokenBytes)), Output: p.output(),
 		},
 		header: http.Header{
 			"Content-Type":             {"application/json"},
@@ -46,6 +49,10 @@
 			camphorhinge.HeaderRequest: {string(in.id)},
 		},
 	}
+	if f.cfg.Prefixes != nil {
+		// Engines hash what the body names, so an adapter that is named in the place of the model stays there.
+		j.route.Prefixes = f.cfg.Prefixes(camphorhinge.ModelName(p.Model), camphorhinge.AdapterName(p.Adapter), text)
+	}
 	choice, release, err := j.admit(ctx)
 	if err != nil {
 		return err
