Add admission: limits per workspace and priority, shedding and the retry budget

A request above one second's tokens is admitted from a full bucket and leaves it in debt; charging the burst only let a workspace take many times its limit in large requests. Live traffic for the retry budget is the larger of what was admitted in 10 s and what runs, with a floor of 3 repeats, since a small node would otherwise never repeat.

--- /dev/null
+++ b/internal/request/admit/admit_test.go
@@ -0,0 +1,183 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"example.org/camphorhinge"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// world is a clock, a fixed limit and the news of the other nodes.
+type world struct {
+	now    camphorhinge.Instant
+	limit  Limit
+	nodes  int
+	others Limit
+	known  bool
+}
+
+func (w *world) Now() camphorhinge.Instant { return w.now }
+func (w *world) Limit(camphorhinge.WorkspaceName, camphorhinge.Priority) Limit {
+	return w.limit
+}
+func (w *world) Nodes() int { return w.nodes }
+func (w *world) Demand(camphorhinge.WorkspaceName, camphorhinge.Priority) (Limit, bool) {
+	return w.others, w.known
+}
+
+func (w *world) admission(inFlight int) *Admission {
+	return New(Config{Clock: w, Limits: w, Peers: w, Metrics: metrics.NewSet(), Seed: 1, InFlight: inFlight})
+}
+
+func ask(p camphorhinge.Priority, tokens camphorhinge.Tokens, expected time.Duration) camphorhinge.AdmitRequest {
+	return camphorhinge.AdmitRequest{
+		Workspace: "w", Priority: p, Tokens: tokens, Expected: expected, Deadline: 10 * time.Second,
+	}
+}
+
+// TestRates guards the rate that a node admits over a minute of steady demand, against limits that are not enforced,
+// enforced twice, or lost to a node without demand. The minute starts after six time constants of the averaged demand.
+func TestRates(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		world  world
+		tokens camphorhinge.Tokens
+		// perSecond is the demand on this node, want the admitted requests per second.
+		perSecond int
+		want      float64
+	}{
+		{"no limit", world{nodes: 4}, 100, 50, 50},
+		{"below the share", world{nodes: 4, limit: Limit{Requests: 40}}, 100, 5, 5},
+		{"even share without news", world{nodes: 4, limit: Limit{Requests: 40}}, 100, 50, 10},
+		{"all demand is here", world{nodes: 4, limit: Limit{Requests: 40}, known: true}, 100, 50, 34},
+		{"a quarter of the demand is here", world{nodes: 4, limit: Limit{Requests: 40}, known: true, others: Limit{Requests: 150}}, 100, 50, 10},
+		{"tokens", world{nodes: 1, limit: Limit{Tokens: 1000}}, 100, 50, 10},
+		{"requests above the burst of tokens", world{nodes: 1, limit: Limit{Tokens: 1000}}, 5000, 10, 0.2},
+		{"both", world{nodes: 1, limit: Limit{Requests: 3, Tokens: 1000}}, 100, 50, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := tc.world
+			a := w.admission(0)
+			admitted := 0
+			const warm, seconds = 30, 60
+			for i := range (warm + seconds) * tc.perSecond {
+				if i == warm*tc.perSecond {
+					admitted = 0
+				}
+				w.now = w.now.Add(time.Second / time.Duration(tc.perSecond))
+				release, refusal := a.Admit(ask(5, tc.tokens, 0))
+				if refusal == nil {
+					admitted++
+					release()
+					continue
+				}
+				require.Equal(t, "limit", refusal.Kind)
+				require.Positive(t, refusal.RetryAfter)
+			}
+			// One burst of a second and one request may be admitted on top.
+			require.GreaterOrEqual(t, float64(admitted), tc.want*seconds-1)
+			require.LessOrEqual(t, float64(admitted), tc.want*(seconds+1)+1)
+		})
+	}
+}
+
+// TestRetryAfter guards the hint: a caller that comes back then is admitted, and one that comes earlier is not.
+func TestRetryAfter(t *testing.T) {
+	w := &world{nodes: 1, limit: Limit{Requests: 2, Tokens: 500}}
+	a := w.admission(0)
+	for range 3 {
+		_, refusal := a.Admit(ask(5, 1500, 0))
+		require.Nil(t, refusal)
+		_, refusal = a.Admit(ask(5, 1500, 0))
+		require.Equal(t, "limit", refusal.Kind)
+		w.now = w.now.Add(refusal.RetryAfter - time.Millisecond)
+		_, early := a.Admit(ask(5, 1500, 0))
+		require.NotNil(t, early)
+		w.now = w.now.Add(2 * time.Millisecond)
+	}
+}
+
+// TestShed guards who is refused as the load rises: the lowest priority first, and the highest only at the bound.
+func TestShed(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		running  int
+		tokens   camphorhinge.Tokens
+		expected time.Duration
+		// from is the lowest priority that is admitted, 10 for none.
+		from camphorhinge.Priority
+		kind string
+	}{
+		{"idle", 0, 1, 0, 0, ""},
+		{"half the deadline", 0, 1, 5 * time.Second, 0, ""},
+		{"three quarters of the deadline", 0, 1, 7500 * time.Millisecond, 5, "shed"},
+		{"at the deadline", 0, 1, 10 * time.Second, 9, "shed"},
+		{"past the deadline", 0, 1, 10*time.Second + 1, 10, "deadline"},
+		{"half full", 50, 1, 0, 1, "shed"},
+		{"nearly full", 99, 1, 0, 9, "shed"},
+		{"full", 100, 1, 0, 10, "shed"},
+		{"many tokens in flight", 1, DefaultTokens * 3 / 4, 0, 5, "shed"},
+		{"one request above the bound of tokens", 0, DefaultTokens * 2, 0, 0, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := &world{nodes: 1}
+			a := w.admission(100)
+			for range tc.running {
+				_, refusal := a.Admit(ask(9, 0, 0))
+				require.Nil(t, refusal)
+			}
+			for p := range camphorhinge.MaxPriority + 1 {
+				release, refusal := a.Admit(ask(p, tc.tokens, tc.expected))
+				if p >= tc.from {
+					require.Nil(t, refusal, "priority %d", p)
+					release()
+					release()
+					continue
+				}
+				require.NotNil(t, refusal, "priority %d", p)
+				require.Equal(t, tc.kind, refusal.Kind)
+				require.Positive(t, refusal.RetryAfter)
+			}
+			require.Equal(t, tc.running, a.running, "releases count once")
+		})
+	}
+}
+
+// TestRetryBudget guards against a retry storm: at any traffic, repeats in each window of 10 s stay within 10 % of what
+// was admitted or runs, or the floor of 3.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{nodes: 1}
+		a := w.admission(1 << 20)
+		rate := rapid.IntRange(0, 60).Draw(t, "requests per second")
+		type event struct{ second, admitted, retries int }
+		var log []event
+		for s := range rapid.IntRange(1, 40).Draw(t, "seconds") {
+			e := event{second: s}
+			for range rate {
+				release, refusal := a.Admit(ask(9, 1, 0))
+				require.Nil(t, refusal)
+				release()
+				e.admitted++
+			}
+			for range rapid.IntRange(0, 30).Draw(t, "retries wanted") {
+				if a.Retry() {
+					e.retries++
+				}
+			}
+			log = append(log, e)
+			admitted, retries := 0, 0
+			for _, e := range log {
+				if s-e.second < budgetSlots {
+					admitted, retries = admitted+e.admitted, retries+e.retries
+				}
+			}
+			require.LessOrEqual(t, float64(retries), max(0.1*float64(admitted), 3))
+			require.Less(t, a.Jitter(), 50*time.Millisecond)
+			w.now = w.now.Add(time.Second)
+		}
+	})
+}
