Drop longer prefixes first in the stand-in's cache

Prefixes were marked as used from the shortest on, so the shortest prefix of a prompt was the first to be dropped, and the longer ones behind it were of no use. They are marked from the longest on now, as engines that keep a tree of prefixes drop its leaves first.

--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"example.org/camphorhinge"
@@ -36,20 +37,21 @@
 	}
 }
 
-// match returns how many leading hashes are held, and marks them as used.
+// match returns how many leading hashes are held, and marks them as used, the shortest prefix as the last one, so that
+// longer prefixes are dropped first.
 func (c *cache) match(hashes []uint64) int {
-	for i, h := range hashes {
-		e, ok := c.held[h]
-		if !ok {
-			return i
-		}
-		c.order.MoveToFront(e)
+	n := 0
+	for n < len(hashes) && c.held[hashes[n]] != nil {
+		n++
+	}
+	for _, h := range slices.Backward(hashes[:n]) {
+		c.order.MoveToFront(c.held[h])
 	}
-	return len(hashes)
+	return n
 }
 
 func (c *cache) store(hashes []uint64, now time.Time) {
-	for _, h := range hashes {
+	for _, h := range slices.Backward(hashes) {
 		if e, ok := c.held[h]; ok {
 			c.order.MoveToFront(e)
 			continue
