--- /dev/null
+++ b/internal/request/route/herding_test.go
@@ -0,0 +1,110 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+)
+
+// Guards against nodes that all send to the target which the last report shows as idle. The target is that no engine
+// gets more than twice its even part of the work between two reports, at the sizes of both customers, while the load
+// is at 70 %; and that no engine's queue grows to more than twice the mean plus one second of work.
+func TestHerding(t *testing.T) {
+	const (
+		drain = 4000.0 // tokens per second of one engine
+		step  = 10 * time.Millisecond
+		lag   = 500 * time.Millisecond
+	)
+	tests := []struct {
+		name           string
+		nodes, engines int
+	}{
+		{"asesor-lm", 7, 18},
+		{"asistente", 6, 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const seed = 20
+			rng := rand.New(rand.NewPCG(seed, 0))
+			c := &clock{now: camphorhinge.Instant(time.Hour)}
+			l := engines(tt.engines, c)
+			var routers []*Router
+			for i := range tt.nodes {
+				r := newRouter(t, l, c, uint64(seed+i))
+				r.cfg.Nodes = func() int { return tt.nodes }
+				routers = append(routers, r)
+			}
+			req := camphorhinge.RouteRequest{Service: "asesor-lm", Model: "m", Prompt: 150, Output: 50}
+			type pending struct {
+				left float64
+				done func(camphorhinge.AttemptResult)
+			}
+			queues := make([][]*pending, tt.engines)
+			got := make([]float64, tt.engines) // tokens since the last report
+			history := make([][]camphorhinge.Load, tt.engines)
+			perStep := 0.7 * drain * float64(tt.engines) * step.Seconds() / float64(req.Prompt+req.Output)
+			worst, worstQueue, owed := 0.0, 0.0, 0.0
+			load := func(i int) float64 {
+				sum := 0.0
+				for _, p := range queues[i] {
+					sum += p.left
+				}
+				return sum
+			}
+			for tick := 1; tick <= 6000; tick++ {
+				c.now = c.now.Add(step)
+				for owed += perStep; owed >= 1; owed-- {
+					r := routers[rng.IntN(len(routers))]
+					choice, ok := r.Pick(req)
+					require.True(t, ok)
+					i := 0
+					for l[i] != choice.Target {
+						i++
+					}
+					queues[i] = append(queues[i], &pending{200, r.Sent(choice, req)})
+					got[i] += 200
+				}
+				mean := 0.0
+				for i := range l {
+					for work := drain * step.Seconds(); work > 0 && len(queues[i]) > 0; {
+						p := queues[i][0]
+						did := min(work, p.left)
+						work -= did
+						if p.left -= did; p.left <= 0 {
+							queues[i] = queues[i][1:]
+							p.done(camphorhinge.AttemptResult{Class: camphorhinge.Run, Output: 50})
+						}
+					}
+					sum := load(i)
+					mean += sum / float64(tt.engines)
+					history[i] = append(history[i], camphorhinge.Load{
+						Running: len(queues[i]), Tokens: camphorhinge.Tokens(sum), Blocks: 256, FreeBlocks: 256,
+					})
+				}
+				for i := range l {
+					if tick > 500 {
+						worstQueue = max(worstQueue, load(i)-2*mean)
+					}
+					// Reports come each second, at different times, and are old when they are sent.
+					if (tick+i*100/tt.engines)%100 != 0 {
+						continue
+					}
+					if tick > 500 {
+						worst = max(worst, got[i]/(0.7*drain))
+					}
+					got[i] = 0
+					old := history[i][max(0, len(history[i])-1-int(lag/step))]
+					old.Age = lag.Milliseconds()
+					l[i].Load, l[i].Heard = old, c.now
+				}
+			}
+			t.Logf("seed %d: greatest part of an engine between reports %.2f of even, queue over twice the mean %.0f tokens", seed, worst, worstQueue)
+			require.LessOrEqual(t, worst, 2.0, "seed %d", seed)
+			require.LessOrEqual(t, worstQueue, drain, "seed %d", seed)
+		})
+	}
+}
