--- /dev/null
+++ b/internal/state/disk/memory.go
@@ -0,0 +1,392 @@
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"example.org/camphorhinge"
+)
+
+// Memory is a FileSystem in memory for tests. Reads see what was written; only what was synced is sure to survive Crash.
+type Memory struct {
+	mu sync.Mutex
+	// names is the folder as it is seen; durable is the folder as of the last SyncDir, and journal the changes since.
+	names, durable map[string]*node
+	journal        []func(map[string]*node)
+
+	faults  Faults
+	ops     int
+	crashed bool
+	// generation tells files opened before a crash from those opened after it.
+	generation int
+}
+
+var _ camphorhinge.FileSystem = (*Memory)(nil)
+
+// Faults are the faults that a Memory shows. Operations are counted from 1: Create, Write, Truncate, Sync, Rename,
+// Remove and SyncDir.
+type Faults struct {
+	// CrashAt is the operation at which everything stops: it takes effect in part (a write) or not at all, and it and all
+	// later calls fail. 0 means never.
+	CrashAt int
+	// FailAt is the operation that fails once without a crash; a write has taken effect in part. After a failed sync the
+	// bytes stay readable but are never made durable, as with a page cache that marks them clean. 0 means never.
+	FailAt int
+	// Capacity is the number of bytes that all files may hold together; 0 means no limit.
+	Capacity int64
+}
+
+// node is one file; it stays usable under an open File after its removal.
+type node struct {
+	data []byte
+	// durable is what a crash leaves for sure.
+	durable []byte
+	// lost marks a file whose sync failed: later syncs report success and make nothing durable.
+	lost bool
+}
+
+// NewMemory returns an empty file system.
+func NewMemory() *Memory {
+	return &Memory{names: map[string]*node{}, durable: map[string]*node{}}
+}
+
+// SetFaults replaces the faults and counts operations from 1 again.
+func (m *Memory) SetFaults(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults, m.ops = f, 0
+}
+
+// Operations returns the number of operations since SetFaults or Crash.
+func (m *Memory) Operations() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ops
+}
+
+// Crash ends the running system and starts the next: open files become unusable, faults end, and unsynced changes are
+// lost. With a generator, a part of them survives instead: of each file some of the unsynced bytes, of which some may
+// be zero, and of the folder's changes some first ones.
+func (m *Memory) Crash(random *rand.Rand) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kept := maps.Clone(m.durable)
+	if random != nil {
+		for _, change := range m.journal[:random.IntN(len(m.journal)+1)] {
+			change(kept)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(kept)) {
+		n := kept[name]
+		left := slices.Clone(n.durable)
+		if random != nil {
+			left = survivors(n, random)
+		}
+		kept[name] = &node{data: left, durable: slices.Clone(left)}
+	}
+	m.names, m.durable, m.journal = kept, maps.Clone(kept), nil
+	m.faults, m.ops, m.crashed = Faults{}, 0, false
+	m.generation++
+}
+
+// survivors returns the durable bytes and a random part of those appended since. A file that was cut keeps either all
+// of its durable bytes or those that were seen last.
+func survivors(n *node, random *rand.Rand) []byte {
+	if n.lost {
+		return slices.Clone(n.durable)
+	}
+	if len(n.data) < len(n.durable) || !slices.Equal(n.data[:len(n.durable)], n.durable) {
+		if random.IntN(2) == 0 {
+			return slices.Clone(n.data)
+		}
+		return slices.Clone(n.durable)
+	}
+	fresh := slices.Clone(n.data[len(n.durable):])
+	fresh = fresh[:random.IntN(len(fresh)+1)]
+	if len(fresh) > 0 && random.IntN(2) == 0 {
+		// The file's length became durable before a part of its bytes.
+		from := random.IntN(len(fresh))
+		clear(fresh[from : from+random.IntN(len(fresh)-from)+1])
+	}
+	return append(slices.Clone(n.durable), fresh...)
+}
+
+// Corrupt changes one byte of a file, also in what is durable.
+func (m *Memory) Corrupt(name string, offset int) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.names[name]
+	if n == nil || offset < 0 || offset >= len(n.data) {
+		return &Error{Op: "corrupt", Kind: KindName, Err: fmt.Errorf("%s has no byte %d", name, offset)}
+	}
+	n.data[offset] ^= 0x40
+	if offset < len(n.durable) {
+		n.durable[offset] ^= 0x40
+	}
+	return nil
+}
+
+// step counts an operation, and says whether it is the one that fails. It is called with m.mu held.
+func (m *Memory) step(op string) error {
+	if m.crashed {
+		return &Error{Op: op, Kind: KindCrashed, Err: errors.New("after the crash")}
+	}
+	m.ops++
+	switch m.ops {
+	case m.faults.CrashAt:
+		m.crashed = true
+		return &Error{Op: op, Kind: KindCrashed, Err: fmt.Errorf("at operation %d", m.ops)}
+	case m.faults.FailAt:
+		return &Error{Op: op, Kind: KindFault, Err: fmt.Errorf("at operation %d", m.ops)}
+	}
+	return nil
+}
+
+// alive refuses reads after the crash. It is called with m.mu held.
+func (m *Memory) alive(op string) error {
+	if m.crashed {
+		return &Error{Op: op, Kind: KindCrashed, Err: errors.New("after the crash")}
+	}
+	return nil
+}
+
+// change applies a change to the folder and notes it until the next SyncDir. It is called with m.mu held.
+func (m *Memory) change(apply func(map[string]*node)) {
+	apply(m.names)
+	m.journal = append(m.journal, apply)
+}
+
+// Create implements camphorhinge.FileSystem.
+func (m *Memory) Create(name string) (camphorhinge.File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := checkName("create", name); err != nil {
+		return nil, err
+	}
+	if err := m.step("create"); err != nil {
+		return nil, err
+	}
+	n := m.names[name]
+	if n == nil {
+		n = &node{}
+		m.change(func(names map[string]*node) { names[name] = n })
+	}
+	n.data = nil
+	return &memoryFile{m: m, n: n, generation: m.generation}, nil
+}
+
+func (m *Memory) missing(op, name string) error {
+	return &Error{Op: op, Kind: KindSystem, Err: fmt.Errorf("%s: %w", name, fs.ErrNotExist)}
+}
+
+// Open implements camphorhinge.FileSystem.
+func (m *Memory) Open(name string) (camphorhinge.File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := checkName("open", name); err != nil {
+		return nil, err
+	}
+	if err := m.alive("open"); err != nil {
+		return nil, err
+	}
+	n := m.names[name]
+	if n == nil {
+		return nil, m.missing("open", name)
+	}
+	return &memoryFile{m: m, n: n, generation: m.generation}, nil
+}
+
+// Rename implements camphorhinge.FileSystem.
+func (m *Memory) Rename(from, to string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, name := range []string{from, to} {
+		if err := checkName("rename", name); err != nil {
+			return err
+		}
+	}
+	if err := m.step("rename"); err != nil {
+		return err
+	}
+	n := m.names[from]
+	if n == nil {
+		return m.missing("rename", from)
+	}
+	m.change(func(names map[string]*node) {
+		delete(names, from)
+		names[to] = n
+	})
+	return nil
+}
+
+// Remove implements camphorhinge.FileSystem.
+func (m *Memory) Remove(name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := checkName("remove", name); err != nil {
+		return err
+	}
+	if err := m.step("remove"); err != nil {
+		return err
+	}
+	if m.names[name] == nil {
+		return m.missing("remove", name)
+	}
+	m.change(func(names map[string]*node) { delete(names, name) })
+	return nil
+}
+
+// List implements camphorhinge.FileSystem.
+func (m *Memory) List() ([]string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.alive("list"); err != nil {
+		return nil, err
+	}
+	return slices.Sorted(maps.Keys(m.names)), nil
+}
+
+// SyncDir implements camphorhinge.FileSystem.
+func (m *Memory) SyncDir() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.step("sync folder"); err != nil {
+		return err
+	}
+	m.durable, m.journal = maps.Clone(m.names), nil
+	return nil
+}
+
+// memoryFile is an open file of a Memory.
+type memoryFile struct {
+	m          *Memory
+	n          *node
+	generation int
+	closed     bool
+}
+
+// usable is called with m.mu held.
+func (f *memoryFile) usable(op string) error {
+	if f.closed {
+		return &Error{Op: op, Kind: KindClosed, Err: fs.ErrClosed}
+	}
+	if f.generation != f.m.generation {
+		return &Error{Op: op, Kind: KindCrashed, Err: errors.New("opened before the crash")}
+	}
+	return f.m.alive(op)
+}
+
+// ReadAt implements io.ReaderAt.
+func (f *memoryFile) ReadAt(p []byte, off int64) (int, error) {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	if err := f.usable("read"); err != nil {
+		return 0, err
+	}
+	if off < 0 {
+		return 0, &Error{Op: "read", Kind: KindSystem, Err: fmt.Errorf("offset %d", off)}
+	}
+	if off >= int64(len(f.n.data)) {
+		return 0, io.EOF
+	}
+	n := copy(p, f.n.data[off:])
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+// Write appends to the file.
+func (f *memoryFile) Write(p []byte) (int, error) {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	if err := f.usable("write"); err != nil {
+		return 0, err
+	}
+	err := f.m.step("write")
+	if err != nil {
+		p = p[:len(p)/2]
+	}
+	if free := f.m.free(); err == nil && int64(len(p)) > free {
+		err = &Error{Op: "write", Kind: KindFull, Err: fmt.Errorf("%d bytes, %d free", len(p), free)}
+		p = p[:free]
+	}
+	f.n.data = append(f.n.data, p...)
+	return len(p), err
+}
+
+// free returns the number of bytes that may still be written. It is called with m.mu held.
+func (m *Memory) free() int64 {
+	const unlimited = 1 << 60
+	if m.faults.Capacity == 0 {
+		return unlimited
+	}
+	used := int64(0)
+	for _, n := range m.names {
+		used += int64(len(n.data))
+	}
+	return max(m.faults.Capacity-used, 0)
+}
+
+// Close implements io.Closer.
+func (f *memoryFile) Close() error {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	if f.closed {
+		return &Error{Op: "close", Kind: KindClosed, Err: fs.ErrClosed}
+	}
+	f.closed = true
+	return nil
+}
+
+// Sync implements camphorhinge.File.
+func (f *memoryFile) Sync() error {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	if err := f.usable("sync"); err != nil {
+		return err
+	}
+	if err := f.m.step("sync"); err != nil {
+		f.n.lost = true
+		return err
+	}
+	if !f.n.lost {
+		f.n.durable = slices.Clone(f.n.data)
+	}
+	return nil
+}
+
+// Truncate implements camphorhinge.File.
+func (f *memoryFile) Truncate(size int64) error {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	if err := f.usable("truncate"); err != nil {
+		return err
+	}
+	if err := f.m.step("truncate"); err != nil {
+		return err
+	}
+	if size < 0 {
+		return &Error{Op: "truncate", Kind: KindSystem, Err: fmt.Errorf("size %d", size)}
+	}
+	grown := make([]byte, size)
+	copy(grown, f.n.data)
+	f.n.data = grown
+	return nil
+}
+
+// Size implements camphorhinge.File.
+func (f *memoryFile) Size() (int64, error) {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	if err := f.usable("size"); err != nil {
+		return 0, err
+	}
+	return int64(len(f.n.data)), nil
+}
