--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -29,7 +29,7 @@
 	Clock camphorhinge.Clock
 	// Held reports whether the replicated decisions keep new work away from a target; nil means never.
 	Held func(camphorhinge.TargetName) bool
-	// Observe is called for each accepted announcement, in order per target; nil means no observer.
+	// Observe is called for each accepted announcement; nil means no observer. Calls for one target may come out of order.
 	Observe func(*camphorhinge.Target)
 	Metrics *metrics.Set
 }
@@ -82,6 +82,19 @@
 // Announce takes an announcement that is age old. Direct tells that it came from the target and not from another node;
 // direct ones are passed on. It reports whether the announcement is newer than what the registry held.
 func (r *Registry) Announce(a camphorhinge.Announcement, age time.Duration, direct bool) (bool, error) {
+	t, err := r.take(a, age, direct)
+	if t == nil || err != nil {
+		return false, err
+	}
+	// The observer is called without the lock, since it may ask for live targets.
+	if r.cfg.Observe != nil {
+		r.cfg.Observe(t)
+	}
+	return true, nil
+}
+
+// take returns the new target, or nil for an announcement that is not newer.
+func (r *Registry) take(a camphorhinge.Announcement, age time.Duration, direct bool) (*camphorhinge.Target, error) {
 	now := r.cfg.Clock.Now()
 	heard := now.Add(-max(age, 0))
 	r.mu.Lock()
@@ -89,13 +102,13 @@
 	e := r.targets[a.Name]
 	if e != nil && !newer(&a, &e.target.Announcement) {
 		r.old.Inc()
-		return false, nil
+		return nil, nil
 	}
 	if e == nil && len(r.targets) >= MaxTargets {
 		r.forget(now)
 		if len(r.targets) >= MaxTargets {
 			r.refused.Inc()
-			return false, &Error{Op: "announce", Kind: KindFull, Err: fmt.Errorf("%d targets", MaxTargets)}
+			return nil, &Error{Op: "announce", Kind: KindFull, Err: fmt.Errorf("%d targets", MaxTargets)}
 		}
 	}
 	t := &camphorhinge.Target{Announcement: a, Heard: heard}
@@ -104,10 +117,7 @@
 		r.fresh[a.Name] = true
 	}
 	r.accepted.Inc()
-	if r.cfg.Observe != nil {
-		r.cfg.Observe(t)
-	}
-	return true, nil
+	return t, nil
 }
 
 // Polled takes a target's answer to a poll that was sent age ago. Unlike a repeated announcement, an answer with the
--- a/internal/node/control/renewer.go
+++ b/internal/node/control/renewer.go
@@ -29,7 +29,9 @@
 	Clock  camphorhinge.Clock
 	// Changed is called after the engine holds have changed.
 	Changed func()
-	Log     *slog.Logger
+	// Scores takes the crash counts by request fingerprint, encoded.
+	Scores func([]byte)
+	Log    *slog.Logger
 }
 
 // Renewer keeps a node's configuration lease and its copy of the configuration current.
@@ -148,6 +150,9 @@
 	for _, n := range resp.GetNodes() {
 		r.nodes = append(r.nodes, decodeNode(n))
 	}
+	if scores := resp.GetScores(); len(scores) > 0 {
+		r.cfg.Scores(scores)
+	}
 	r.cfg.Holder.Renewed(sent, time.Duration(resp.GetLease())*time.Millisecond)
 	return nil
 }
--- a/internal/node/control/server.go
+++ b/internal/node/control/server.go
@@ -22,6 +22,8 @@
 	Replica Replica
 	Records Records
 	Holds   Holds
+	// Scores returns the crash counts by request fingerprint, encoded; nil when there are none.
+	Scores  func() []byte
 	Members *member.Table
 	Leases  *config.Leases
 	// Queries are the linearizable reads by name.
@@ -219,7 +221,9 @@
 
 func (s *Server) changesFor(p config.Position, full bool) *peerpb.RenewResponse {
 	changes := s.cfg.Records.Since(p.Revision, full)
-	resp := &peerpb.RenewResponse{Changes: changes.Changes, Full: changes.Full, Revision: uint64(changes.Revision)}
+	resp := &peerpb.RenewResponse{
+		Changes: changes.Changes, Full: changes.Full, Revision: uint64(changes.Revision), Scores: s.cfg.Scores(),
+	}
 	held, version := s.cfg.Holds.Held()
 	resp.Holds = version
 	if full || version != p.Holds {
--- a/internal/node/peer/peer_test.go
+++ b/internal/node/peer/peer_test.go
@@ -80,11 +80,13 @@
 
 func serve(t *testing.T, files *peer.Files) string {
 	t.Helper()
-	s, err := peer.NewServer("127.0.0.1:0", files, peer.Services{Replica: echo{}, Control: echo{}, Spread: echo{}})
+	s, err := peer.NewServer("127.0.0.1:0", files)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
-	g.Go(func() error { return s.Serve(ctx) })
+	g.Go(func() error {
+		return s.Serve(ctx, peer.Services{Replica: echo{}, Control: echo{}, Spread: echo{}})
+	})
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, g.Wait())
@@ -186,6 +188,6 @@
 	_, err := peer.NewPool(&files)
 	require.ErrorContains(t, err, "no certificate in")
 	files.Cert = filepath.Join(dir, "missing.pem")
-	_, err = peer.NewServer("127.0.0.1:0", &files, peer.Services{})
+	_, err = peer.NewServer("127.0.0.1:0", &files)
 	require.ErrorContains(t, err, "missing.pem")
 }
--- a/internal/node/peer/server.go
+++ b/internal/node/peer/server.go
@@ -32,8 +32,8 @@
 	http     *http.Server
 }
 
-// NewServer opens the peer port. Files may be nil for plain TCP.
-func NewServer(address string, files *Files, svc Services) (*Server, error) {
+// NewServer opens the peer port; calls are answered once Serve is called. Files may be nil for plain TCP.
+func NewServer(address string, files *Files) (*Server, error) {
 	var config *tls.Config
 	if files != nil {
 		creds, err := newCredentials(*files)
@@ -49,17 +49,9 @@
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
-	mux := http.NewServeMux()
-	replica := peerpb.NewReplicaServer(svc.Replica)
-	control := peerpb.NewControlServer(svc.Control)
-	spread := peerpb.NewSpreadServer(svc.Spread)
-	mux.Handle(replica.PathPrefix(), replica)
-	mux.Handle(control.PathPrefix(), control)
-	mux.Handle(spread.PathPrefix(), spread)
 	return &Server{
 		listener: listener,
 		http: &http.Server{
-			Handler:           http.MaxBytesHandler(mux, MaxBody),
 			ReadHeaderTimeout: headerTimeout,
 			ReadTimeout:       bodyTimeout,
 			WriteTimeout:      bodyTimeout,
@@ -70,8 +62,17 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Serve answers calls until ctx ends; calls under way then get a second to finish.
-func (s *Server) Serve(ctx context.Context) error {
+// Serve answers calls by svc until ctx ends; calls under way then get a second to finish.
+func (s *Server) Serve(ctx context.Context, svc Services) error {
+	mux := http.NewServeMux()
+	replica := peerpb.NewReplicaServer(svc.Replica)
+	control := peerpb.NewControlServer(svc.Control)
+	spread := peerpb.NewSpreadServer(svc.Spread)
+	mux.Handle(replica.PathPrefix(), replica)
+	mux.Handle(control.PathPrefix(), control)
+	mux.Handle(spread.PathPrefix(), spread)
+	s.http.Handler = http.MaxBytesHandler(mux, MaxBody)
+
 	stop := context.AfterFunc(ctx, func() {
 		late, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- a/internal/node/server/configuration.go
+++ b/internal/node/server/configuration.go
@@ -8,6 +8,7 @@
 	"example.org/camphorhinge/internal/node/config"
 	"example.org/camphorhinge/internal/record/schema"
 	"example.org/camphorhinge/internal/record/table"
+	"example.org/camphorhinge/internal/request/admit"
 	"example.org/camphorhinge/internal/request/frontend"
 )
 
@@ -64,3 +65,19 @@
 	}
 	return frontend.Workspace{Name: w.Name, Priority: w.Ceiling}, true
 }
+
+// limits looks up the limits in force; it implements admit.Limits.
+type limits struct{ mirror *table.Mirror }
+
+// Limit returns the limit of a workspace at a priority.
+func (l limits) Limit(workspace camphorhinge.WorkspaceName, priority camphorhinge.Priority) admit.Limit {
+	r := l.mirror.View().Record(schema.Key{Kind: schema.KindWorkspace, Name: string(workspace)})
+	if r == nil || r.Document == nil || r.Document.Workspace == nil {
+		return admit.Limit{}
+	}
+	_, limit, ok := r.Document.Workspace.LimitOf(priority)
+	if !ok {
+		return admit.Limit{}
+	}
+	return admit.Limit{Requests: limit.Requests, Tokens: limit.Tokens}
+}
--- a/internal/node/spread/spread.go
+++ b/internal/node/spread/spread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -27,6 +28,9 @@
 	pollInterval = 250 * time.Millisecond
 	// pollLimit bounds the polls of one round; a dead zone must not cost a node more.
 	pollLimit = 64
+	// gapLimit bounds the targets that wait for a full list of their prefixes; further gaps are found again with the next
+	// event.
+	gapLimit = 256
 	// batchLimit is the largest number of announcements in one call.
 	batchLimit = 512
 )
@@ -37,7 +41,9 @@
 	Registry *registry.Registry
 	Pool     *peer.Pool
 	// Others returns the peer addresses of all other nodes.
-	Others  func() []string
+	Others func() []string
+	// Resync takes the full list of prompt prefixes that a target caches; it reports whether the list was recent enough.
+	Resync  func(*camphorhinge.Target) bool
 	Metrics *metrics.Set
 }
 
@@ -45,6 +51,8 @@
 type Spreader struct {
 	cfg    Config
 	client *http.Client
+	// gaps are the targets whose cache events had a gap.
+	gaps chan camphorhinge.Announcement
 
 	sent, failed, polled *metrics.Counter
 }
@@ -52,7 +60,8 @@
 // New returns a Spreader.
 func New(cfg Config) *Spreader {
 	return &Spreader{
-		cfg: cfg,
+		cfg:  cfg,
+		gaps: make(chan camphorhinge.Announcement, gapLimit),
 		// A poll uses a connection of its own, since it also tells whether new connections work.
 		client: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		sent:   cfg.Metrics.NewCounter(`camphorhinge_spread_announcements_total`),
@@ -80,6 +89,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return each(ctx, batchInterval, s.spread) })
 	g.Go(func() error { return each(ctx, pollInterval, s.poll) })
+	g.Go(func() error { return s.resync(ctx) })
 	return g.Wait()
 }
 
@@ -142,28 +152,58 @@
 	_ = g.Wait() // The functions return no error.
 }
 
+// Gap notes that cache events of a target are missing; its full list of prefixes is asked for.
+func (s *Spreader) Gap(a camphorhinge.Announcement) {
+	select {
+	case s.gaps <- a:
+	default:
+	}
+}
+
+func (s *Spreader) resync(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case a := <-s.gaps:
+			if got, err := s.fetch(ctx, a, "/v1/target?cache=full"); err == nil {
+				s.cfg.Resync(&camphorhinge.Target{Announcement: got})
+			}
+		}
+	}
+}
+
 // ask takes a target's own word on itself.
 func (s *Spreader) ask(ctx context.Context, a camphorhinge.Announcement) {
 	sent := time.Now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Address+"/v1/target", http.NoBody)
+	got, err := s.fetch(ctx, a, "/v1/target")
 	if err != nil {
-		return
+		return // The target expires unless a later poll or announcement succeeds.
+	}
+	_ = s.cfg.Registry.Polled(got, time.Since(sent)) // A refused announcement is counted by the registry.
+}
+
+// fetch reads an announcement from the target itself.
+func (s *Spreader) fetch(ctx context.Context, a camphorhinge.Announcement, path string) (camphorhinge.Announcement, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Address+path, http.NoBody)
+	if err != nil {
+		return a, err
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return
+		return a, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return
+		return a, fmt.Errorf("target %s: status %d", a.Name, resp.StatusCode)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, registry.MaxAnnouncement+1))
 	if err != nil {
-		return
+		return a, err
 	}
 	got, err := registry.Decode(data)
-	if err != nil || got.Name != a.Name {
-		return // Another target may have taken the address.
+	if err == nil && got.Name != a.Name {
+		err = fmt.Errorf("target %s: its address belongs to %s now", a.Name, got.Name)
 	}
-	_ = s.cfg.Registry.Polled(got, time.Since(sent)) // A refused announcement is counted by the registry.
+	return got, err
 }
--- a/internal/node/web/server.go
+++ b/internal/node/web/server.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -57,7 +55,7 @@
 	// Hertz takes the routes, before Serve is called.
 	Hertz    *server.Hertz
 	listener net.Listener
-	closing  atomic.Bool
+	requests requests
 }
 
 // New opens the port of cfg; requests are answered once Serve is called.
@@ -66,6 +64,7 @@
 	if err != nil {
 		return nil, &Error{Op: "new", Kind: KindListen, Err: err}
 	}
+	s := &Server{listener: listener}
 	options := []hertzconfig.Option{
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
@@ -74,40 +73,36 @@
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithDisablePrintRoute(true),
+		server.WithTracer(&s.requests),
 	}
-	h := server.New(append(options, cfg.Options...)...)
-	return &Server{Hertz: h, listener: listener}, nil
+	s.Hertz = server.New(append(options, cfg.Options...)...)
+	s.Hertz.Use(s.requests.closeWhileDraining)
+	return s, nil
 }
 
 // Address returns the IP:port that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Drain makes the server close each connection after its next answer, so that clients open their next one elsewhere.
+func (s *Server) Drain() { s.requests.draining.Store(true) }
+
 // Serve answers requests until ctx ends; then it refuses new connections and waits at most grace for requests under way.
+// hertz's own shutdown is not used, since it cuts requests after 30 s.
 func (s *Server) Serve(ctx context.Context, grace time.Duration) error {
 	var g errgroup.Group
-	done := make(chan struct{})
 	g.Go(func() error {
-		defer close(done)
 		err := s.Hertz.Run()
-		if s.closing.Load() || err == nil {
+		if ctx.Err() != nil || err == nil {
 			return nil
 		}
 		return &Error{Op: "serve", Kind: KindListen, Err: err}
 	})
 	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-done:
-			return nil
-		}
-		s.closing.Store(true)
-		late, cancel := context.WithTimeout(context.Background(), grace)
-		defer cancel()
-		err := s.Hertz.Shutdown(late)
-		if errors.Is(err, context.DeadlineExceeded) {
-			err = nil // Requests that outlast the grace time are cut.
-		}
-		return errors.Join(err, s.Hertz.Close())
+		<-ctx.Done()
+		s.Drain()
+		s.listener.Close()
+		s.requests.wait(grace)
+		return nil
 	})
 	return g.Wait()
 }
