--- a/internal/state/disk/disk_test.go
+++ b/internal/state/disk/disk_test.go
@@ -151,8 +151,19 @@
 			require.NoError(t, err)
 			m.SetFaults(disk.Faults{FailAt: 1})
 			require.Equal(t, disk.KindFault, kind(t, f.Sync()))
+			_, err = io.WriteString(f, "g")
+			require.NoError(t, err)
 			require.NoError(t, f.Sync())
-		}, map[string]string{"old": "abc"}},
+		}, map[string]string{"old": "abc\x00\x00\x00g"}},
+		{"failed sync, then a new content", func(t *testing.T, m *disk.Memory) {
+			f, err := m.Open("old")
+			require.NoError(t, err)
+			_, err = io.WriteString(f, "def")
+			require.NoError(t, err)
+			m.SetFaults(disk.Faults{FailAt: 1})
+			require.Equal(t, disk.KindFault, kind(t, f.Sync()))
+			require.NoError(t, put(t, m, "old", "ghi").Sync())
+		}, map[string]string{"old": "ghi"}},
 		{"crash at a write", func(t *testing.T, m *disk.Memory) {
 			f, err := m.Open("old")
 			require.NoError(t, err)
--- a/internal/state/disk/memory.go
+++ b/internal/state/disk/memory.go
@@ -36,7 +36,8 @@
 	// later calls fail. 0 means never.
 	CrashAt int
 	// FailAt is the operation that fails once without a crash; a write has taken effect in part. After a failed sync the
-	// bytes stay readable but are never made durable, as with a page cache that marks them clean. 0 means never.
+	// bytes stay readable but are never made durable, as with a page cache that marks them clean; a later sync that
+	// succeeds leaves zeros in their place. 0 means never.
 	FailAt int
 	// Capacity is the number of bytes that all files may hold together; 0 means no limit.
 	Capacity int64
@@ -47,8 +48,8 @@
 	data []byte
 	// durable is what a crash leaves for sure.
 	durable []byte
-	// lost marks a file whose sync failed: later syncs report success and make nothing durable.
-	lost bool
+	// lostFrom and lostTo bound the bytes whose sync failed: later syncs report success and leave zeros in their place.
+	lostFrom, lostTo int
 }
 
 // NewMemory returns an empty file system.
@@ -98,7 +99,7 @@
 // survivors returns the durable bytes and a random part of those appended since. A file that was cut keeps either all
 // of its durable bytes or those that were seen last.
 func survivors(n *node, random *rand.Rand) []byte {
-	if n.lost {
+	if n.lostTo > n.lostFrom {
 		return slices.Clone(n.durable)
 	}
 	if len(n.data) < len(n.durable) || !slices.Equal(n.data[:len(n.durable)], n.durable) {
@@ -177,7 +178,7 @@
 		n = &node{}
 		m.change(func(names map[string]*node) { names[name] = n })
 	}
-	n.data = nil
+	n.cut(0)
 	return &memoryFile{m: m, n: n, generation: m.generation}, nil
 }
 
@@ -353,15 +354,30 @@
 		return err
 	}
 	if err := f.m.step("sync"); err != nil {
-		f.n.lost = true
+		f.n.lose()
 		return err
 	}
-	if !f.n.lost {
-		f.n.durable = slices.Clone(f.n.data)
-	}
+	f.n.durable = slices.Clone(f.n.data)
+	clear(f.n.durable[f.n.lostFrom:f.n.lostTo])
 	return nil
 }
 
+// lose marks the bytes that are not durable as lost.
+func (n *node) lose() {
+	if n.lostTo == n.lostFrom {
+		n.lostFrom = min(len(n.durable), len(n.data))
+	}
+	n.lostTo = len(n.data)
+}
+
+// cut shortens or lengthens the data; bytes that are gone are no longer lost.
+func (n *node) cut(size int) {
+	grown := make([]byte, size)
+	copy(grown, n.data)
+	n.data = grown
+	n.lostFrom, n.lostTo = min(n.lostFrom, size), min(n.lostTo, size)
+}
+
 // Truncate implements camphorhinge.File.
 func (f *memoryFile) Truncate(size int64) error {
 	f.m.mu.Lock()
@@ -375,9 +391,7 @@
 	if size < 0 {
 		return &Error{Op: "truncate", Kind: KindSystem, Err: fmt.Errorf("size %d", size)}
 	}
-	grown := make([]byte, size)
-	copy(grown, f.n.data)
-	f.n.data = grown
+	f.n.cut(int(size))
 	return nil
 }
 
--- /dev/null
+++ b/internal/state/wal/frame.go
@@ -0,0 +1,206 @@
+package wal
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"example.org/camphorhinge"
+)
+
+// frameKind is the first byte of a payload; the numbers are part of the format.
+type frameKind byte
+
+const (
+	frameHeader   frameKind = 1
+	frameEntry    frameKind = 2
+	frameState    frameKind = 3
+	frameReset    frameKind = 4
+	frameSnapshot frameKind = 5
+	frameIdentity frameKind = 6
+)
+
+// formatVersion is written to each header and identity.
+const formatVersion = 1
+
+const (
+	// frameBytes are the length and the checksum before each payload.
+	frameBytes = 12
+	// prefixBytes are the kind, the offset and the synced length at the start of each payload.
+	prefixBytes = 9
+)
+
+var errBadFrame = errors.New("bad frame")
+
+// frame is a decoded frame.
+type frame struct {
+	kind frameKind
+	// synced is the length of the segment that was durable when the frame was written.
+	synced int
+	body   []byte
+	// size is the length of the whole frame.
+	size int
+}
+
+// appendFrame appends a frame that starts at the given offset of its file.
+func appendFrame(b []byte, kind frameKind, at, synced int64, body []byte) []byte {
+	start := len(b)
+	b = append(b, make([]byte, frameBytes)...)
+	b = append(b, byte(kind))
+	b = binary.LittleEndian.AppendUint32(b, uint32(at))
+	b = binary.LittleEndian.AppendUint32(b, uint32(synced))
+	b = append(b, body...)
+	payload := b[start+frameBytes:]
+	binary.LittleEndian.PutUint32(b[start:], uint32(len(payload)))
+	binary.LittleEndian.PutUint64(b[start+4:], xxhash.Sum64(payload))
+	return b
+}
+
+// readFrame reads the frame at an offset of a file.
+func readFrame(file []byte, at int) (frame, error) { return decodeFrame(file[at:], int64(at)) }
+
+// decodeFrame reads the frame at the start of b, which lies at an offset of its file.
+func decodeFrame(b []byte, at int64) (frame, error) {
+	if len(b) < frameBytes+prefixBytes {
+		return frame{}, errBadFrame
+	}
+	length := int(binary.LittleEndian.Uint32(b))
+	if length < prefixBytes || length > len(b)-frameBytes {
+		return frame{}, errBadFrame
+	}
+	payload := b[frameBytes : frameBytes+length]
+	if xxhash.Sum64(payload) != binary.LittleEndian.Uint64(b[4:]) || int64(binary.LittleEndian.Uint32(payload[1:])) != at {
+		return frame{}, errBadFrame
+	}
+	return frame{
+		kind:   frameKind(payload[0]),
+		synced: int(binary.LittleEndian.Uint32(payload[5:])),
+		body:   payload[prefixBytes:],
+		size:   frameBytes + length,
+	}, nil
+}
+
+// syncedPast reports whether a whole frame after the bad one at an offset shows that the bad one had been synced.
+func syncedPast(file []byte, bad int) bool {
+	for at := bad + 1; at+frameBytes+prefixBytes <= len(file); at++ {
+		// The offset within the frame rules out nearly all positions before the checksum is computed.
+		if int(binary.LittleEndian.Uint32(file[at+frameBytes+1:])) != at {
+			continue
+		}
+		if f, err := readFrame(file, at); err == nil && f.synced > bad {
+			return true
+		}
+	}
+	return false
+}
+
+// singleFrame reads a file that holds exactly one frame of a kind.
+func singleFrame(file []byte, kind frameKind) ([]byte, error) {
+	f, err := readFrame(file, 0)
+	if err != nil {
+		return nil, err
+	}
+	if f.kind != kind || f.size != len(file) {
+		return nil, fmt.Errorf("want one frame of kind %d, got kind %d and %d of %d bytes", kind, f.kind, f.size, len(file))
+	}
+	return f.body, nil
+}
+
+// reader reads the numbers of a body; err is set once the body is too short.
+type reader struct {
+	b   []byte
+	err error
+}
+
+func (r *reader) number() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 {
+		r.err, r.b = errors.New("body is cut off"), nil
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) octet() byte {
+	if len(r.b) == 0 {
+		r.err = errors.New("body is cut off")
+		return 0
+	}
+	v := r.b[0]
+	r.b = r.b[1:]
+	return v
+}
+
+func (r *reader) text() string {
+	n := r.number()
+	if n > uint64(len(r.b)) {
+		r.err = errors.New("body is cut off")
+		return ""
+	}
+	text := string(r.b[:n])
+	r.b = r.b[n:]
+	return text
+}
+
+// end refuses left-over bytes.
+func (r *reader) end() error {
+	if r.err == nil && len(r.b) > 0 {
+		return fmt.Errorf("%d bytes too many", len(r.b))
+	}
+	return r.err
+}
+
+func appendNumbers(b []byte, numbers ...uint64) []byte {
+	for _, n := range numbers {
+		b = binary.AppendUvarint(b, n)
+	}
+	return b
+}
+
+func encodeEntry(b []byte, e Entry) []byte {
+	b = appendNumbers(b, uint64(e.Index), uint64(e.Term))
+	b = append(b, e.Kind)
+	return append(b, e.Data...)
+}
+
+// decodeEntry reads an entry; Data shares the body's memory.
+func decodeEntry(body []byte) (Entry, error) {
+	r := reader{b: body}
+	e := Entry{Index: camphorhinge.Index(r.number()), Term: camphorhinge.Term(r.number()), Kind: r.octet()}
+	e.Data = r.b
+	return e, r.err
+}
+
+func encodeState(b []byte, s State) []byte {
+	return appendNumbers(b, uint64(s.Term), uint64(s.Vote), uint64(s.Commit))
+}
+
+func (r *reader) state() State {
+	return State{Term: camphorhinge.Term(r.number()), Vote: camphorhinge.ReplicaID(r.number()), Commit: camphorhinge.Index(r.number())}
+}
+
+func encodeIdentity(b []byte, id Identity) []byte {
+	b = appendNumbers(b, formatVersion, uint64(id.Replica), uint64(len(id.Cluster)))
+	return append(b, id.Cluster...)
+}
+
+func (r *reader) identity() Identity {
+	if version := r.number(); version != formatVersion && r.err == nil {
+		r.err = fmt.Errorf("format version %d, want %d", version, formatVersion)
+	}
+	return Identity{Replica: camphorhinge.ReplicaID(r.number()), Cluster: camphorhinge.ClusterID(r.text())}
+}
+
+// encodeHeader is the body of the first frame of the segment with a number.
+func encodeHeader(id Identity, number uint64, s State) []byte {
+	return encodeState(appendNumbers(encodeIdentity(nil, id), number), s)
+}
+
+func decodeHeader(body []byte) (id Identity, number uint64, s State, err error) {
+	r := reader{b: body}
+	id, number, s = r.identity(), r.number(), r.state()
+	return id, number, s, r.end()
+}
--- /dev/null
+++ b/internal/state/wal/log.go
@@ -0,0 +1,422 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	// DefaultSegment is the size at which a segment is closed, in bytes.
+	DefaultSegment = 4 << 20
+	// DefaultBound is the greatest size of all segments together, in bytes.
+	DefaultBound = 64 << 20
+	// MaxData is the largest Data of an entry, in bytes.
+	MaxData = 8 << 20
+)
+
+// Kind classes the errors of this package.
+type Kind string
+
+const (
+	// KindEmpty marks a folder without a log.
+	KindEmpty Kind = "empty"
+	// KindExists marks a folder that is not empty, where a new log was to be made.
+	KindExists Kind = "exists"
+	// KindCorrupt marks durable bytes that changed or are missing; the replica must not go on with this folder.
+	KindCorrupt Kind = "corrupt"
+	// KindDisk marks a failed operation of the file system.
+	KindDisk Kind = "disk"
+	// KindFull marks an append beyond Config.Bound, or a snapshot for which there was no room; it had no effect.
+	KindFull Kind = "full"
+	// KindCompacted marks entries that are no longer kept.
+	KindCompacted Kind = "compacted"
+	// KindMisuse marks a call that would break an invariant of the log; it had no effect.
+	KindMisuse Kind = "misuse"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("wal: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+func misuse(op, format string, args ...any) error {
+	return &Error{Op: op, Kind: KindMisuse, Err: fmt.Errorf(format, args...)}
+}
+
+// Identity names the replica and the cluster to which a folder belongs.
+type Identity struct {
+	Replica camphorhinge.ReplicaID
+	Cluster camphorhinge.ClusterID
+}
+
+// State is the hard state of a replica.
+type State struct {
+	Term camphorhinge.Term
+	// Vote is the replica voted for in Term, or 0.
+	Vote   camphorhinge.ReplicaID
+	Commit camphorhinge.Index
+}
+
+// Entry is one position of the log.
+type Entry struct {
+	Index camphorhinge.Index
+	Term  camphorhinge.Term
+	Kind  byte
+	Data  []byte
+}
+
+// Config holds the sizes of a log; 0 means the default.
+type Config struct {
+	// Segment is the size at which a segment is closed, in bytes.
+	Segment int64
+	// Bound is the greatest size of all segments together, in bytes.
+	Bound int64
+}
+
+func (c Config) orDefault() Config {
+	if c.Segment == 0 {
+		c.Segment = DefaultSegment
+	}
+	if c.Bound == 0 {
+		c.Bound = DefaultBound
+	}
+	return c
+}
+
+// segment is an open segment; the last one is written to.
+type segment struct {
+	number uint64
+	file   camphorhinge.File
+	size   int64
+}
+
+// position is where an entry lies.
+type position struct {
+	segment uint64
+	offset  int64
+	size    int
+	term    camphorhinge.Term
+}
+
+// Log is the open log of one replica.
+type Log struct {
+	fs       camphorhinge.FileSystem
+	cfg      Config
+	id       Identity
+	state    State
+	snapshot meta
+	// first is the index of positions[0], or of the next entry when there is none.
+	first     camphorhinge.Index
+	positions []position
+	segments  []segment
+	// synced is the durable length of the last segment.
+	synced int64
+	// failed is the error after which the log refuses all writes.
+	failed error
+}
+
+// meta is the position of a snapshot; Index 0 means none.
+type meta struct {
+	index camphorhinge.Index
+	term  camphorhinge.Term
+}
+
+// Identity returns the identity in the folder.
+func (l *Log) Identity() Identity { return l.id }
+
+// State returns the latest hard state; it may not be durable yet.
+func (l *Log) State() State { return l.state }
+
+// First returns the index of the first kept entry, or Last plus one when there is none.
+func (l *Log) First() camphorhinge.Index { return l.first }
+
+// Last returns the index of the last entry, or of the snapshot when no entry follows it.
+func (l *Log) Last() camphorhinge.Index { return l.first + camphorhinge.Index(len(l.positions)) - 1 }
+
+// Size returns the size of all segments, in bytes.
+func (l *Log) Size() int64 {
+	size := int64(0)
+	for _, s := range l.segments {
+		size += s.size
+	}
+	return size
+}
+
+// Term returns the term of a kept entry or of the snapshot's last one; ok is false for any other index.
+func (l *Log) Term(index camphorhinge.Index) (term camphorhinge.Term, ok bool) {
+	if index >= l.first && index <= l.Last() {
+		return l.positions[index-l.first].term, true
+	}
+	if index == l.snapshot.index && index > 0 {
+		return l.snapshot.term, true
+	}
+	return 0, false
+}
+
+// fail makes the log refuse further writes.
+func (l *Log) fail(op string, err error) error {
+	l.failed = &Error{Op: op, Kind: KindDisk, Err: err}
+	return l.failed
+}
+
+// Append writes contiguous entries. They replace all entries from the first one's index on, which must lie above the
+// commit index and the snapshot, and at most one above the last entry.
+func (l *Log) Append(entries []Entry) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	from := entries[0].Index
+	if from <= l.snapshot.index || from <= l.state.Commit || from > l.Last()+1 {
+		return misuse("append", "entry %d; the log ends at %d, is committed to %d, its snapshot is at %d",
+			from, l.Last(), l.state.Commit, l.snapshot.index)
+	}
+	total := int64(0)
+	for i, e := range entries {
+		if e.Index != from+camphorhinge.Index(i) || e.Term == 0 || len(e.Data) > MaxData {
+			return misuse("append", "entry %d at place %d after %d, term %d, %d bytes", e.Index, i, from, e.Term, len(e.Data))
+		}
+		total += frameBytes + prefixBytes + 30 + int64(len(e.Data))
+	}
+	if size := l.Size(); size+total > l.cfg.Bound {
+		return &Error{Op: "append", Kind: KindFull, Err: fmt.Errorf("%d and %d bytes, at most %d", size, total, l.cfg.Bound)}
+	}
+	l.truncate(from)
+	var buf, body []byte
+	for _, e := range entries {
+		if l.end()+int64(len(buf)) >= l.cfg.Segment {
+			if err := l.write("append", buf); err != nil {
+				return err
+			}
+			buf = buf[:0]
+			if err := l.rotate(); err != nil {
+				return err
+			}
+		}
+		at := l.end() + int64(len(buf))
+		body = encodeEntry(body[:0], e)
+		start := len(buf)
+		buf = appendFrame(buf, frameEntry, at, l.synced, body)
+		l.positions = append(l.positions, position{segment: l.current().number, offset: at, size: len(buf) - start, term: e.Term})
+	}
+	return l.write("append", buf)
+}
+
+// truncate forgets the entries from an index on.
+func (l *Log) truncate(from camphorhinge.Index) {
+	if from <= l.first {
+		l.first, l.positions = from, nil
+		return
+	}
+	if from <= l.Last() {
+		l.positions = l.positions[:from-l.first]
+	}
+}
+
+// SaveState writes the hard state. Neither its term nor its commit index may fall.
+func (l *Log) SaveState(s State) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if s == l.state {
+		return nil
+	}
+	if s.Term < l.state.Term || s.Commit < l.state.Commit {
+		return misuse("save state", "%+v after %+v", s, l.state)
+	}
+	if s.Term == l.state.Term && l.state.Vote != 0 && s.Vote != l.state.Vote {
+		return misuse("save state", "second vote in term %d, for %d after %d", s.Term, s.Vote, l.state.Vote)
+	}
+	if err := l.write("save state", appendFrame(nil, frameState, l.end(), l.synced, encodeState(nil, s))); err != nil {
+		return err
+	}
+	l.state = s
+	return nil
+}
+
+// Sync makes all that was written durable.
+func (l *Log) Sync() error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if l.synced == l.end() {
+		return nil
+	}
+	if err := l.current().file.Sync(); err != nil {
+		return l.fail("sync", err)
+	}
+	l.synced = l.end()
+	return nil
+}
+
+func (l *Log) current() *segment { return &l.segments[len(l.segments)-1] }
+
+func (l *Log) end() int64 { return l.current().size }
+
+func (l *Log) write(op string, b []byte) error {
+	if len(b) == 0 {
+		return nil
+	}
+	if _, err := l.current().file.Write(b); err != nil {
+		return l.fail(op, err)
+	}
+	l.current().size += int64(len(b))
+	return nil
+}
+
+// rotate closes the last segment and starts the next one. The last segment is synced first, so that only the end of
+// the newest segment can be torn.
+func (l *Log) rotate() error {
+	if err := l.Sync(); err != nil {
+		return err
+	}
+	number := l.current().number + 1
+	s, err := createSegment(l.fs, l.id, number, l.state)
+	if err != nil {
+		return l.fail("start segment", err)
+	}
+	l.segments = append(l.segments, s)
+	l.synced = s.size
+	return nil
+}
+
+// createSegment makes a segment that is durable with its header.
+func createSegment(fsys camphorhinge.FileSystem, id Identity, number uint64, s State) (segment, error) {
+	file, err := fsys.Create(segmentName(number))
+	if err != nil {
+		return segment{}, err
+	}
+	header := appendFrame(nil, frameHeader, 0, 0, encodeHeader(id, number, s))
+	if _, err = file.Write(header); err == nil {
+		err = file.Sync()
+	}
+	if err == nil {
+		err = fsys.SyncDir()
+	}
+	if err != nil {
+		file.Close()
+		return segment{}, err
+	}
+	return segment{number: number, file: file, size: int64(len(header))}, nil
+}
+
+// Entries returns the entries from lo up to but not including hi. An error of KindCompacted tells that some are no
+// longer kept.
+func (l *Log) Entries(lo, hi camphorhinge.Index) ([]Entry, error) {
+	if lo >= hi {
+		return nil, nil
+	}
+	if lo < l.first {
+		return nil, &Error{Op: "entries", Kind: KindCompacted, Err: fmt.Errorf("from %d, the log starts at %d", lo, l.first)}
+	}
+	if hi > l.Last()+1 {
+		return nil, misuse("entries", "up to %d, the log ends at %d", hi, l.Last())
+	}
+	out := make([]Entry, 0, hi-lo)
+	for _, p := range l.positions[lo-l.first : hi-l.first] {
+		e, err := l.read(p)
+		if err == nil && e.Index != lo+camphorhinge.Index(len(out)) {
+			err = &Error{Op: "entries", Kind: KindCorrupt, Err: fmt.Errorf("entry %d in place of %d", e.Index, lo+camphorhinge.Index(len(out)))}
+		}
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+func (l *Log) read(p position) (Entry, error) {
+	i, ok := slices.BinarySearchFunc(l.segments, p.segment, func(s segment, n uint64) int {
+		if s.number < n {
+			return -1
+		}
+		return int(min(s.number-n, 1))
+	})
+	if !ok {
+		return Entry{}, &Error{Op: "entries", Kind: KindCorrupt, Err: fmt.Errorf("no segment %d", p.segment)}
+	}
+	buf := make([]byte, p.size)
+	if _, err := l.segments[i].file.ReadAt(buf, p.offset); err != nil {
+		return Entry{}, &Error{Op: "entries", Kind: KindDisk, Err: err}
+	}
+	f, err := decodeFrame(buf, p.offset)
+	var e Entry
+	if err == nil {
+		e, err = decodeEntry(f.body)
+	}
+	if err != nil {
+		return Entry{}, &Error{Op: "entries", Kind: KindCorrupt, Err: err}
+	}
+	return e, nil
+}
+
+// Compact removes the segments whose entries all lie at or below an index, which must be covered by the snapshot. Other
+// entries below the index stay readable.
+func (l *Log) Compact(index camphorhinge.Index) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if index > l.snapshot.index {
+		return misuse("compact", "to %d, the snapshot is at %d", index, l.snapshot.index)
+	}
+	keep := l.current().number
+	if next := index + 1; next >= l.first && next <= l.Last() {
+		keep = l.positions[next-l.first].segment
+	} else if next < l.first {
+		return nil
+	}
+	drop := 0
+	for drop < len(l.segments) && l.segments[drop].number < keep {
+		drop++
+	}
+	if drop == 0 {
+		return nil
+	}
+	gone := 0
+	for gone < len(l.positions) && l.positions[gone].segment < keep {
+		gone++
+	}
+	l.first += camphorhinge.Index(gone)
+	l.positions = slices.Clone(l.positions[gone:])
+	// The hard state in the older segments is not lost: rotate made it durable in the header of the newer one.
+	var errs []error
+	for _, s := range l.segments[:drop] {
+		s.file.Close()
+		errs = append(errs, l.fs.Remove(segmentName(s.number)))
+	}
+	l.segments = slices.Clone(l.segments[drop:])
+	if err := errors.Join(append(errs, l.fs.SyncDir())...); err != nil {
+		return l.fail("compact", err)
+	}
+	return nil
+}
+
+// Close closes the files without a sync.
+func (l *Log) Close() error {
+	var errs []error
+	for _, s := range l.segments {
+		errs = append(errs, s.file.Close())
+	}
+	l.segments = l.segments[len(l.segments)-1:]
+	if l.failed == nil {
+		l.failed = misuse("write", "the log is closed")
+	}
+	if err := errors.Join(errs...); err != nil {
+		return &Error{Op: "close", Kind: KindDisk, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/wal/open.go
@@ -0,0 +1,369 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	identityName   = "identity"
+	temporary      = "temporary"
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snapshot-"
+)
+
+func segmentName(number uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, number) }
+
+func snapshotName(index camphorhinge.Index) string {
+	return fmt.Sprintf("%s%016x", snapshotPrefix, uint64(index))
+}
+
+// folder is what a folder holds, by kind of file.
+type folder struct {
+	identity  bool
+	temporary bool
+	segments  []uint64
+	snapshots []uint64
+	others    []string
+}
+
+func list(fsys camphorhinge.FileSystem) (folder, error) {
+	names, err := fsys.List()
+	if err != nil {
+		return folder{}, &Error{Op: "list", Kind: KindDisk, Err: err}
+	}
+	var f folder
+	for _, name := range names {
+		prefix, digits, _ := strings.Cut(name, "-")
+		number, err := strconv.ParseUint(digits, 16, 64)
+		valid := err == nil && number > 0 && len(digits) == 16
+		switch {
+		case name == identityName:
+			f.identity = true
+		case name == temporary:
+			f.temporary = true
+		case valid && prefix+"-" == segmentPrefix:
+			f.segments = append(f.segments, number)
+		case valid && prefix+"-" == snapshotPrefix:
+			f.snapshots = append(f.snapshots, number)
+		default:
+			f.others = append(f.others, name)
+		}
+	}
+	slices.Sort(f.segments)
+	slices.Sort(f.snapshots)
+	return f, nil
+}
+
+// unused reports whether the folder holds nothing but what a Create that did not finish may leave.
+func (f folder) unused(fsys camphorhinge.FileSystem) (bool, error) {
+	if f.identity || len(f.snapshots) > 0 || len(f.others) > 0 || len(f.segments) > 1 {
+		return false, nil
+	}
+	if len(f.segments) == 0 {
+		return true, nil
+	}
+	file, err := readFile(fsys, segmentName(f.segments[0]))
+	if err != nil {
+		return false, &Error{Op: "read segment", Kind: KindDisk, Err: err}
+	}
+	header, err := readFrame(file, 0)
+	return f.segments[0] == 1 && (err != nil && !syncedPast(file, 0) || err == nil && header.size == len(file)), nil
+}
+
+// Create makes a new log for an identity in an empty folder. It returns an error of KindExists when the folder holds
+// files, also of a log whose identity is missing. The identity is written last, so that a crash leaves either no log
+// or a whole one.
+func Create(fsys camphorhinge.FileSystem, id Identity, cfg Config) (*Log, error) {
+	if id.Replica == 0 || id.Cluster == "" {
+		return nil, misuse("create", "identity %+v", id)
+	}
+	f, err := list(fsys)
+	if err != nil {
+		return nil, err
+	}
+	if unused, err := f.unused(fsys); err != nil {
+		return nil, err
+	} else if !unused {
+		return nil, &Error{Op: "create", Kind: KindExists, Err: errors.New("the folder is not empty")}
+	}
+	s, err := createSegment(fsys, id, 1, State{})
+	if err != nil {
+		return nil, &Error{Op: "create", Kind: KindDisk, Err: err}
+	}
+	s.file.Close()
+	file, err := fsys.Create(temporary)
+	if err == nil {
+		if _, err = file.Write(appendFrame(nil, frameIdentity, 0, 0, encodeIdentity(nil, id))); err != nil {
+			file.Close()
+		} else {
+			err = install(fsys, file, identityName)
+		}
+	}
+	if err != nil {
+		return nil, &Error{Op: "create", Kind: KindDisk, Err: err}
+	}
+	return Open(fsys, cfg)
+}
+
+// Open opens the log of a folder and cuts off a torn write at its end. It returns an error of KindEmpty when there is
+// no log, and of KindCorrupt when durable bytes changed or are missing.
+func Open(fsys camphorhinge.FileSystem, cfg Config) (*Log, error) {
+	f, err := list(fsys)
+	if err != nil {
+		return nil, err
+	}
+	if !f.identity {
+		unused, err := f.unused(fsys)
+		if err != nil {
+			return nil, err
+		}
+		if unused {
+			return nil, &Error{Op: "open", Kind: KindEmpty, Err: errors.New("no log in the folder")}
+		}
+		return nil, &Error{Op: "open", Kind: KindCorrupt, Err: errors.New("the folder has files but no identity")}
+	}
+	l := &Log{fs: fsys, cfg: cfg.orDefault(), first: 1}
+	if l.id, err = loadIdentity(fsys); err != nil {
+		return nil, err
+	}
+	if n := len(f.snapshots); n > 0 {
+		if l.snapshot, _, err = loadSnapshot(fsys, camphorhinge.Index(f.snapshots[n-1])); err != nil {
+			return nil, err
+		}
+	}
+	if err := l.load(f.segments); err != nil {
+		l.closeFiles()
+		return nil, err
+	}
+	if err := l.clean(f); err != nil {
+		l.closeFiles()
+		return nil, &Error{Op: "open", Kind: KindDisk, Err: err}
+	}
+	if err := l.reconcile(); err != nil {
+		l.closeFiles()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Log) closeFiles() {
+	for _, s := range l.segments {
+		s.file.Close()
+	}
+}
+
+func loadIdentity(fsys camphorhinge.FileSystem) (Identity, error) {
+	file, err := readFile(fsys, identityName)
+	if err != nil {
+		return Identity{}, &Error{Op: "read identity", Kind: KindDisk, Err: err}
+	}
+	body, err := singleFrame(file, frameIdentity)
+	if err != nil {
+		return Identity{}, &Error{Op: "read identity", Kind: KindCorrupt, Err: err}
+	}
+	r := reader{b: body}
+	id := r.identity()
+	if err := r.end(); err != nil {
+		return Identity{}, &Error{Op: "read identity", Kind: KindCorrupt, Err: err}
+	}
+	return id, nil
+}
+
+// load replays the last run of segments without a gap. Earlier ones are what an unsynced compaction left; when they
+// were not, the check against the snapshot fails.
+func (l *Log) load(numbers []uint64) error {
+	start := len(numbers) - 1
+	for start > 0 && numbers[start-1] == numbers[start]-1 {
+		start--
+	}
+	for i := max(start, 0); i < len(numbers); i++ {
+		if err := l.loadSegment(numbers[i], i == len(numbers)-1); err != nil {
+			return err
+		}
+	}
+	if len(l.segments) == 0 {
+		return &Error{Op: "open", Kind: KindCorrupt, Err: errors.New("no segment")}
+	}
+	// A gap before the first entry is allowed only where the snapshot covers it.
+	if l.first > l.snapshot.index+1 {
+		return &Error{Op: "open", Kind: KindCorrupt, Err: fmt.Errorf("the log starts at %d, the snapshot is at %d", l.first, l.snapshot.index)}
+	}
+	return nil
+}
+
+func (l *Log) loadSegment(number uint64, last bool) error {
+	name := segmentName(number)
+	corrupt := func(at int, err error) error {
+		return &Error{Op: "open " + name, Kind: KindCorrupt, Err: fmt.Errorf("at byte %d: %w", at, err)}
+	}
+	file, err := readFile(l.fs, name)
+	if err != nil {
+		return &Error{Op: "open " + name, Kind: KindDisk, Err: err}
+	}
+	at := 0
+	for at < len(file) {
+		f, err := readFrame(file, at)
+		if err != nil {
+			if !last || syncedPast(file, at) {
+				return corrupt(at, err)
+			}
+			break
+		}
+		if (f.kind == frameHeader) != (at == 0) {
+			return corrupt(at, fmt.Errorf("frame of kind %d", f.kind))
+		}
+		if err := l.replay(number, int64(at), f); err != nil {
+			return corrupt(at, err)
+		}
+		at += f.size
+	}
+	if at == 0 {
+		// The header is synced before any later write, so the segment was never used; the one before it is whole.
+		if !last || len(l.segments) == 0 {
+			return corrupt(0, errors.New("no header"))
+		}
+		if err := errors.Join(l.fs.Remove(name), l.fs.SyncDir()); err != nil {
+			return &Error{Op: "open " + name, Kind: KindDisk, Err: err}
+		}
+		l.synced = l.end()
+		return nil
+	}
+	if !last {
+		opened, err := l.fs.Open(name)
+		if err != nil {
+			return &Error{Op: "open " + name, Kind: KindDisk, Err: err}
+		}
+		l.segments = append(l.segments, segment{number: number, file: opened, size: int64(len(file))})
+		return nil
+	}
+	return l.renew(number, file[:at])
+}
+
+// renew writes the whole frames of the last segment to a new file and opens it. That cuts off a torn write, and makes
+// durable what was written but not synced before a restart.
+func (l *Log) renew(number uint64, whole []byte) error {
+	name := segmentName(number)
+	fail := func(err error) error { return &Error{Op: "open " + name, Kind: KindDisk, Err: err} }
+	file, err := l.fs.Create(temporary)
+	if err != nil {
+		return fail(err)
+	}
+	if _, err := file.Write(whole); err != nil {
+		file.Close()
+		return fail(err)
+	}
+	if err := install(l.fs, file, name); err != nil {
+		return fail(err)
+	}
+	opened, err := l.fs.Open(name)
+	if err != nil {
+		return fail(err)
+	}
+	l.segments = append(l.segments, segment{number: number, file: opened, size: int64(len(whole))})
+	l.synced = int64(len(whole))
+	return nil
+}
+
+// replay takes one frame of a segment.
+func (l *Log) replay(number uint64, at int64, f frame) error {
+	switch f.kind {
+	case frameHeader:
+		id, own, s, err := decodeHeader(f.body)
+		if err != nil {
+			return err
+		}
+		if id != l.id || own != number {
+			return fmt.Errorf("header of segment %d of replica %d in cluster %s", own, id.Replica, id.Cluster)
+		}
+		l.state = s
+	case frameEntry:
+		e, err := decodeEntry(f.body)
+		if err != nil {
+			return err
+		}
+		if e.Index == 0 || e.Term == 0 {
+			return fmt.Errorf("entry %d of term %d", e.Index, e.Term)
+		}
+		if len(l.positions) == 0 && l.first == 1 {
+			// Earlier segments may be gone.
+			l.first = e.Index
+		}
+		if e.Index > l.Last()+1 {
+			return fmt.Errorf("entry %d after %d", e.Index, l.Last())
+		}
+		l.truncate(e.Index)
+		l.positions = append(l.positions, position{segment: number, offset: at, size: f.size, term: e.Term})
+	case frameState:
+		r := reader{b: f.body}
+		s := r.state()
+		if err := r.end(); err != nil {
+			return err
+		}
+		l.state = s
+	case frameReset:
+		r := reader{b: f.body}
+		m := meta{index: camphorhinge.Index(r.number()), term: camphorhinge.Term(r.number())}
+		if err := r.end(); err != nil {
+			return err
+		}
+		l.first, l.positions = m.index+1, nil
+	default:
+		return fmt.Errorf("unknown kind %d", f.kind)
+	}
+	return nil
+}
+
+// clean removes files that are not in use: temporary ones, earlier snapshots, segments before the replayed ones.
+func (l *Log) clean(f folder) error {
+	var names []string
+	if f.temporary {
+		names = append(names, temporary)
+	}
+	for _, index := range f.snapshots[:max(len(f.snapshots)-1, 0)] {
+		names = append(names, snapshotName(camphorhinge.Index(index)))
+	}
+	for _, number := range f.segments {
+		if number < l.segments[0].number {
+			names = append(names, segmentName(number))
+		}
+	}
+	present, err := l.fs.List()
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		// The temporary file is renamed away when the last segment is renewed.
+		if !slices.Contains(present, name) {
+			continue
+		}
+		if err := l.fs.Remove(name); err != nil {
+			return err
+		}
+	}
+	return l.fs.SyncDir()
+}
+
+// readFile reads a whole file.
+func readFile(fsys camphorhinge.FileSystem, name string) ([]byte, error) {
+	file, err := fsys.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	size, err := file.Size()
+	if err != nil {
+		return nil, err
+	}
+	b := make([]byte, size)
+	if _, err := io.ReadFull(io.NewSectionReader(file, 0, size), b); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/state/wal/wal_test.go
@@ -0,0 +1,509 @@
+package wal_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/disk"
+	"example.org/camphorhinge/internal/state/wal"
+)
+
+var identity = wal.Identity{Replica: 7, Cluster: "c"}
+
+// small makes segments of a few entries, so that short runs pass through rotation and compaction.
+var small = wal.Config{Segment: 300, Bound: 1 << 20}
+
+func kind(err error) wal.Kind {
+	var own *wal.Error
+	if errors.As(err, &own) {
+		return own.Kind
+	}
+	return ""
+}
+
+// content is all that a log holds, as far as a replica can tell.
+type content struct {
+	state    wal.State
+	snapshot camphorhinge.Index
+	data     string
+	entries  string
+}
+
+func read(t *testing.T, l *wal.Log) content {
+	t.Helper()
+	require.Equal(t, identity, l.Identity())
+	index, _, data, err := l.Snapshot()
+	require.NoError(t, err)
+	require.LessOrEqual(t, l.First(), index+1)
+	entries, err := l.Entries(index+1, l.Last()+1)
+	require.NoError(t, err)
+	return content{state: l.State(), snapshot: index, data: string(data), entries: line(entries)}
+}
+
+func line(entries []wal.Entry) string {
+	var b strings.Builder
+	for _, e := range entries {
+		fmt.Fprintf(&b, "%d/%d/%d/%s ", e.Index, e.Term, e.Kind, e.Data)
+	}
+	return b.String()
+}
+
+// version is the log after one written frame, without regard to compaction.
+type version struct {
+	state   wal.State
+	base    camphorhinge.Index
+	entries []wal.Entry
+}
+
+// shadow runs a workload on a log and notes which contents a crash may leave.
+type shadow struct {
+	random   *rand.Rand
+	versions []version
+	// acked is the first of the versions that a crash may leave.
+	acked     int
+	snapshots map[camphorhinge.Index]wal.Entry
+	// durable is the index of the last snapshot that was reported as saved.
+	durable camphorhinge.Index
+}
+
+func newShadow(seed uint64) *shadow {
+	return &shadow{random: rand.New(rand.NewPCG(seed, 1)), versions: []version{{}}, snapshots: map[camphorhinge.Index]wal.Entry{}}
+}
+
+func (s *shadow) now() version { return s.versions[len(s.versions)-1] }
+
+func (s *shadow) last() camphorhinge.Index {
+	return s.now().base + camphorhinge.Index(len(s.now().entries))
+}
+
+// step does one random operation; an error is one of the file system's.
+func (s *shadow) step(l *wal.Log) error {
+	now := s.now()
+	switch n := s.random.IntN(10); {
+	case n < 4:
+		low := max(now.state.Commit, s.durable, now.base)
+		from := s.last() + 1
+		if back := s.random.IntN(4); back == 0 && from > low+1 {
+			from = low + 1 + camphorhinge.Index(s.random.IntN(int(from-low)))
+		}
+		var batch []wal.Entry
+		kept := slices.Clone(now.entries[:from-1-now.base])
+		for i := range camphorhinge.Index(s.random.IntN(5) + 1) {
+			data := bytes.Repeat([]byte{byte('a' + s.random.IntN(26))}, s.random.IntN(60))
+			batch = append(batch, wal.Entry{Index: from + i, Term: max(now.state.Term, 1), Kind: 2, Data: data})
+			s.versions = append(s.versions, version{now.state, now.base, append(slices.Clone(kept), batch...)})
+		}
+		return l.Append(batch)
+	case n < 6:
+		next := now.state
+		if s.random.IntN(3) == 0 {
+			next.Term++
+			next.Vote = camphorhinge.ReplicaID(s.random.IntN(3))
+		}
+		next.Commit = max(next.Commit, now.base)
+		next.Commit += camphorhinge.Index(s.random.IntN(int(max(s.last(), next.Commit)-next.Commit) + 1))
+		s.versions = append(s.versions, version{next, now.base, now.entries})
+		return l.SaveState(next)
+	case n < 8:
+		err := l.Sync()
+		if err == nil {
+			s.acked = len(s.versions) - 1
+		}
+		return err
+	case n == 8:
+		return s.snapshot(l)
+	}
+	return l.Compact(s.durable)
+}
+
+// snapshot saves one of the own state, or one of a leader whose log goes on beyond or differs.
+func (s *shadow) snapshot(l *wal.Log) error {
+	now := s.now()
+	at := wal.Entry{Index: now.state.Commit}
+	if at.Index > now.base {
+		at.Term = now.entries[at.Index-now.base-1].Term
+	}
+	if s.random.IntN(4) == 0 {
+		at = wal.Entry{Index: now.state.Commit + camphorhinge.Index(s.random.IntN(6)) + 1, Term: now.state.Term + 50}
+		now.base, now.entries = at.Index, nil
+	}
+	if at.Index <= s.durable || at.Term == 0 {
+		return nil
+	}
+	at.Data = fmt.Appendf(nil, "state %d/%d", at.Index, at.Term)
+	s.snapshots[at.Index] = at
+	s.versions = append(s.versions, now)
+	err := l.SaveSnapshot(at.Index, at.Term, at.Data)
+	if err == nil {
+		s.durable = at.Index
+	}
+	return err
+}
+
+// check requires that the log holds one of the contents that a crash may leave, and goes on from there.
+func (s *shadow) check(t *testing.T, l *wal.Log, note string) {
+	t.Helper()
+	got := read(t, l)
+	require.GreaterOrEqual(t, got.snapshot, s.durable, note)
+	snap := s.snapshots[got.snapshot]
+	require.Equal(t, string(snap.Data), got.data, note)
+	for i := len(s.versions) - 1; i >= s.acked; i-- {
+		v := s.versions[i]
+		var rest []wal.Entry
+		if v.base >= snap.Index {
+			rest = v.entries
+		} else if at := int(snap.Index - v.base); at <= len(v.entries) && v.entries[at-1].Term == snap.Term {
+			rest = v.entries[at:]
+		}
+		if v.base > snap.Index || v.state != got.state || line(rest) != got.entries {
+			continue
+		}
+		s.versions, s.acked, s.durable = []version{{v.state, snap.Index, rest}}, 0, snap.Index
+		return
+	}
+	require.Fail(t, "content was never written, or was lost", "%s: %+v", note, got)
+}
+
+// run opens or makes the log and does up to steps operations; it returns the first error.
+func (s *shadow) run(t *testing.T, m *disk.Memory, steps int) error {
+	t.Helper()
+	l, err := wal.Open(m, small)
+	if kind(err) == wal.KindEmpty && len(s.versions) == 1 {
+		l, err = wal.Create(m, identity, small)
+	}
+	if err != nil {
+		return err
+	}
+	for range steps {
+		if err := s.step(l); err != nil {
+			require.NotEqual(t, wal.KindMisuse, kind(err), "%v", err)
+			require.NotEqual(t, wal.KindCorrupt, kind(err), "%v", err)
+			return err
+		}
+	}
+	return l.Close()
+}
+
+// Guards against lost synced entries, votes and snapshots, or invented ones, when the system crashes at any operation,
+// and again while the log is opened.
+func TestCrashAtEachOperation(t *testing.T) {
+	const steps = 60
+	for seed := range uint64(12) {
+		whole := disk.NewMemory()
+		require.NoError(t, newShadow(seed).run(t, whole, steps))
+		for at := 1; at <= whole.Operations(); at++ {
+			note := fmt.Sprintf("seed %d, crash at operation %d", seed, at)
+			m, s := disk.NewMemory(), newShadow(seed)
+			chance := rand.New(rand.NewPCG(seed, uint64(at)))
+			m.SetFaults(disk.Faults{CrashAt: at})
+			require.Error(t, s.run(t, m, steps), note)
+			m.Crash(chance)
+			m.SetFaults(disk.Faults{CrashAt: 1 + chance.IntN(9)})
+			if l, err := wal.Open(m, small); err == nil {
+				s.check(t, l, note)
+			} else {
+				require.NotEqual(t, wal.KindCorrupt, kind(err), "%s: %v", note, err)
+			}
+			m.Crash(chance)
+			l, err := wal.Open(m, small)
+			if kind(err) == wal.KindEmpty {
+				require.Len(t, s.versions, 1, note)
+				require.NoError(t, s.run(t, m, steps), note)
+				continue
+			}
+			require.NoError(t, err, note)
+			s.check(t, l, note)
+			require.NoError(t, s.run(t, m, 5), note)
+			require.NoError(t, l.Close(), note)
+		}
+	}
+}
+
+// Guards against a log that goes on after a failed operation, and against bytes of a failed sync that a restart takes
+// for durable.
+func TestFailureAtEachOperation(t *testing.T) {
+	const steps = 60
+	for seed := range uint64(12) {
+		whole := disk.NewMemory()
+		require.NoError(t, newShadow(seed).run(t, whole, steps))
+		for at := 1; at <= whole.Operations(); at++ {
+			note := fmt.Sprintf("seed %d, failure at operation %d", seed, at)
+			m, s := disk.NewMemory(), newShadow(seed)
+			m.SetFaults(disk.Faults{FailAt: at})
+			require.Error(t, s.run(t, m, steps), note)
+			l, err := wal.Open(m, small)
+			if kind(err) == wal.KindEmpty {
+				require.Len(t, s.versions, 1, note)
+				continue
+			}
+			require.NoError(t, err, note)
+			s.check(t, l, note)
+			before := read(t, l)
+			m.Crash(nil)
+			l, err = wal.Open(m, small)
+			require.NoError(t, err, note)
+			require.Equal(t, before, read(t, l), note)
+		}
+	}
+}
+
+func entries(term camphorhinge.Term, from, to camphorhinge.Index) []wal.Entry {
+	var out []wal.Entry
+	for i := from; i <= to; i++ {
+		out = append(out, wal.Entry{Index: i, Term: term, Kind: 2, Data: []byte("0123456789")})
+	}
+	return out
+}
+
+func create(t *testing.T, m *disk.Memory, cfg wal.Config) *wal.Log {
+	t.Helper()
+	l, err := wal.Create(m, identity, cfg)
+	require.NoError(t, err)
+	return l
+}
+
+// Guards against damage that is taken for a torn write: all bytes but those of the last batch are known to be durable.
+func TestEachCorruptByteIsFatal(t *testing.T) {
+	build := func() (*disk.Memory, map[string]int) {
+		m := disk.NewMemory()
+		l := create(t, m, small)
+		require.NoError(t, l.Append(entries(1, 1, 12)))
+		require.NoError(t, l.SaveState(wal.State{Term: 1, Vote: 2, Commit: 10}))
+		require.NoError(t, l.SaveSnapshot(4, 1, []byte("state")))
+		require.NoError(t, l.Sync())
+		sizes := map[string]int{}
+		names, err := m.List()
+		require.NoError(t, err)
+		require.Greater(t, len(names), 3)
+		for _, name := range names {
+			f, err := m.Open(name)
+			require.NoError(t, err)
+			size, err := f.Size()
+			require.NoError(t, err)
+			sizes[name] = int(size)
+		}
+		require.NoError(t, l.Append(entries(1, 13, 13)))
+		require.NoError(t, l.Sync())
+		return m, sizes
+	}
+	_, sizes := build()
+	for name, size := range sizes {
+		for at := range size {
+			m, _ := build()
+			require.NoError(t, m.Corrupt(name, at))
+			_, err := wal.Open(m, small)
+			require.Equal(t, wal.KindCorrupt, kind(err), "%s, byte %d: %v", name, at, err)
+		}
+	}
+}
+
+// Guards against folders that are not whole: each case says what Open must answer.
+func TestFoldersThatAreNotWhole(t *testing.T) {
+	cases := []struct {
+		name   string
+		damage func(*testing.T, *disk.Memory)
+		want   wal.Kind
+	}{
+		{"nothing wrong", func(*testing.T, *disk.Memory) {}, ""},
+		{"no identity", func(t *testing.T, m *disk.Memory) { require.NoError(t, m.Remove("identity")) }, wal.KindCorrupt},
+		{"no segment", func(t *testing.T, m *disk.Memory) {
+			names, err := m.List()
+			require.NoError(t, err)
+			for _, name := range names {
+				if strings.HasPrefix(name, "log-") {
+					require.NoError(t, m.Remove(name))
+				}
+			}
+		}, wal.KindCorrupt},
+		{"first segment missing", func(t *testing.T, m *disk.Memory) { require.NoError(t, m.Remove("log-0000000000000001")) }, wal.KindCorrupt},
+		{"segment missing between", func(t *testing.T, m *disk.Memory) { require.NoError(t, m.Remove("log-0000000000000002")) }, wal.KindCorrupt},
+		{"older segment cut", func(t *testing.T, m *disk.Memory) {
+			f, err := m.Open("log-0000000000000001")
+			require.NoError(t, err)
+			require.NoError(t, f.Truncate(250))
+		}, wal.KindCorrupt},
+		{"identity of another replica", func(t *testing.T, m *disk.Memory) {
+			other := disk.NewMemory()
+			_, err := wal.Create(other, wal.Identity{Replica: 8, Cluster: "c"}, small)
+			require.NoError(t, err)
+			from, err := other.Open("identity")
+			require.NoError(t, err)
+			b := make([]byte, 100)
+			n, _ := from.ReadAt(b, 0)
+			to, err := m.Create("identity")
+			require.NoError(t, err)
+			_, err = to.Write(b[:n])
+			require.NoError(t, err)
+		}, wal.KindCorrupt},
+		{"empty next segment", func(t *testing.T, m *disk.Memory) {
+			names, err := m.List()
+			require.NoError(t, err)
+			_, err = m.Create(fmt.Sprintf("log-%016x", len(names)))
+			require.NoError(t, err)
+		}, ""},
+		{"left-over temporary file", func(t *testing.T, m *disk.Memory) {
+			f, err := m.Create("temporary")
+			require.NoError(t, err)
+			_, err = f.Write([]byte("half a snapshot"))
+			require.NoError(t, err)
+		}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := disk.NewMemory()
+			l := create(t, m, small)
+			require.NoError(t, l.Append(entries(1, 1, 20)))
+			require.NoError(t, l.Sync())
+			before := read(t, l)
+			c.damage(t, m)
+			l, err := wal.Open(m, small)
+			require.Equal(t, c.want, kind(err), "%v", err)
+			_, createErr := wal.Create(m, identity, small)
+			require.Equal(t, wal.KindExists, kind(createErr), "a used folder takes no new log")
+			if err == nil {
+				require.Equal(t, before, read(t, l))
+				require.NoError(t, l.Append(entries(1, 21, 40)))
+				require.NoError(t, l.Sync())
+				m.Crash(nil)
+				l, err = wal.Open(m, small)
+				require.NoError(t, err)
+				require.EqualValues(t, 40, l.Last())
+			}
+		})
+	}
+	_, err := wal.Open(disk.NewMemory(), small)
+	require.Equal(t, wal.KindEmpty, kind(err))
+}
+
+// Guards against a log that grows without bound, and one that is of no use once it was full.
+func TestBoundAndFullDisk(t *testing.T) {
+	m := disk.NewMemory()
+	l := create(t, m, wal.Config{Segment: 300, Bound: 2000})
+	last := camphorhinge.Index(0)
+	var err error
+	for err == nil {
+		if err = l.Append(entries(1, last+1, last+1)); err == nil {
+			last++
+		}
+	}
+	require.Equal(t, wal.KindFull, kind(err))
+	require.Equal(t, last, l.Last())
+	require.LessOrEqual(t, l.Size(), int64(2000))
+	require.Equal(t, wal.KindMisuse, kind(l.Compact(1)), "no snapshot covers it")
+
+	m.SetFaults(disk.Faults{Capacity: 2200})
+	require.Equal(t, wal.KindFull, kind(l.SaveSnapshot(last-1, 1, make([]byte, 1000))))
+	m.SetFaults(disk.Faults{})
+	require.NoError(t, l.SaveSnapshot(last-1, 1, make([]byte, 1000)))
+	require.NoError(t, l.Compact(last-1))
+	require.Less(t, l.Size(), int64(700))
+	require.NoError(t, l.Append(entries(1, last+1, last+1)))
+	require.NoError(t, l.Sync())
+	_, err = l.Entries(1, 2)
+	require.Equal(t, wal.KindCompacted, kind(err))
+	kept := read(t, l)
+
+	m.SetFaults(disk.Faults{Capacity: 1})
+	require.Equal(t, wal.KindDisk, kind(l.Append(entries(1, last+2, last+2))))
+	m.SetFaults(disk.Faults{})
+	require.Equal(t, wal.KindDisk, kind(l.Sync()), "the log stays unusable")
+	l, err = wal.Open(m, small)
+	require.NoError(t, err)
+	require.Equal(t, kept, read(t, l))
+}
+
+// Guards against calls that break an invariant of consensus: replacing committed entries, gaps, a second vote.
+func TestMisuse(t *testing.T) {
+	l := create(t, disk.NewMemory(), small)
+	require.NoError(t, l.Append(entries(2, 1, 5)))
+	require.NoError(t, l.SaveState(wal.State{Term: 2, Vote: 1, Commit: 3}))
+	require.NoError(t, l.SaveSnapshot(2, 2, nil))
+	for name, err := range map[string]error{
+		"gap":                     l.Append(entries(2, 7, 7)),
+		"committed entry":         l.Append(entries(3, 3, 3)),
+		"gap within":              l.Append([]wal.Entry{{Index: 6, Term: 2}, {Index: 8, Term: 2}}),
+		"no term":                 l.Append([]wal.Entry{{Index: 6}}),
+		"too large":               l.Append([]wal.Entry{{Index: 6, Term: 2, Data: make([]byte, wal.MaxData+1)}}),
+		"term falls":              l.SaveState(wal.State{Term: 1, Commit: 3}),
+		"commit falls":            l.SaveState(wal.State{Term: 2, Vote: 1, Commit: 2}),
+		"second vote":             l.SaveState(wal.State{Term: 2, Vote: 3, Commit: 3}),
+		"vote withdrawn":          l.SaveState(wal.State{Term: 2, Commit: 3}),
+		"other term at committed": l.SaveSnapshot(3, 9, nil),
+	} {
+		require.Equal(t, wal.KindMisuse, kind(err), name)
+	}
+	require.EqualValues(t, 5, l.Last())
+	require.NoError(t, l.Append(entries(3, 4, 4)))
+	require.EqualValues(t, 4, l.Last())
+	term, ok := l.Term(2)
+	require.True(t, ok)
+	require.EqualValues(t, 2, term)
+	require.NoError(t, l.Close())
+	require.Error(t, l.Append(entries(3, 5, 5)))
+}
+
+// Guards against a panic or an unstable result on any bytes in the last segment.
+func FuzzOpen(f *testing.F) {
+	m := disk.NewMemory()
+	l, err := wal.Create(m, identity, wal.Config{})
+	require.NoError(f, err)
+	require.NoError(f, l.Append(entries(1, 1, 3)))
+	require.NoError(f, l.SaveState(wal.State{Term: 1, Vote: 2, Commit: 2}))
+	require.NoError(f, l.Append(entries(2, 3, 4)))
+	require.NoError(f, l.SaveSnapshot(9, 5, nil))
+	file, err := m.Open("log-0000000000000001")
+	require.NoError(f, err)
+	whole := make([]byte, l.Size())
+	_, err = file.ReadAt(whole, 0)
+	require.NoError(f, err)
+	for cut := 0; cut <= len(whole); cut += 20 {
+		f.Add(whole[:cut])
+	}
+	f.Fuzz(func(t *testing.T, segment []byte) {
+		m := disk.NewMemory()
+		create(t, m, wal.Config{})
+		file, err := m.Create("log-0000000000000001")
+		require.NoError(t, err)
+		_, err = file.Write(segment)
+		require.NoError(t, err)
+		l, err := wal.Open(m, wal.Config{})
+		if err != nil {
+			require.Equal(t, wal.KindCorrupt, kind(err))
+			return
+		}
+		first := read(t, l)
+		m.Crash(nil)
+		l, err = wal.Open(m, wal.Config{})
+		require.NoError(t, err)
+		require.Equal(t, first, read(t, l))
+	})
+}
+
+// Guards against a log that works in memory only.
+func TestOverFolder(t *testing.T) {
+	folder, err := disk.Open(t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, folder.Close()) })
+	l, err := wal.Create(folder, identity, small)
+	require.NoError(t, err)
+	require.NoError(t, l.Append(entries(1, 1, 30)))
+	require.NoError(t, l.SaveState(wal.State{Term: 1, Vote: 2, Commit: 25}))
+	require.NoError(t, l.SaveSnapshot(20, 1, []byte("state")))
+	require.NoError(t, l.Compact(20))
+	require.NoError(t, l.Append(entries(2, 26, 28)))
+	require.NoError(t, l.Sync())
+	before := read(t, l)
+	require.NoError(t, l.Close())
+	l, err = wal.Open(folder, small)
+	require.NoError(t, err)
+	require.Equal(t, before, read(t, l))
+	require.NoError(t, l.Close())
+}
