Test the promises to callers with scripted targets and fix resume at the end of a stream

A stream that broke between its last piece and its end mark was resumed with nothing left but the end mark, which was then refused for lack of a finish reason.

--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -127,6 +127,8 @@
 	Priority camphorhinge.Priority
 	// Resume is the offset at which a stream goes on, or 0 for a new one.
 	Resume int
+	// Finished is true when the event before Resume had a finish reason, so that only the end mark is left.
+	Finished bool
 	// Fresh asks for a new connection. An idle one may be closed by the target just when the request is written, which
 	// leaves the class unknown; calls that can't be repeated avoid this.
 	Fresh bool
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -30,6 +30,8 @@
 	// Offset numbers the events of a stream from 0.
 	Offset int
 	Data   []byte
+	// Finish is true when the event has a finish reason.
+	Finish bool
 }
 
 // Stream is a streamed answer of one attempt.
@@ -82,6 +84,7 @@
 	a.conn.limit = c.cfg.FirstByte
 	return &Stream{
 		answer: a, attempt: call.Attempt, lines: bufio.NewReaderSize(a, 16<<10), next: call.Resume,
+		finished: call.Finished,
 	}, nil
 }
 
@@ -185,8 +188,9 @@
 		return Event{}, io.EOF
 	}
 	s.next++
-	s.finished = s.finished || finishes(data)
-	return Event{Offset: s.next - 1, Data: data}, nil
+	finish := finishes(data)
+	s.finished = s.finished || finish
+	return Event{Offset: s.next - 1, Data: data, Finish: finish}, nil
 }
 
 // Close ends the exchange. Before the end mark, or when anything but the last chunk follows it, the connection is closed.
--- a/internal/request/frontend/http_test.go
+++ b/internal/request/frontend/http_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,12 +26,32 @@
 )
 
 // fleet is a fixed view of targets: it picks the first that serves and is not excluded.
-type fleet struct{ targets []*camphorhinge.Target }
+type fleet struct {
+	mu      sync.Mutex
+	targets []*camphorhinge.Target
+}
+
+func (f *fleet) Live(camphorhinge.ServiceName) []*camphorhinge.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.targets)
+}
 
-func (f *fleet) Live(camphorhinge.ServiceName) []*camphorhinge.Target { return f.targets }
+// drain marks a target as not serving.
+func (f *fleet) drain(name camphorhinge.TargetName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, t := range f.targets {
+		if t.Name == name {
+			next := *t
+			next.Serving = false
+			f.targets[i] = &next
+		}
+	}
+}
 
 func (f *fleet) Pick(req camphorhinge.RouteRequest) (camphorhinge.RouteChoice, bool) {
-	for _, t := range f.targets {
+	for _, t := range f.Live(req.Service) {
 		if t.Serving && !slices.Contains(req.Exclude, t.Name) {
 			return camphorhinge.RouteChoice{Target: t, Reason: "first"}, true
 		}
--- a/internal/request/frontend/relay.go
+++ b/internal/request/frontend/relay.go
@@ -39,11 +39,12 @@
 	// keep is true when the answer is deterministic, so that hashes of the pieces are kept for a comparison.
 	keep   bool
 	hashes []uint64
-	// sent is the number of pieces that the caller got.
-	sent   int
-	headed bool
-	last   time.Time
-	looked time.Time
+	// sent is the number of pieces that the caller got; finished is true when one of them has a finish reason.
+	sent     int
+	finished bool
+	headed   bool
+	last     time.Time
+	looked   time.Time
 	// moved is true after an attempt to move the stream off its engine.
 	moved bool
 }
@@ -175,7 +176,7 @@
 		r.f.meters.token.Update(now.Sub(r.last).Seconds())
 	}
 	r.f.meters.tokens.Inc()
-	r.sent, r.last = r.sent+1, now
+	r.sent, r.last, r.finished = r.sent+1, now, r.finished || e.Finish
 	return nil
 }
 
@@ -195,7 +196,7 @@
 func (r *relay) resume(ctx context.Context, l *leg, offset int) (*exchange.Stream, *leg) {
 	nl := r.begin(l.choice, l.attempt)
 	call := r.call(nl, r.body, offset)
-	call.Fresh = true
+	call.Fresh, call.Finished = true, r.finished && offset >= r.sent
 	s, err := r.f.cfg.Exchange.Stream(ctx, call)
 	if err == nil {
 		r.f.meters.resumed.Inc()
@@ -255,7 +256,9 @@
 		return nil, nil
 	}
 	nl := r.begin(choice, l.attempt)
-	s, err := x.Stream(ctx, r.call(nl, r.body, offset))
+	call := r.call(nl, r.body, offset)
+	call.Finished = r.finished && offset >= r.sent
+	s, err := x.Stream(ctx, call)
 	if err != nil {
 		nl.end(err)
 		return nil, nil
