--- /dev/null
+++ b/internal/state/consensus/errors.go
@@ -0,0 +1,58 @@
+package consensus
+
+import (
+	"fmt"
+
+	camphorhinge "example.org/camphorhinge"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindNotLeader marks a call that only the leader accepts; the error wraps camphorhinge.ErrNotLeader.
+	KindNotLeader Kind = "not leader"
+	// KindBusy marks a proposal above the bound of uncommitted data.
+	KindBusy Kind = "busy"
+	// KindTransfer marks a call refused during a leadership transfer.
+	KindTransfer Kind = "transfer"
+	// KindPending marks a membership change refused while another one is uncommitted.
+	KindPending Kind = "pending"
+	// KindEarly marks a call refused before the leader has committed an entry of its own term.
+	KindEarly Kind = "early"
+	// KindBehind marks the promotion of a learner, or the transfer to a voter, that misses entries.
+	KindBehind Kind = "behind"
+	// KindQuorum marks a change that would leave fewer live voters than a majority.
+	KindQuorum Kind = "quorum"
+	// KindInvalid marks a change that doesn't fit the membership.
+	KindInvalid Kind = "invalid"
+	// KindMalformed marks input that can't be decoded or breaks a rule of the protocol.
+	KindMalformed Kind = "malformed"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns operation, kind and cause.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("consensus: %s: %s", e.Op, e.Kind)
+	}
+	return fmt.Sprintf("consensus: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+func failure(op string, kind Kind, format string, args ...any) error {
+	return &Error{Op: op, Kind: kind, Err: fmt.Errorf(format, args...)}
+}
+
+func notLeader(op string) error {
+	return &Error{Op: op, Kind: KindNotLeader, Err: camphorhinge.ErrNotLeader}
+}
