consensus: implement the replicated log as a pure state machine

Messages that reveal the term, the vote or the log are held until the write that contains them is confirmed; held messages keep the number of that write, so that several writes can share one sync.

A leadership transfer voids the lease for the rest of the term: the request to take over may be delayed, and a forced vote passes the vote refusal. A transfer that doesn't end in time makes the leader step down instead of taking the lease back.

Ruled out: storing the commit index in the hard state. After a torn write it may be above the matching part of the log, and the leader tells it again within one heartbeat.

--- /dev/null
+++ b/internal/state/consensus/authority.go
@@ -0,0 +1,171 @@
+package consensus
+
+import (
+	camphorhinge "example.org/camphorhinge"
+)
+
+// transferState describes a planned handover of leadership.
+type transferState struct {
+	to       camphorhinge.ReplicaID
+	deadline camphorhinge.Instant
+}
+
+type pendingRead struct {
+	id uint64
+	// index is the commit index at the time of the request, or 0 while the leader is not settled.
+	index camphorhinge.Index
+	// round is the first heartbeat round sent after the request.
+	round uint64
+}
+
+// Lease reports whether this replica leads with a valid lease at now, and its term. While the lease is valid no other
+// replica is elected.
+func (c *Core) Lease(now camphorhinge.Instant) (camphorhinge.Term, bool) {
+	l := &c.lead
+	if c.role != Leader || l.void || !l.hasLease {
+		return c.hard.Term, false
+	}
+	return c.hard.Term, max(now, c.now).Sub(l.leased) < c.timing.Lease
+}
+
+// LeaseRead returns the index that a machine must have applied to answer a read that started before now. It is false
+// without a valid lease, or before the leader has committed an entry of its own term.
+func (c *Core) LeaseRead(now camphorhinge.Instant) (camphorhinge.Index, bool) {
+	if _, ok := c.Lease(now); !ok || !c.settled() {
+		return 0, false
+	}
+	return c.commit, true
+}
+
+// ReadIndex asks for a round that proves leadership; the answer appears in Ready.Reads under id. The requests since the
+// last Ready share one round.
+func (c *Core) ReadIndex(now camphorhinge.Instant, id uint64) error {
+	c.advance(now)
+	if c.role != Leader {
+		return notLeader("read index")
+	}
+	r := pendingRead{id: id, round: c.lead.round + 1}
+	if c.settled() {
+		r.index = c.commit
+	}
+	c.lead.reads = append(c.lead.reads, r)
+	return nil
+}
+
+// confirmReads answers the reads whose round a majority has answered; 0 stands for the latest such round.
+func (c *Core) confirmReads(confirmed uint64) {
+	l := &c.lead
+	if confirmed == 0 {
+		confirmed = majority(c.membership(), func(id camphorhinge.ReplicaID) uint64 { return l.peers[id].acked })
+	}
+	if !c.settled() {
+		return
+	}
+	kept := l.reads[:0]
+	for _, r := range l.reads {
+		if r.index == 0 {
+			r.index = c.commit
+		}
+		if r.round <= confirmed {
+			c.reads = append(c.reads, ReadState{ID: r.id, Index: r.index})
+		} else {
+			kept = append(kept, r)
+		}
+	}
+	l.reads = kept
+}
+
+// ProposeChange appends one membership change and returns its index.
+func (c *Core) ProposeChange(now camphorhinge.Instant, ch Change) (camphorhinge.Index, camphorhinge.Term, error) {
+	const op = "change membership"
+	c.advance(now)
+	switch {
+	case c.role != Leader:
+		return 0, 0, notLeader(op)
+	case c.lead.transfer.to != 0 || c.lead.void:
+		return 0, 0, failure(op, KindTransfer, "leadership is being transferred to replica %d", c.lead.transfer.to)
+	case !c.settled():
+		return 0, 0, failure(op, KindEarly, "no entry of term %d is committed", c.hard.Term)
+	case c.membershipIndex() > c.commit:
+		return 0, 0, failure(op, KindPending, "the change at %d is uncommitted", c.membershipIndex())
+	}
+	m, err := c.changed(op, ch)
+	if err != nil {
+		return 0, 0, err
+	}
+	if !c.quorumActive(m) {
+		return 0, 0, failure(op, KindQuorum, "fewer than a majority of the voters %v answer", m.Voters())
+	}
+	e := Entry{Index: c.log.last() + 1, Term: c.hard.Term, Kind: EntryMembership, Data: AppendMembership(nil, m)}
+	c.appendEntries(e)
+	c.addPeers(c.log.last())
+	return e.Index, e.Term, nil
+}
+
+// changed returns the membership after ch.
+func (c *Core) changed(op string, ch Change) (Membership, error) {
+	m := c.membership()
+	x, member := m.Find(ch.ID)
+	switch {
+	case ch.Kind == AddLearner && !member && ch.ID != 0:
+		return m.with(Member{ID: ch.ID, Address: ch.Address}), nil
+	case ch.Kind == Promote && member && !x.Voter:
+		if p := c.lead.peers[ch.ID]; p.match+c.limits.PromoteLag < c.commit || p.match == 0 {
+			return m, failure(op, KindBehind, "replica %d has synced up to %d of %d", ch.ID, p.match, c.commit)
+		}
+		x.Voter = true
+		return m.with(x), nil
+	case ch.Kind == Remove && member && ch.ID != c.id:
+		return m.without(ch.ID), nil
+	}
+	return m, failure(op, KindInvalid, "change %d of replica %d doesn't fit the membership", ch.Kind, ch.ID)
+}
+
+// Transfer starts to hand leadership to a voter. Proposals are refused until it has ended. Before the voter is asked to
+// take over, the lease is given up for the rest of the term.
+func (c *Core) Transfer(now camphorhinge.Instant, to camphorhinge.ReplicaID) error {
+	const op = "transfer"
+	c.advance(now)
+	switch {
+	case c.role != Leader:
+		return notLeader(op)
+	case c.lead.transfer.to != 0:
+		return failure(op, KindTransfer, "leadership is being transferred to replica %d", c.lead.transfer.to)
+	case to == c.id || !c.membership().isVoter(to):
+		return failure(op, KindInvalid, "replica %d is no other voter", to)
+	case c.now.Sub(c.lead.peers[to].heard) >= c.timing.ElectionMin:
+		return failure(op, KindBehind, "replica %d does not answer", to)
+	}
+	c.lead.transfer = transferState{to: to, deadline: c.now.Add(c.timing.ElectionMin)}
+	c.tryTransfer()
+	return nil
+}
+
+// tryTransfer asks the chosen voter to take over once it has the whole log.
+func (c *Core) tryTransfer() {
+	t := &c.lead.transfer
+	if t.to == 0 || c.lead.void {
+		return
+	}
+	p := c.lead.peers[t.to]
+	if p == nil || p.match < c.log.last() {
+		return
+	}
+	c.lead.void = true
+	c.send(Message{Type: MessageTimeoutNow, To: t.to})
+}
+
+// tickTransfer ends a transfer that took too long; it returns false when leadership ended with it.
+func (c *Core) tickTransfer() bool {
+	if c.lead.transfer.to == 0 || c.now < c.lead.transfer.deadline {
+		return true
+	}
+	if c.lead.void {
+		// The request to take over may still be on its way, so the lease of this term stays void. Stepping down makes
+		// room for an election.
+		c.becomeFollower(c.hard.Term)
+		return false
+	}
+	c.lead.transfer = transferState{}
+	return true
+}
--- /dev/null
+++ b/internal/state/consensus/core.go
@@ -0,0 +1,410 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	camphorhinge "example.org/camphorhinge"
+)
+
+// Core is one replica of the log. It is not safe for concurrent use.
+type Core struct {
+	id      camphorhinge.ReplicaID
+	timing  Timing
+	limits  Limits
+	random  *rand.Rand
+	now     camphorhinge.Instant
+	started camphorhinge.Instant
+
+	role   Role
+	hard   HardState
+	leader camphorhinge.ReplicaID
+	// heard is when a message of a legitimate leader arrived last; everHeard is false before the first one.
+	heard     camphorhinge.Instant
+	everHeard bool
+	// deadline is when a follower or candidate starts the next election.
+	deadline camphorhinge.Instant
+
+	log     memoryLog
+	commit  camphorhinge.Index
+	applied camphorhinge.Index
+	// configs are the memberships by index, the first one at or before the start of the log.
+	configs []configAt
+	// snapshot is the latest one known to storage.
+	snapshot SnapshotMeta
+
+	writes  writeState
+	held    []heldMessage
+	outbox  []Message
+	install *Snapshot
+
+	votes map[camphorhinge.ReplicaID]bool
+	lead  leaderState
+	reads []ReadState
+}
+
+type configAt struct {
+	index      camphorhinge.Index
+	membership Membership
+}
+
+// New returns a Core that starts as a follower. It fails with KindMalformed when the stored state is inconsistent.
+func New(cfg Config) (*Core, error) {
+	const op = "new"
+	if cfg.ID == 0 {
+		return nil, failure(op, KindInvalid, "replica id 0")
+	}
+	if cfg.Timing.Lease >= cfg.Timing.ElectionMin || cfg.Timing.ElectionMin > cfg.Timing.ElectionMax {
+		return nil, failure(op, KindInvalid, "lease %v and election timeouts %v to %v don't fit",
+			cfg.Timing.Lease, cfg.Timing.ElectionMin, cfg.Timing.ElectionMax)
+	}
+	c := &Core{
+		id:       cfg.ID,
+		timing:   cfg.Timing,
+		limits:   cfg.Limits,
+		random:   rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.ID))), //nolint:gosec // election timeouts need no secrecy
+		now:      cfg.Now,
+		started:  cfg.Now,
+		hard:     cfg.HardState,
+		snapshot: cfg.Snapshot,
+		commit:   cfg.Snapshot.Index,
+		applied:  cfg.Snapshot.Index,
+		configs:  []configAt{{index: cfg.Snapshot.MembershipIndex, membership: cfg.Snapshot.Membership}},
+	}
+	c.log.reset(cfg.Snapshot.Index, cfg.Snapshot.Term)
+	// The term of an installed snapshot may be stored before the hard state; no vote was given in that term.
+	if c.hard.Term < cfg.Snapshot.Term {
+		c.setHard(cfg.Snapshot.Term, 0)
+	}
+	for _, e := range cfg.Entries {
+		// A crash between the installation of a snapshot and the removal of the log that it replaces leaves entries of
+		// lower terms, which don't continue the snapshot.
+		if e.Term < cfg.Snapshot.Term && e.Index >= cfg.Snapshot.Index {
+			break
+		}
+		if e.Index <= cfg.Snapshot.Index {
+			continue
+		}
+		if err := checkEntry(op, e, c.log.last(), c.log.lastTerm()); err != nil {
+			return nil, err
+		}
+		c.appendEntries(e)
+	}
+	if c.log.lastTerm() > c.hard.Term {
+		return nil, failure(op, KindMalformed, "last entry has term %d above the stored term %d", c.log.lastTerm(), c.hard.Term)
+	}
+	c.writes.written, c.writes.durable = c.log.last(), c.log.last()
+	c.writes.dirty = c.writes.hardDirty
+	c.resetDeadline()
+	return c, nil
+}
+
+// Bootstrap returns the hard state and the log with which each of the first voters of a new group starts.
+func Bootstrap(m Membership) (HardState, []Entry) {
+	return HardState{Term: 1}, []Entry{{Index: 1, Term: 1, Kind: EntryMembership, Data: AppendMembership(nil, m)}}
+}
+
+func checkEntry(op string, e Entry, prev camphorhinge.Index, prevTerm camphorhinge.Term) error {
+	if e.Index != prev+1 || e.Term < prevTerm || e.Term == 0 {
+		return failure(op, KindMalformed, "entry %d of term %d after entry %d of term %d", e.Index, e.Term, prev, prevTerm)
+	}
+	if e.Kind == EntryMembership {
+		m, err := DecodeMembership(e.Data)
+		if err != nil {
+			return err
+		}
+		if len(m.Voters()) == 0 {
+			return failure(op, KindMalformed, "membership of entry %d has no voter", e.Index)
+		}
+	}
+	return nil
+}
+
+// advance moves the Core's time; a time before the last one is ignored.
+func (c *Core) advance(now camphorhinge.Instant) { c.now = max(c.now, now) }
+
+func (c *Core) membership() Membership { return c.configs[len(c.configs)-1].membership }
+
+func (c *Core) membershipIndex() camphorhinge.Index { return c.configs[len(c.configs)-1].index }
+
+// appendEntries appends checked entries and puts the memberships among them into effect.
+func (c *Core) appendEntries(es ...Entry) {
+	c.log.append(es...)
+	c.writes.dirty = true
+	for _, e := range es {
+		if e.Kind != EntryMembership {
+			continue
+		}
+		m, err := DecodeMembership(e.Data)
+		if err != nil {
+			panic("consensus: unchecked membership entry: " + err.Error())
+		}
+		c.configs = append(c.configs, configAt{index: e.Index, membership: m})
+	}
+}
+
+// truncate drops the entries from i on, with their memberships.
+func (c *Core) truncate(i camphorhinge.Index) {
+	if i <= c.commit {
+		panic("consensus: a committed entry would be replaced; a replica has lost synced state")
+	}
+	c.log.truncate(i)
+	c.writes.truncate(i)
+	for len(c.configs) > 1 && c.configs[len(c.configs)-1].index >= i {
+		c.configs = c.configs[:len(c.configs)-1]
+	}
+}
+
+func (c *Core) resetDeadline() {
+	spread := c.timing.ElectionMax - c.timing.ElectionMin
+	d := c.timing.ElectionMin
+	if spread > 0 {
+		d += time.Duration(c.random.Int64N(int64(spread)))
+	}
+	c.deadline = c.now.Add(d)
+}
+
+func (c *Core) setHard(term camphorhinge.Term, vote camphorhinge.ReplicaID) {
+	if h := (HardState{Term: term, Vote: vote}); h != c.hard {
+		c.hard = h
+		c.writes.hardChanged()
+	}
+}
+
+// becomeFollower enters term, or stays in it, without a leader known.
+func (c *Core) becomeFollower(term camphorhinge.Term) {
+	if term > c.hard.Term {
+		c.setHard(term, 0)
+	}
+	if c.role == Leader {
+		c.endLeadership()
+		c.resetDeadline()
+	}
+	c.role = Follower
+	c.leader = 0
+	c.votes = nil
+}
+
+// follow accepts from as the leader of the current term.
+func (c *Core) follow(from camphorhinge.ReplicaID) {
+	if c.role != Follower {
+		c.becomeFollower(c.hard.Term)
+	}
+	c.leader = from
+	c.heard, c.everHeard = c.now, true
+	c.resetDeadline()
+}
+
+// leaderRecent reports whether votes are refused: this replica leads, heard from a leader within the shortest election
+// timeout, or restarted within it and can't know whether it did.
+func (c *Core) leaderRecent() bool {
+	return c.role == Leader || c.now.Sub(c.started) < c.timing.ElectionMin ||
+		c.everHeard && c.now.Sub(c.heard) < c.timing.ElectionMin
+}
+
+// Tick tells the time; it is called each 50 ms or so.
+func (c *Core) Tick(now camphorhinge.Instant) {
+	c.advance(now)
+	if c.role == Leader {
+		c.tickLeader()
+		return
+	}
+	if c.now >= c.deadline {
+		c.resetDeadline()
+		c.preCampaign()
+	}
+}
+
+// Step takes one message. Messages that break a rule of the protocol give an *Error and change nothing.
+func (c *Core) Step(now camphorhinge.Instant, m Message) error {
+	const op = "step"
+	c.advance(now)
+	if m.To != c.id || m.From == 0 || m.From == c.id || m.Term == 0 {
+		return failure(op, KindMalformed, "message of type %d from %d to %d with term %d at replica %d", m.Type, m.From, m.To,
+			m.Term, c.id)
+	}
+	if m.Type == MessageAppend {
+		prev, term := m.Index, m.LogTerm
+		for _, e := range m.Entries {
+			if err := checkEntry(op, e, prev, term); err != nil {
+				return err
+			}
+			prev, term = e.Index, e.Term
+		}
+		if term > m.Term {
+			return failure(op, KindMalformed, "append of term %d carries an entry of term %d", m.Term, term)
+		}
+	} else if len(m.Entries) > 0 {
+		return failure(op, KindMalformed, "message of type %d with entries", m.Type)
+	}
+	c.step(m)
+	return nil
+}
+
+func (c *Core) step(m Message) {
+	switch m.Type {
+	case MessagePreVote:
+		c.stepPreVote(m)
+		return
+	case MessagePreVoteReply:
+		c.stepPreVoteReply(m)
+		return
+	case MessageVote:
+		if !m.Force && c.leaderRecent() {
+			return
+		}
+	}
+	if m.Term < c.hard.Term {
+		c.answerOldTerm(m)
+		return
+	}
+	if m.Term > c.hard.Term {
+		if m.Type == MessageTimeoutNow {
+			return
+		}
+		c.becomeFollower(m.Term)
+	}
+	switch m.Type {
+	case MessageVote:
+		c.stepVote(m)
+	case MessageVoteReply:
+		c.stepVoteReply(m)
+	case MessageAppend:
+		if c.role != Leader {
+			c.follow(m.From)
+			c.stepAppend(m)
+		}
+	case MessageHeartbeat:
+		if c.role != Leader {
+			c.follow(m.From)
+			c.commitTo(min(m.Commit, c.log.last()))
+			c.sendAfterTerm(Message{Type: MessageHeartbeatReply, To: m.From, Round: m.Round})
+		}
+	case MessageTimeoutNow:
+		if c.role == Follower && c.leader == m.From && c.membership().isVoter(c.id) {
+			c.campaign(true)
+		}
+	case MessageAppendReply:
+		c.stepAppendReply(m)
+	case MessageHeartbeatReply:
+		c.stepHeartbeatReply(m)
+	}
+}
+
+// answerOldTerm tells the sender of an old term about the current one. A deposed leader would go on otherwise, and a
+// candidate would keep asking.
+func (c *Core) answerOldTerm(m Message) {
+	switch m.Type {
+	case MessageAppend, MessageHeartbeat:
+		c.sendAfterTerm(Message{Type: MessageHeartbeatReply, To: m.From})
+	case MessageVote:
+		c.sendAfterTerm(Message{Type: MessageVoteReply, To: m.From, Reject: true})
+	}
+}
+
+func (c *Core) commitTo(i camphorhinge.Index) { c.commit = max(c.commit, i) }
+
+// Ready returns what is to be done after the inputs since the last call.
+func (c *Core) Ready() Ready {
+	if c.role == Leader {
+		if n := len(c.lead.reads); n > 0 && c.lead.reads[n-1].round > c.lead.round {
+			c.startRound()
+		}
+		c.replicate()
+	}
+	var r Ready
+	if c.writes.dirty {
+		r.Write = c.writes.begin(c.log.last())
+		if c.writes.hardDirty {
+			h := c.hard
+			r.HardState = &h
+			c.writes.hardDirty = false
+		}
+		r.Snapshot, c.install = c.install, nil
+		r.Entries = c.log.slice(max(c.writes.written+1, c.log.first()), c.log.last())
+		c.writes.written = c.log.last()
+	}
+	r.Messages, c.outbox = c.outbox, nil
+	if upTo := min(c.commit, c.writes.durable); upTo > c.applied {
+		r.Committed = c.log.slice(c.applied+1, upTo)
+		c.applied = upTo
+	}
+	r.Reads, c.reads = c.reads, nil
+	r.SendSnapshots, c.lead.sendSnapshots = c.lead.sendSnapshots, nil
+	return r
+}
+
+// Synced confirms that all writes up to the one numbered write are synced.
+func (c *Core) Synced(now camphorhinge.Instant, write uint64) {
+	c.advance(now)
+	c.writes.confirm(write)
+	n := 0
+	for n < len(c.held) && c.held[n].write <= c.writes.synced {
+		n++
+	}
+	released := c.held[:n]
+	c.held = c.held[n:]
+	for _, h := range released {
+		switch {
+		case h.message.To != c.id:
+			c.outbox = append(c.outbox, h.message)
+		case h.message.Term == c.hard.Term:
+			c.stepVoteReply(h.message)
+		}
+	}
+	if c.role == Leader {
+		c.matched(c.id, c.writes.durable)
+	}
+}
+
+// Compact drops the entries up to index upTo after storage holds the snapshot s durably; upTo is at most s.Index.
+// Entries between upTo and s.Index serve replicas that lag a little.
+func (c *Core) Compact(s SnapshotMeta, upTo camphorhinge.Index) {
+	if s.Index <= c.snapshot.Index {
+		return
+	}
+	c.snapshot = s
+	upTo = min(upTo, s.Index, c.applied)
+	if upTo > c.log.prev.Index {
+		c.log.compact(upTo)
+	}
+	for len(c.configs) > 1 && c.configs[1].index <= upTo {
+		c.configs = slices.Delete(c.configs, 0, 1)
+	}
+}
+
+// SnapshotMeta returns the meta data for a snapshot at index i, which is committed and in the log.
+func (c *Core) SnapshotMeta(i camphorhinge.Index) (SnapshotMeta, error) {
+	t, ok := c.log.term(i)
+	if !ok || i > c.commit {
+		return SnapshotMeta{}, failure("snapshot", KindInvalid, "index %d is not available", i)
+	}
+	s := SnapshotMeta{Index: i, Term: t}
+	for _, x := range c.configs {
+		if x.index <= i {
+			s.Membership, s.MembershipIndex = x.membership, x.index
+		}
+	}
+	return s, nil
+}
+
+// Status returns a copy of the state.
+func (c *Core) Status() Status {
+	s := Status{
+		ID: c.id, Role: c.role, Term: c.hard.Term, Leader: c.leader, Commit: c.commit, Applied: c.applied,
+		Last: c.log.last(), Durable: c.writes.durable, First: c.log.first(),
+		Membership:      Membership{Members: slices.Clone(c.membership().Members)},
+		MembershipIndex: c.membershipIndex(),
+	}
+	if c.role != Leader {
+		return s
+	}
+	for _, x := range c.membership().Members {
+		p := c.lead.peers[x.ID]
+		s.Progress = append(s.Progress, ProgressStatus{
+			ID: x.ID, Match: p.match, Heard: p.heard, Snapshot: p.state == stateSnapshot,
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/state/consensus/election.go
@@ -0,0 +1,111 @@
+package consensus
+
+import (
+	camphorhinge "example.org/camphorhinge"
+)
+
+// preCampaign asks whether an election could be won, without raising the term.
+func (c *Core) preCampaign() {
+	if !c.membership().isVoter(c.id) || c.leaderRecent() {
+		return
+	}
+	c.role = PreCandidate
+	c.leader = 0
+	c.votes = map[camphorhinge.ReplicaID]bool{c.id: true}
+	if c.won() {
+		c.campaign(false)
+		return
+	}
+	c.requestVotes(Message{Type: MessagePreVote, Term: c.hard.Term + 1})
+}
+
+// campaign raises the term and asks for votes. The own vote counts once it is synced.
+func (c *Core) campaign(force bool) {
+	c.role = Candidate
+	c.leader = 0
+	c.votes = make(map[camphorhinge.ReplicaID]bool)
+	c.setHard(c.hard.Term+1, c.id)
+	c.resetDeadline()
+	c.sendAfterAll(Message{Type: MessageVoteReply, To: c.id})
+	c.requestVotes(Message{Type: MessageVote, Force: force})
+}
+
+func (c *Core) requestVotes(m Message) {
+	m.Index, m.LogTerm = c.log.last(), c.log.lastTerm()
+	for _, id := range c.membership().Voters() {
+		if id == c.id {
+			continue
+		}
+		m.To = id
+		if m.Type == MessagePreVote {
+			c.send(m)
+		} else {
+			c.sendAfterTerm(m)
+		}
+	}
+}
+
+// won reports whether a majority of the voters granted.
+func (c *Core) won() bool {
+	voters, granted := c.membership().Voters(), 0
+	for _, id := range voters {
+		if c.votes[id] {
+			granted++
+		}
+	}
+	return granted > len(voters)/2
+}
+
+// upToDate reports whether a log that ends with entry i of term t has all that this replica may have acknowledged.
+func (c *Core) upToDate(i camphorhinge.Index, t camphorhinge.Term) bool {
+	own := c.log.lastTerm()
+	return t > own || t == own && i >= c.log.last()
+}
+
+func (c *Core) stepPreVote(m Message) {
+	if m.Term > c.hard.Term && !c.leaderRecent() && c.upToDate(m.Index, m.LogTerm) {
+		c.sendAfterTerm(Message{Type: MessagePreVoteReply, To: m.From, Term: m.Term})
+		return
+	}
+	// The refusal carries this replica's term: a candidate that lags behind catches up with it.
+	if c.hard.Term > 0 {
+		c.sendAfterTerm(Message{Type: MessagePreVoteReply, To: m.From, Reject: true})
+	}
+}
+
+func (c *Core) stepPreVoteReply(m Message) {
+	if m.Reject {
+		if m.Term > c.hard.Term {
+			c.becomeFollower(m.Term)
+		}
+		return
+	}
+	if c.role != PreCandidate || m.Term != c.hard.Term+1 {
+		return
+	}
+	c.votes[m.From] = true
+	if c.won() {
+		c.campaign(false)
+	}
+}
+
+func (c *Core) stepVote(m Message) {
+	free := c.hard.Vote == 0 || c.hard.Vote == m.From
+	if c.role != Follower || !free || !c.upToDate(m.Index, m.LogTerm) {
+		c.sendAfterTerm(Message{Type: MessageVoteReply, To: m.From, Reject: true})
+		return
+	}
+	c.setHard(c.hard.Term, m.From)
+	c.resetDeadline()
+	c.sendAfterAll(Message{Type: MessageVoteReply, To: m.From})
+}
+
+func (c *Core) stepVoteReply(m Message) {
+	if c.role != Candidate || m.Reject {
+		return
+	}
+	c.votes[m.From] = true
+	if c.won() {
+		c.becomeLeader()
+	}
+}
--- /dev/null
+++ b/internal/state/consensus/log.go
@@ -0,0 +1,88 @@
+package consensus
+
+import (
+	"slices"
+
+	camphorhinge "example.org/camphorhinge"
+)
+
+// memoryLog holds the entries after a compacted position. entries[i] has index prev.Index+1+i.
+type memoryLog struct {
+	// prev is the position before the first entry; its Data is unused.
+	prev    Entry
+	entries []Entry
+}
+
+func (l *memoryLog) first() camphorhinge.Index { return l.prev.Index + 1 }
+
+func (l *memoryLog) last() camphorhinge.Index {
+	return l.prev.Index + camphorhinge.Index(len(l.entries))
+}
+
+func (l *memoryLog) lastTerm() camphorhinge.Term {
+	if len(l.entries) == 0 {
+		return l.prev.Term
+	}
+	return l.entries[len(l.entries)-1].Term
+}
+
+// term returns the term of the entry at i; ok is false when i is compacted or beyond the end.
+func (l *memoryLog) term(i camphorhinge.Index) (t camphorhinge.Term, ok bool) {
+	switch {
+	case i == l.prev.Index:
+		return l.prev.Term, true
+	case i < l.prev.Index || i > l.last():
+		return 0, false
+	}
+	return l.entries[i-l.prev.Index-1].Term, true
+}
+
+func (l *memoryLog) matches(i camphorhinge.Index, t camphorhinge.Term) bool {
+	have, ok := l.term(i)
+	return ok && have == t
+}
+
+// slice returns the entries from index from to index to, both included; they are shared and never changed in place.
+func (l *memoryLog) slice(from, to camphorhinge.Index) []Entry {
+	if from > to {
+		return nil
+	}
+	lo, hi := from-l.prev.Index-1, to-l.prev.Index
+	return l.entries[lo:hi:hi]
+}
+
+// truncate drops the entries from index i on. The remaining slice is clipped, since slices handed out share its memory.
+func (l *memoryLog) truncate(i camphorhinge.Index) {
+	l.entries = slices.Clip(l.entries[:i-l.prev.Index-1])
+}
+
+func (l *memoryLog) append(es ...Entry) { l.entries = append(l.entries, es...) }
+
+// compact drops the entries up to index i, which is in the log.
+func (l *memoryLog) compact(i camphorhinge.Index) {
+	t, ok := l.term(i)
+	if !ok {
+		return
+	}
+	l.entries = slices.Clone(l.entries[i-l.prev.Index:])
+	l.prev = Entry{Index: i, Term: t}
+}
+
+func (l *memoryLog) reset(i camphorhinge.Index, t camphorhinge.Term) {
+	l.prev, l.entries = Entry{Index: i, Term: t}, nil
+}
+
+// hint returns the highest position at or below i whose term is at most t, with its term. Above it the logs of two
+// replicas, of which the other has term t at i, can't match.
+func (l *memoryLog) hint(i camphorhinge.Index, t camphorhinge.Term) (camphorhinge.Index, camphorhinge.Term) {
+	i = min(i, l.last())
+	for ; i > l.prev.Index; i-- {
+		if have, _ := l.term(i); have <= t {
+			return i, have
+		}
+	}
+	if i == l.prev.Index {
+		return i, l.prev.Term
+	}
+	return i, 0
+}
