--- /dev/null
+++ b/internal/state/consensus/check_test.go
@@ -0,0 +1,345 @@
+package consensus
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	camphorhinge "example.org/camphorhinge"
+)
+
+const registerCount = 3
+
+// checker compares the replicas with the invariants of the package.
+type checker struct {
+	w *world
+	// leaders holds the leader of each term; committed the first emitted entry at each index.
+	leaders   map[camphorhinge.Term]camphorhinge.ReplicaID
+	committed []Entry
+	// states holds the first state seen after each index.
+	states  map[camphorhinge.Index]registers
+	history []porcupine.Operation
+	clock   int64
+}
+
+func newChecker(w *world) checker {
+	return checker{
+		w: w, leaders: make(map[camphorhinge.Term]camphorhinge.ReplicaID), states: make(map[camphorhinge.Index]registers),
+	}
+}
+
+// leader checks that a term has one leader, and that a new leader has all committed entries.
+func (c *checker) leader(n *node) {
+	if n.core.role != Leader {
+		return
+	}
+	term := n.core.hard.Term
+	if id, ok := c.leaders[term]; ok {
+		if id != n.id {
+			c.w.fail("replicas %d and %d lead in term %d", id, n.id, term)
+		}
+		return
+	}
+	c.leaders[term] = n.id
+	c.w.stats.leaders++
+	// A leader of a later term may be elected, without its knowledge, while this one takes over.
+	for t := range c.leaders {
+		if t > term {
+			return
+		}
+	}
+	for _, e := range c.committed {
+		if e.Index > n.core.log.prev.Index && !n.core.log.matches(e.Index, e.Term) {
+			c.w.fail("leader %d of term %d lacks the committed entry %d of term %d", n.id, term, e.Index, e.Term)
+			return
+		}
+	}
+}
+
+// leases checks that at most one replica holds a valid lease; paused ones count, since they may wake at any time.
+func (c *checker) leases() {
+	var holder *node
+	for _, id := range c.w.order {
+		n := c.w.nodes[id]
+		if !n.up {
+			continue
+		}
+		if _, ok := n.core.Lease(n.now()); !ok {
+			continue
+		}
+		if holder != nil {
+			c.w.fail("replicas %d and %d hold valid leases in terms %d and %d", holder.id, n.id,
+				holder.core.hard.Term, n.core.hard.Term)
+			return
+		}
+		holder = n
+	}
+}
+
+// entry checks that replicas commit equal entries at equal positions.
+func (c *checker) entry(n *node, e Entry) {
+	switch at := int(e.Index) - 1; {
+	case at == len(c.committed):
+		c.committed = append(c.committed, e)
+	case at > len(c.committed):
+		c.w.fail("replica %d commits entry %d after %d", n.id, e.Index, len(c.committed))
+	default:
+		if have := c.committed[at]; have.Term != e.Term || have.Kind != e.Kind || !bytes.Equal(have.Data, e.Data) {
+			c.w.fail("replica %d commits entry %d of term %d in place of one of term %d", n.id, e.Index, e.Term, have.Term)
+		}
+	}
+}
+
+// state checks that machines which applied the same entries are equal.
+func (c *checker) state(n *node, i camphorhinge.Index) {
+	if want, ok := c.states[i]; ok && want != n.machine {
+		c.w.fail("replica %d has state %v after entry %d, another one %v", n.id, n.machine, i, want)
+	}
+	c.states[i] = n.machine
+}
+
+// logs checks log matching between all pairs: below an equal position all is equal.
+func (c *checker) logs() {
+	for i, a := range c.w.order {
+		for _, b := range c.w.order[i+1:] {
+			x, y := c.w.nodes[a], c.w.nodes[b]
+			if x.core == nil || y.core == nil {
+				continue
+			}
+			l, m, equal := &x.core.log, &y.core.log, false
+			for at := min(l.last(), m.last()); at > max(l.prev.Index, m.prev.Index); at-- {
+				e, f := l.slice(at, at)[0], m.slice(at, at)[0]
+				same := e.Term == f.Term
+				if equal && !same || same && !bytes.Equal(e.Data, f.Data) {
+					c.w.fail("logs of %d and %d differ at %d below an equal entry", a, b, at)
+					return
+				}
+				equal = same
+			}
+		}
+	}
+}
+
+// registers is the machine under test: a few compare-and-set registers.
+type registers struct{ values [registerCount]int }
+
+type command struct {
+	Key  int
+	Kind string
+	Old  int
+	New  int
+}
+
+type output struct {
+	Value   int
+	Swapped bool
+}
+
+func (r *registers) apply(x command) output {
+	if x.Kind == "read" {
+		return output{Value: r.values[x.Key]}
+	}
+	if x.Kind == "swap" && r.values[x.Key] != x.Old {
+		return output{Value: r.values[x.Key]}
+	}
+	r.values[x.Key] = x.New
+	return output{Value: x.New, Swapped: true}
+}
+
+func (r *registers) snapshot() []byte {
+	b, err := json.Marshal(r.values)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func (r *registers) restore(b []byte) {
+	r.values = [registerCount]int{}
+	if len(b) == 0 {
+		return
+	}
+	if err := json.Unmarshal(b, &r.values); err != nil {
+		panic(err)
+	}
+}
+
+func (n *node) applyEntry(e Entry) {
+	n.w.checks.entry(n, e)
+	o := n.waiting[e.Index]
+	delete(n.waiting, e.Index)
+	if e.Kind != EntryCommand {
+		if o != nil {
+			o.dropped()
+		}
+		return
+	}
+	var x command
+	if err := json.Unmarshal(e.Data, &x); err != nil {
+		n.w.fail("entry %d: %v", e.Index, err)
+		return
+	}
+	got := n.machine.apply(x)
+	n.w.checks.state(n, e.Index)
+	switch {
+	case o == nil:
+	case o.term == e.Term:
+		o.finish(got)
+	default:
+		o.dropped()
+	}
+}
+
+// client runs one operation after the other.
+type client struct {
+	w    *world
+	id   int
+	seen [registerCount]int
+	next int
+}
+
+// operation is one call of a client.
+type operation struct {
+	c     *client
+	input command
+	call  int64
+	term  camphorhinge.Term
+	ended bool
+}
+
+func (c *client) think() {
+	c.w.after(c.w.between(10*time.Millisecond, 120*time.Millisecond), c.begin)
+}
+
+// begin sends the next operation to a replica that believes that it leads.
+func (c *client) begin() {
+	w := c.w
+	var leaders []*node
+	for _, id := range w.order {
+		if n := w.nodes[id]; n.up && n.core.role == Leader {
+			leaders = append(leaders, n)
+		}
+	}
+	if len(leaders) == 0 || w.quiet || w.at > simulated {
+		c.think()
+		return
+	}
+	n := leaders[w.random.IntN(len(leaders))]
+	c.next++
+	x := command{Key: w.random.IntN(registerCount), Kind: "read"}
+	if p := w.random.Float64(); p < 0.3 {
+		x.Kind, x.New = "write", c.id*1_000_000+c.next
+	} else if p < 0.6 {
+		x.Kind, x.Old, x.New = "swap", c.seen[x.Key], c.id*1_000_000+c.next
+	}
+	w.checks.clock++
+	o := &operation{c: c, input: x, call: w.checks.clock}
+	w.after(2*time.Second, o.uncertain)
+	w.on(n, w.between(100*time.Microsecond, 3*time.Millisecond), func() { o.submit(n) })
+}
+
+func (o *operation) submit(n *node) {
+	switch {
+	case o.ended:
+	case o.input.Kind != "read":
+		b, err := json.Marshal(o.input)
+		if err != nil {
+			panic(err)
+		}
+		first, term, err := n.core.Propose(n.now(), [][]byte{b})
+		if err != nil {
+			o.dropped()
+			return
+		}
+		o.term = term
+		n.waiting[first] = o
+	case n.w.fault == faultUncheckedRead:
+		o.finish(n.machine.apply(o.input))
+	default:
+		// Applied entries may trail the commit index, so a lease read has to check both.
+		if i, ok := n.core.LeaseRead(n.now()); ok && i <= n.core.applied {
+			o.finish(n.machine.apply(o.input))
+			return
+		}
+		n.readSeq++
+		if err := n.core.ReadIndex(n.now(), n.readSeq); err != nil {
+			o.dropped()
+			return
+		}
+		n.reads[n.readSeq] = o
+	}
+}
+
+func (o *operation) answerRead(n *node, s ReadState) {
+	switch {
+	case s.Failed:
+		o.dropped()
+	case s.Index <= n.core.applied:
+		o.finish(n.machine.apply(o.input))
+	default:
+		n.w.on(n, 5*time.Millisecond, func() { o.answerRead(n, s) })
+	}
+}
+
+func (o *operation) record(returned int64, out output) {
+	c := &o.c.w.checks
+	c.history = append(c.history, porcupine.Operation{
+		ClientId: len(c.history), Input: o.input, Call: o.call, Output: out, Return: returned,
+	})
+}
+
+// end marks the operation as ended; it is false when it had ended before.
+func (o *operation) end() bool {
+	if o.ended {
+		return false
+	}
+	o.ended = true
+	o.c.think()
+	return true
+}
+
+func (o *operation) finish(out output) {
+	if o.end() {
+		c := &o.c.w.checks
+		c.clock++
+		o.record(c.clock, out)
+		o.c.seen[o.input.Key] = out.Value
+		o.c.w.stats.done++
+	}
+}
+
+// dropped notes that the operation did not and will not take effect.
+func (o *operation) dropped() { o.end() }
+
+// uncertain notes that the operation may take effect at any later time, or never.
+func (o *operation) uncertain() {
+	if o.end() && o.input.Kind != "read" {
+		o.record(math.MaxInt64, output{Value: -1})
+		o.c.w.stats.uncertain++
+	}
+}
+
+// registerModel is the sequential behaviour; an output with value -1 fits any result.
+func registerModel() porcupine.Model {
+	return porcupine.Model{
+		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+			parts := make([][]porcupine.Operation, registerCount)
+			for _, o := range history {
+				k := o.Input.(command).Key
+				parts[k] = append(parts[k], o)
+			}
+			return parts
+		},
+		Init: func() any { return 0 },
+		Step: func(state, input, out any) (bool, any) {
+			x, want := input.(command), out.(output)
+			var r registers
+			r.values[x.Key] = state.(int)
+			got := r.apply(x)
+			return want.Value == -1 || got == want, r.values[x.Key]
+		},
+	}
+}
