--- /dev/null
+++ b/internal/node/transport/transport.go
@@ -0,0 +1,237 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/state/consensus"
+)
+
+const (
+	// queueLength is the number of messages that wait for one replica.
+	queueLength = 1024
+	// batchBytes bounds one call, below the peer port's largest body.
+	batchBytes = 4 << 20
+	// stepTimeout bounds one call. It is below the shortest election timeout, so that a silent connection is replaced
+	// before an election starts.
+	stepTimeout = 400 * time.Millisecond
+	// chunkTimeout bounds the delivery of one part of a snapshot.
+	chunkTimeout = 5 * time.Second
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// KindMalformed marks a message that can't be decoded.
+	KindMalformed Kind = "malformed"
+	// KindForeign marks a message of another cluster or to another replica.
+	KindForeign Kind = "foreign"
+	// KindUnreachable marks a replica that did not take a part of a snapshot.
+	KindUnreachable Kind = "unreachable"
+)
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("transport %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Config holds what a Transport needs.
+type Config struct {
+	Cluster camphorhinge.ClusterID
+	Replica camphorhinge.ReplicaID
+	// Address is this node's own peer address.
+	Address string
+	Pool    *peer.Pool
+	Book    *Book
+	// Deliver takes messages from other replicas; Chunk takes parts of snapshots.
+	Deliver func(context.Context, []consensus.Message) error
+	Chunk   func(context.Context, *peerpb.ChunkRequest) error
+	Metrics *metrics.Set
+}
+
+// Transport sends to other replicas and implements the Replica service.
+type Transport struct {
+	cfg Config
+
+	mu     sync.Mutex
+	queues map[camphorhinge.ReplicaID]chan consensus.Message
+	group  *errgroup.Group
+	ctx    context.Context
+
+	sent, dropped, bytes *metrics.Counter
+}
+
+// New returns a Transport; messages leave once Run is called.
+func New(cfg Config) *Transport {
+	return &Transport{
+		cfg: cfg, queues: map[camphorhinge.ReplicaID]chan consensus.Message{},
+		sent:    cfg.Metrics.NewCounter(`camphorhinge_replica_messages_total{result="sent"}`),
+		dropped: cfg.Metrics.NewCounter(`camphorhinge_replica_messages_total{result="dropped"}`),
+		bytes:   cfg.Metrics.NewCounter(`camphorhinge_replica_bytes_total`),
+	}
+}
+
+// Run sends until ctx ends.
+func (t *Transport) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	t.mu.Lock()
+	t.group, t.ctx = g, ctx
+	for to, q := range t.queues {
+		g.Go(func() error { return t.drain(ctx, to, q) })
+	}
+	t.mu.Unlock()
+	g.Go(func() error {
+		<-ctx.Done()
+		return nil
+	})
+	return g.Wait()
+}
+
+// Send queues messages for a replica and returns at once.
+func (t *Transport) Send(to camphorhinge.ReplicaID, messages []consensus.Message) {
+	q := t.queue(to)
+	for _, m := range messages {
+		select {
+		case q <- m:
+		default:
+			t.dropped.Inc()
+		}
+	}
+}
+
+func (t *Transport) queue(to camphorhinge.ReplicaID) chan consensus.Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := t.queues[to]
+	if q == nil {
+		q = make(chan consensus.Message, queueLength)
+		t.queues[to] = q
+		if t.group != nil && t.ctx.Err() == nil {
+			t.group.Go(func() error { return t.drain(t.ctx, to, q) })
+		}
+	}
+	return q
+}
+
+// drain sends what waits for one replica, in one call at a time.
+func (t *Transport) drain(ctx context.Context, to camphorhinge.ReplicaID, q chan consensus.Message) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-q:
+			t.step(ctx, to, t.batch(m, q))
+		}
+	}
+}
+
+func (t *Transport) batch(first consensus.Message, q chan consensus.Message) *peerpb.StepRequest {
+	req := &peerpb.StepRequest{Cluster: string(t.cfg.Cluster), From: uint64(t.cfg.Replica), Address: t.cfg.Address}
+	size := 0
+	for m := first; ; {
+		data := consensus.AppendMessage(nil, &m)
+		size += len(data)
+		req.Messages = append(req.Messages, data)
+		if size >= batchBytes {
+			return req
+		}
+		select {
+		case m = <-q:
+		default:
+			return req
+		}
+	}
+}
+
+func (t *Transport) step(ctx context.Context, to camphorhinge.ReplicaID, req *peerpb.StepRequest) {
+	address := t.cfg.Book.Address(to)
+	if address == "" {
+		t.dropped.Add(len(req.GetMessages()))
+		return
+	}
+	req.To = uint64(to)
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	if _, err := t.cfg.Pool.Get(address).Replica.Step(ctx, req); err != nil {
+		t.dropped.Add(len(req.GetMessages()))
+		return
+	}
+	t.sent.Add(len(req.GetMessages()))
+	for _, m := range req.GetMessages() {
+		t.bytes.Add(len(m))
+	}
+}
+
+// SendChunk delivers one part of a snapshot and returns when the replica has taken it.
+func (t *Transport) SendChunk(ctx context.Context, req *peerpb.ChunkRequest) error {
+	to := camphorhinge.ReplicaID(req.GetTo())
+	address := t.cfg.Book.Address(to)
+	if address == "" {
+		return &Error{Op: "send chunk", Kind: KindUnreachable, Err: fmt.Errorf("no address of replica %d", to)}
+	}
+	req.Cluster, req.From, req.Address = string(t.cfg.Cluster), uint64(t.cfg.Replica), t.cfg.Address
+	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
+	defer cancel()
+	if _, err := t.cfg.Pool.Get(address).Replica.Chunk(ctx, req); err != nil {
+		return &Error{Op: "send chunk", Kind: KindUnreachable, Err: err}
+	}
+	t.bytes.Add(len(req.GetData()))
+	return nil
+}
+
+// Step takes messages from another replica.
+func (t *Transport) Step(ctx context.Context, req *peerpb.StepRequest) (*peerpb.StepResponse, error) {
+	if err := t.own("step", req.GetCluster(), req.GetTo()); err != nil {
+		return nil, err
+	}
+	t.cfg.Book.Heard(camphorhinge.ReplicaID(req.GetFrom()), req.GetAddress())
+	messages := make([]consensus.Message, len(req.GetMessages()))
+	for i, data := range req.GetMessages() {
+		m, err := consensus.DecodeMessage(data)
+		if err != nil {
+			return nil, &Error{Op: "step", Kind: KindMalformed, Err: err}
+		}
+		messages[i] = m
+	}
+	if err := t.cfg.Deliver(ctx, messages); err != nil {
+		return nil, err
+	}
+	return &peerpb.StepResponse{}, nil
+}
+
+// Chunk takes one part of a snapshot.
+func (t *Transport) Chunk(ctx context.Context, req *peerpb.ChunkRequest) (*peerpb.ChunkResponse, error) {
+	if err := t.own("chunk", req.GetCluster(), req.GetTo()); err != nil {
+		return nil, err
+	}
+	t.cfg.Book.Heard(camphorhinge.ReplicaID(req.GetFrom()), req.GetAddress())
+	if err := t.cfg.Chunk(ctx, req); err != nil {
+		return nil, err
+	}
+	return &peerpb.ChunkResponse{}, nil
+}
+
+// own refuses what is meant for another cluster, or for the earlier identity of a replica that lost its disk.
+func (t *Transport) own(op, cluster string, to uint64) error {
+	if cluster != string(t.cfg.Cluster) || camphorhinge.ReplicaID(to) != t.cfg.Replica {
+		return &Error{Op: op, Kind: KindForeign, Err: fmt.Errorf("for replica %d of cluster %q", to, cluster)}
+	}
+	return nil
+}
