Add the operator's HTTP API and the command line's client of it

The API checks the bearer token in constant time and reads the token file again when it has changed. It reaches the serve process through four small interfaces. Connections are not kept alive, since idle ones would hold up a planned stop.

The client tries several nodes and sends a write again after an uncertain answer. An attempt that may have taken effect keeps the outcome uncertain unless a later attempt gets a definite answer; each error carries its exit code.

--- /dev/null
+++ b/internal/cli/client/client.go
@@ -0,0 +1,279 @@
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"example.org/camphorhinge/internal/node/operator"
+	"example.org/camphorhinge/internal/record/schema"
+)
+
+const (
+	// DefaultTimeout bounds one attempt; it is above operator.DefaultTimeout, so that the server's answer comes first.
+	DefaultTimeout = 20 * time.Second
+	dialTimeout    = 2 * time.Second
+)
+
+// Kind classes errors by what the operator can do about them.
+type Kind string
+
+const (
+	// KindUsage marks a wrong call, such as a missing token or address.
+	KindUsage Kind = "usage"
+	// KindRefused marks a request that the server refused: faults in a record, a wrong token, an absent record.
+	KindRefused Kind = "refused"
+	// KindConflict marks a write that lost against another.
+	KindConflict Kind = "conflict"
+	// KindUnavailable marks a request that had no effect.
+	KindUnavailable Kind = "unavailable"
+	// KindUncertain marks a write whose effect is not known; sending it again is safe.
+	KindUncertain Kind = "uncertain"
+)
+
+// Exit codes of the command line.
+const (
+	ExitUsage       = 2
+	ExitRefused     = 3
+	ExitConflict    = 4
+	ExitUnavailable = 5
+	ExitUncertain   = 6
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+	// Faults name fields and what was expected, where the server or the validation named them.
+	Faults schema.Faults
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ExitCode returns the exit code of the error.
+func (e *Error) ExitCode() int {
+	switch e.Kind {
+	case KindUsage:
+		return ExitUsage
+	case KindRefused:
+		return ExitRefused
+	case KindConflict:
+		return ExitConflict
+	case KindUncertain:
+		return ExitUncertain
+	}
+	return ExitUnavailable
+}
+
+// Config holds the settings of a client.
+type Config struct {
+	// Addresses are the operator ports of nodes, as host:port; they are tried in order.
+	Addresses []string
+	// TokenFile holds the bearer token.
+	TokenFile string
+	// Timeout bounds one attempt; 0 means DefaultTimeout.
+	Timeout time.Duration
+}
+
+// Client sends the operator's requests. It is safe for use by several goroutines.
+type Client struct {
+	cfg   Config
+	token string
+}
+
+// New returns a client; it reads the token.
+func New(cfg Config) (*Client, error) {
+	if len(cfg.Addresses) == 0 {
+		return nil, &Error{Op: "connect", Kind: KindUsage, Err: errors.New("want the address of at least one node's operator port")}
+	}
+	text, err := os.ReadFile(cfg.TokenFile)
+	if err != nil {
+		return nil, &Error{Op: "read token", Kind: KindUsage, Err: err}
+	}
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	return &Client{cfg: cfg, token: strings.TrimSpace(string(text))}, nil
+}
+
+// Apply writes the records of a YAML stream or JSON document, or with dry only tells the effect. The body is set also
+// with an error when the server told what became of each record.
+func (c *Client) Apply(ctx context.Context, records []byte, dry bool) (operator.WriteBody, error) {
+	path := "/v1/records"
+	if dry {
+		path += "?dry=true"
+	}
+	var body operator.WriteBody
+	err := c.call(ctx, "apply", http.MethodPost, path, records, &body)
+	return body, err
+}
+
+// Withdraw withdraws a record.
+func (c *Client) Withdraw(ctx context.Context, w operator.Withdrawal) (operator.WriteBody, error) {
+	var body operator.WriteBody
+	request, err := json.Marshal(w)
+	if err != nil {
+		return body, &Error{Op: "withdraw", Kind: KindUsage, Err: err}
+	}
+	err = c.call(ctx, "withdraw", http.MethodPost, "/v1/withdraw", request, &body)
+	return body, err
+}
+
+// Records lists the records in force, of one kind or, with an empty kind, of all.
+func (c *Client) Records(ctx context.Context, kind schema.Kind) (operator.RecordsBody, error) {
+	var body operator.RecordsBody
+	err := c.call(ctx, "list", http.MethodGet, "/v1/records?kind="+url.QueryEscape(string(kind)), nil, &body)
+	return body, err
+}
+
+// Record returns one record with its document and history.
+func (c *Client) Record(ctx context.Context, key schema.Key) (operator.RecordBody, error) {
+	var body operator.RecordBody
+	if !schema.ValidKey(key) {
+		return body, &Error{Op: "get", Kind: KindUsage, Err: fmt.Errorf("%s is not KIND/NAME of a record", key)}
+	}
+	err := c.call(ctx, "get", http.MethodGet, "/v1/records/"+key.String(), nil, &body)
+	return body, err
+}
+
+// Status returns the status as JSON.
+func (c *Client) Status(ctx context.Context) (json.RawMessage, error) {
+	var body json.RawMessage
+	err := c.call(ctx, "status", http.MethodGet, "/v1/status", nil, &body)
+	return body, err
+}
+
+// Explain returns the decisions that match the query.
+func (c *Client) Explain(ctx context.Context, q operator.Query) (operator.ExplainBody, error) {
+	values := url.Values{"kind": {q.Kind}, "subject": {q.Subject}, "after": {strconv.FormatUint(q.After, 10)}}
+	if q.Limit > 0 {
+		values.Set("limit", strconv.Itoa(q.Limit))
+	}
+	var body operator.ExplainBody
+	err := c.call(ctx, "explain", http.MethodGet, "/v1/explain?"+values.Encode(), nil, &body)
+	return body, err
+}
+
+// call tries the addresses until one gives a definite answer. After an attempt that may have taken effect, only a
+// definite answer ends the uncertainty: a failure to reach another node does not.
+func (c *Client) call(ctx context.Context, op, method, path string, request []byte, body any) error {
+	var last *Error
+	uncertain := false
+	for _, address := range c.cfg.Addresses {
+		if ctx.Err() != nil && last != nil {
+			break
+		}
+		err := c.attempt(ctx, op, method, address, path, request, body)
+		if err == nil {
+			return nil
+		}
+		if err.Kind != KindUnavailable && err.Kind != KindUncertain {
+			return err
+		}
+		uncertain = uncertain || err.Kind == KindUncertain
+		last = err
+	}
+	if uncertain {
+		last.Kind = KindUncertain
+	}
+	return last
+}
+
+// attempt sends the request to one address.
+func (c *Client) attempt(ctx context.Context, op, method, address, path string, request []byte, body any) *Error {
+	dialer := &countingDialer{Dialer: standard.NewDialer()}
+	h, err := client.NewClient(client.WithDialer(dialer), client.WithDialTimeout(dialTimeout), client.WithKeepAlive(false))
+	if err != nil {
+		return &Error{Op: op, Kind: KindUsage, Err: err}
+	}
+	defer h.CloseIdleConnections()
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	req.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if request != nil {
+		req.SetBody(request)
+		req.Header.SetContentTypeBytes([]byte("application/yaml"))
+	}
+	deadline := time.Now().Add(c.cfg.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := h.DoDeadline(ctx, req, resp, deadline); err != nil {
+		kind := KindUnavailable
+		// Once a connection was there, bytes may have left.
+		if method != http.MethodGet && dialer.connected {
+			kind = KindUncertain
+		}
+		return &Error{Op: op + " at " + address, Kind: kind, Err: err}
+	}
+	return answer(op+" at "+address, method, resp, body)
+}
+
+// answer reads an answer of the server into body.
+func answer(op, method string, resp *protocol.Response, body any) *Error {
+	code := resp.StatusCode()
+	var wrapped operator.ErrorBody
+	err := json.Unmarshal(resp.Body(), body)
+	if code != http.StatusOK && err == nil {
+		err = json.Unmarshal(resp.Body(), &wrapped)
+	}
+	if code == http.StatusOK && err == nil {
+		return nil
+	}
+	if err != nil || wrapped.Error == nil {
+		// The server is not one of ours, or broke off; a write may have taken effect.
+		kind := KindUnavailable
+		if method != http.MethodGet {
+			kind = KindUncertain
+		}
+		return &Error{Op: op, Kind: kind, Err: fmt.Errorf("status %d with an unreadable body", code)}
+	}
+	return &Error{Op: op, Kind: kindOf(wrapped.Error.Kind), Err: errors.New(wrapped.Error.Message), Faults: wrapped.Error.Faults}
+}
+
+func kindOf(k operator.Kind) Kind {
+	switch k {
+	case operator.KindUsage:
+		return KindUsage
+	case operator.KindInvalid, operator.KindDenied, operator.KindAbsent:
+		return KindRefused
+	case operator.KindConflict:
+		return KindConflict
+	case operator.KindUnavailable:
+		return KindUnavailable
+	}
+	// An internal fault of the server leaves open what it did before.
+	return KindUncertain
+}
+
+// countingDialer notes whether a connection was made.
+type countingDialer struct {
+	network.Dialer
+	connected bool
+}
+
+// DialConnection implements network.Dialer.
+func (d *countingDialer) DialConnection(proto, address string, timeout time.Duration, tlsConfig *tls.Config) (network.Conn, error) {
+	conn, err := d.Dialer.DialConnection(proto, address, timeout, tlsConfig)
+	d.connected = d.connected || err == nil
+	return conn, err
+}
--- /dev/null
+++ b/internal/node/operator/api.go
@@ -0,0 +1,191 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/route"
+
+	"example.org/camphorhinge"
+)
+
+// DefaultTimeout bounds a request; acceptance may take 10 s beyond the commit.
+const DefaultTimeout = 15 * time.Second
+
+// Config holds what the API depends on; all but Timeout is needed.
+type Config struct {
+	// TokenFile holds the bearer token.
+	TokenFile string
+	Writer    RecordWriter
+	Reader    RecordReader
+	Status    StatusSource
+	Explain   Explainer
+	// Metrics is shown at /metrics, with the metrics of the process; the API adds its own to it.
+	Metrics *metrics.Set
+	// Timeout bounds each request; 0 means DefaultTimeout.
+	Timeout time.Duration
+}
+
+// API answers the operator's requests.
+type API struct {
+	cfg   Config
+	token *token
+}
+
+// New returns an API. It fails when the token file can't be used.
+func New(cfg Config) (*API, error) {
+	if cfg.Writer == nil || cfg.Reader == nil || cfg.Status == nil || cfg.Explain == nil || cfg.Metrics == nil {
+		return nil, newError("new", KindInternal, errors.New("a writer, reader, status source, explainer and metrics are needed"))
+	}
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	a := &API{cfg: cfg, token: &token{path: cfg.TokenFile}}
+	if _, err := a.token.expected(); err != nil {
+		return nil, newError("new", KindUsage, err)
+	}
+	return a, nil
+}
+
+func newError(op string, kind Kind, err error) *Error {
+	return &Error{Op: op, Kind: kind, Err: err, Message: err.Error()}
+}
+
+// Register adds the routes of the API to an engine.
+func (a *API) Register(e *route.Engine) {
+	e.POST("/v1/records", a.handle("apply", a.apply))
+	e.POST("/v1/withdraw", a.handle("withdraw", a.withdraw))
+	e.GET("/v1/records", a.handle("list", a.list))
+	e.GET("/v1/records/:kind/:name", a.handle("get", a.get))
+	e.GET("/v1/status", a.handle("status", a.status))
+	e.GET("/v1/explain", a.handle("explain", a.explain))
+	e.GET("/metrics", a.handle("metrics", a.metrics))
+	e.NoRoute(a.handle("route", func(context.Context, *app.RequestContext) (any, error) {
+		return nil, newError("route", KindAbsent, errors.New("no such path or method"))
+	}))
+}
+
+// answer handles one request. It returns the JSON body, or nil when it has written the answer itself; a body with an
+// error may carry more than the error.
+type answer func(context.Context, *app.RequestContext) (any, error)
+
+// handle checks the token and the size, bounds the time, and writes body or error.
+func (a *API) handle(name string, do answer) app.HandlerFunc {
+	return func(ctx context.Context, rc *app.RequestContext) {
+		ctx, cancel := context.WithTimeout(ctx, a.cfg.Timeout)
+		defer cancel()
+		var body any
+		err := a.token.check(rc.Request.Header.Peek("Authorization"))
+		if err == nil && len(rc.Request.Body()) > MaxBody {
+			err = newError(name, KindUsage, fmt.Errorf("body of %d bytes, at most %d", len(rc.Request.Body()), MaxBody))
+		}
+		if err == nil {
+			body, err = do(ctx, rc)
+		}
+		code := http.StatusOK
+		if err != nil {
+			own := asError(name, err)
+			code = statusOf(own.Kind)
+			if body == nil {
+				body = ErrorBody{Error: own}
+			}
+			if own.Kind == KindDenied {
+				rc.Response.Header.Set("WWW-Authenticate", "Bearer")
+			}
+		}
+		if body != nil {
+			rc.JSON(code, body)
+		}
+		a.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf(`camphorhinge_operator_requests_total{request=%q,code="%d"}`, name, code)).Inc()
+	}
+}
+
+// asError classes errors of reads, which have no effect.
+func asError(op string, err error) *Error {
+	var own *Error
+	if errors.As(err, &own) {
+		return own
+	}
+	return newError(op, KindUnavailable, err)
+}
+
+func statusOf(kind Kind) int {
+	switch kind {
+	case KindUsage:
+		return http.StatusBadRequest
+	case KindDenied:
+		return http.StatusUnauthorized
+	case KindInvalid:
+		return http.StatusUnprocessableEntity
+	case KindConflict:
+		return http.StatusConflict
+	case KindAbsent:
+		return http.StatusNotFound
+	case KindUnavailable:
+		return http.StatusServiceUnavailable
+	case KindUncertain:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusInternalServerError
+}
+
+func (a *API) status(ctx context.Context, _ *app.RequestContext) (any, error) {
+	status, err := a.cfg.Status.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(status)
+	if err != nil {
+		return nil, newError("status", KindInternal, err)
+	}
+	return json.RawMessage(text), nil
+}
+
+func (a *API) explain(ctx context.Context, rc *app.RequestContext) (any, error) {
+	q := Query{Kind: rc.Query("kind"), Subject: rc.Query("subject")}
+	after, err := number(rc, "after", 0, 1<<63)
+	if err != nil {
+		return nil, err
+	}
+	limit, err := number(rc, "limit", DefaultExplain, MaxExplain)
+	if err != nil {
+		return nil, err
+	}
+	q.After, q.Limit = after, int(limit)
+	decisions, err := a.cfg.Explain.Explain(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	if decisions == nil {
+		decisions = []camphorhinge.Decision{}
+	}
+	return ExplainBody{Decisions: decisions}, nil
+}
+
+func number(rc *app.RequestContext, name string, otherwise, most uint64) (uint64, error) {
+	text := rc.Query(name)
+	if text == "" {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || n > most {
+		return 0, usage("explain", name, fmt.Sprintf("a whole number from 0 to %d", most), text)
+	}
+	return n, nil
+}
+
+func (a *API) metrics(_ context.Context, rc *app.RequestContext) (any, error) {
+	var b bytes.Buffer
+	a.cfg.Metrics.WritePrometheus(&b)
+	metrics.WriteProcessMetrics(&b)
+	rc.Data(http.StatusOK, "text/plain; version=0.0.4; charset=utf-8", b.Bytes())
+	return nil, nil
+}
--- /dev/null
+++ b/internal/node/operator/token.go
@@ -0,0 +1,75 @@
+package operator
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// minToken is the shortest token that is taken, in bytes.
+	minToken = 16
+	// maxToken bounds what is read of the token file.
+	maxToken = 4096
+)
+
+// token checks bearer tokens against a file, which is read again when it has changed.
+type token struct {
+	path string
+
+	mu       sync.Mutex
+	modified time.Time
+	size     int64
+	inode    os.FileInfo
+	sum      [sha256.Size]byte
+	err      error
+}
+
+// check returns nil for the token in the file. An unreadable file or one without a token refuses all.
+func (t *token) check(header []byte) error {
+	sum, err := t.expected()
+	if err != nil {
+		return &Error{Op: "check token", Kind: KindUnavailable, Err: err, Message: err.Error()}
+	}
+	given, ok := bytes.CutPrefix(header, []byte("Bearer "))
+	// Hashes have one length, so that the comparison takes the same time for a token of any length.
+	got := sha256.Sum256(given)
+	if same := subtle.ConstantTimeCompare(got[:], sum[:]) == 1; !ok || !same {
+		err := errors.New("want the header Authorization: Bearer TOKEN with the operator's token")
+		return &Error{Op: "check token", Kind: KindDenied, Err: err, Message: err.Error()}
+	}
+	return nil
+}
+
+func (t *token) expected() ([sha256.Size]byte, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	info, err := os.Stat(t.path)
+	if err != nil {
+		t.inode = nil
+		return t.sum, fmt.Errorf("token file: %w", err)
+	}
+	if t.inode != nil && os.SameFile(info, t.inode) && info.ModTime().Equal(t.modified) && info.Size() == t.size {
+		return t.sum, t.err
+	}
+	t.inode, t.modified, t.size = info, info.ModTime(), info.Size()
+	t.sum, t.err = readToken(t.path)
+	return t.sum, t.err
+}
+
+func readToken(path string) ([sha256.Size]byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return [sha256.Size]byte{}, fmt.Errorf("token file: %w", err)
+	}
+	text = bytes.TrimSpace(text)
+	if len(text) < minToken || len(text) > maxToken {
+		return [sha256.Size]byte{}, fmt.Errorf("token file %s: token of %d bytes, want %d to %d", path, len(text), minToken, maxToken)
+	}
+	return sha256.Sum256(text), nil
+}
--- a/internal/record/table/table.go
+++ b/internal/record/table/table.go
@@ -105,6 +105,34 @@
 	return Result{Outcome: Accepted, Revision: t.revision}
 }
 
+// Preview returns what Apply would answer to a command, given the writes that History returned. The revision of a write
+// that would be accepted is 0, as are those of refusals.
+func Preview(history []Write, c Command) Result {
+	if message := malformed(c, &past{}); message != "" {
+		return Result{Outcome: Refused, Message: message}
+	}
+	if len(history) == 0 {
+		if c.Withdraw {
+			return Result{Outcome: Absent}
+		}
+		return Result{Outcome: Accepted}
+	}
+	latest := history[len(history)-1]
+	if c.Version > latest.Version {
+		return Result{Outcome: Accepted}
+	}
+	for _, w := range history {
+		if w.Version != c.Version {
+			continue
+		}
+		if w.Withdraw == c.Withdraw && w.Digest == c.Digest {
+			return Result{Outcome: Accepted, Revision: w.Revision, Repeated: true}
+		}
+		return Result{Outcome: Conflict, Winner: &w}
+	}
+	return Result{Outcome: Conflict, Winner: &latest}
+}
+
 // malformed checks what each program version checks alike, and fills in the digest.
 func malformed(c Command, p *past) string {
 	if c.Kind == "" || c.Name == "" || c.Version == 0 {
--- a/internal/record/table/table_test.go
+++ b/internal/record/table/table_test.go
@@ -130,7 +130,8 @@
 }
 
 // Guards against a restored replica that answers otherwise than the one that took the snapshot, against a mirror that
-// differs from the table, and against a falling revision, over random writes, restores and lost or late answers.
+// differs from the table, against a falling revision, and against a preview that says otherwise than the write, over
+// random writes, restores and lost or late answers.
 func TestRestoreAndMirrorAgree(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		tab, other, mirror := table.New(), table.New(), table.NewMirror()
@@ -144,7 +145,11 @@
 				c = write(rt, name, version, rapid.IntRange(1, 2).Draw(rt, "context"))
 			}
 			before := tab.View().Revision()
+			preview := table.Preview(tab.History(c.Key), c)
 			result := apply(rt, tab, int64(i), c)
+			require.Equal(rt, result.Outcome, preview.Outcome)
+			require.Equal(rt, result.Repeated, preview.Repeated)
+			require.Equal(rt, result.Winner, preview.Winner)
 			require.Equal(rt, result, apply(rt, other, int64(i), c))
 			require.GreaterOrEqual(rt, tab.View().Revision(), before)
 
