--- /dev/null
+++ b/internal/state/wal/crash_test.go
@@ -0,0 +1,214 @@
+package wal_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/disk"
+	"example.org/camphorhinge/internal/state/wal"
+)
+
+// version is the log after one written frame, without regard to compaction.
+type version struct {
+	state   wal.State
+	base    camphorhinge.Index
+	entries []wal.Entry
+}
+
+// shadow runs a workload on a log and notes which contents a crash may leave.
+type shadow struct {
+	random   *rand.Rand
+	versions []version
+	// acked is the first of the versions that a crash may leave.
+	acked     int
+	snapshots map[camphorhinge.Index]wal.Entry
+	// durable is the index of the last snapshot that was reported as saved.
+	durable camphorhinge.Index
+}
+
+func newShadow(seed uint64) *shadow {
+	return &shadow{random: rand.New(rand.NewPCG(seed, 1)), versions: []version{{}}, snapshots: map[camphorhinge.Index]wal.Entry{}}
+}
+
+func (s *shadow) now() version { return s.versions[len(s.versions)-1] }
+
+func (s *shadow) last() camphorhinge.Index {
+	return s.now().base + camphorhinge.Index(len(s.now().entries))
+}
+
+// step does one random operation; an error is one of the file system's.
+func (s *shadow) step(l *wal.Log) error {
+	now := s.now()
+	switch n := s.random.IntN(10); {
+	case n < 4:
+		low := max(now.state.Commit, s.durable, now.base)
+		from := s.last() + 1
+		if back := s.random.IntN(4); back == 0 && from > low+1 {
+			from = low + 1 + camphorhinge.Index(s.random.IntN(int(from-low)))
+		}
+		var batch []wal.Entry
+		kept := slices.Clone(now.entries[:from-1-now.base])
+		for i := range camphorhinge.Index(s.random.IntN(5) + 1) {
+			data := bytes.Repeat([]byte{byte('a' + s.random.IntN(26))}, s.random.IntN(60))
+			batch = append(batch, wal.Entry{Index: from + i, Term: max(now.state.Term, 1), Kind: 2, Data: data})
+			s.versions = append(s.versions, version{now.state, now.base, append(slices.Clone(kept), batch...)})
+		}
+		return l.Append(batch)
+	case n < 6:
+		next := now.state
+		if s.random.IntN(3) == 0 {
+			next.Term++
+			next.Vote = camphorhinge.ReplicaID(s.random.IntN(3))
+		}
+		next.Commit = max(next.Commit, now.base)
+		next.Commit += camphorhinge.Index(s.random.IntN(int(max(s.last(), next.Commit)-next.Commit) + 1))
+		s.versions = append(s.versions, version{next, now.base, now.entries})
+		return l.SaveState(next)
+	case n < 8:
+		err := l.Sync()
+		if err == nil {
+			s.acked = len(s.versions) - 1
+		}
+		return err
+	case n == 8:
+		return s.snapshot(l)
+	}
+	return l.Compact(s.durable)
+}
+
+// snapshot saves one of the own state, or one of a leader whose log goes on beyond or differs.
+func (s *shadow) snapshot(l *wal.Log) error {
+	now := s.now()
+	at := wal.Entry{Index: now.state.Commit}
+	if at.Index > now.base {
+		at.Term = now.entries[at.Index-now.base-1].Term
+	}
+	if s.random.IntN(4) == 0 {
+		at = wal.Entry{Index: now.state.Commit + camphorhinge.Index(s.random.IntN(6)) + 1, Term: now.state.Term + 50}
+		now.base, now.entries = at.Index, nil
+	}
+	if at.Index <= s.durable || at.Term == 0 {
+		return nil
+	}
+	at.Data = fmt.Appendf(nil, "state %d/%d", at.Index, at.Term)
+	s.snapshots[at.Index] = at
+	s.versions = append(s.versions, now)
+	err := l.SaveSnapshot(at.Index, at.Term, at.Data)
+	if err == nil {
+		s.durable = at.Index
+	}
+	return err
+}
+
+// check requires that the log holds one of the contents that a crash may leave, and goes on from there.
+func (s *shadow) check(t *testing.T, l *wal.Log, note string) {
+	t.Helper()
+	got := read(t, l)
+	require.GreaterOrEqual(t, got.snapshot, s.durable, note)
+	snap := s.snapshots[got.snapshot]
+	require.Equal(t, string(snap.Data), got.data, note)
+	for i := len(s.versions) - 1; i >= s.acked; i-- {
+		v := s.versions[i]
+		var rest []wal.Entry
+		if v.base >= snap.Index {
+			rest = v.entries
+		} else if at := int(snap.Index - v.base); at <= len(v.entries) && v.entries[at-1].Term == snap.Term {
+			rest = v.entries[at:]
+		}
+		if v.base > snap.Index || v.state != got.state || line(rest) != got.entries {
+			continue
+		}
+		s.versions, s.acked, s.durable = []version{{v.state, snap.Index, rest}}, 0, snap.Index
+		return
+	}
+	require.Fail(t, "content was never written, or was lost", "%s: %+v", note, got)
+}
+
+// run opens or makes the log and does up to steps operations; it returns the first error.
+func (s *shadow) run(t *testing.T, m *disk.Memory, steps int) error {
+	t.Helper()
+	l, err := wal.Open(m, small)
+	if kind(err) == wal.KindEmpty && len(s.versions) == 1 {
+		l, err = wal.Create(m, identity, small)
+	}
+	if err != nil {
+		return err
+	}
+	for range steps {
+		if err := s.step(l); err != nil {
+			require.NotEqual(t, wal.KindMisuse, kind(err), "%v", err)
+			require.NotEqual(t, wal.KindCorrupt, kind(err), "%v", err)
+			return err
+		}
+	}
+	return l.Close()
+}
+
+// Guards against lost synced entries, votes and snapshots, or invented ones, when the system crashes at any operation,
+// and again while the log is opened.
+func TestCrashAtEachOperation(t *testing.T) {
+	const steps = 60
+	for seed := range uint64(12) {
+		whole := disk.NewMemory()
+		require.NoError(t, newShadow(seed).run(t, whole, steps))
+		for at := 1; at <= whole.Operations(); at++ {
+			note := fmt.Sprintf("seed %d, crash at operation %d", seed, at)
+			m, s := disk.NewMemory(), newShadow(seed)
+			chance := rand.New(rand.NewPCG(seed, uint64(at)))
+			m.SetFaults(disk.Faults{CrashAt: at})
+			require.Error(t, s.run(t, m, steps), note)
+			m.Crash(chance)
+			m.SetFaults(disk.Faults{CrashAt: 1 + chance.IntN(9)})
+			if l, err := wal.Open(m, small); err == nil {
+				s.check(t, l, note)
+			} else {
+				require.NotEqual(t, wal.KindCorrupt, kind(err), "%s: %v", note, err)
+			}
+			m.Crash(chance)
+			l, err := wal.Open(m, small)
+			if kind(err) == wal.KindEmpty {
+				require.Len(t, s.versions, 1, note)
+				require.NoError(t, s.run(t, m, steps), note)
+				continue
+			}
+			require.NoError(t, err, note)
+			s.check(t, l, note)
+			require.NoError(t, s.run(t, m, 5), note)
+			require.NoError(t, l.Close(), note)
+		}
+	}
+}
+
+// Guards against a log that goes on after a failed operation, and against bytes of a failed sync that a restart takes
+// for durable.
+func TestFailureAtEachOperation(t *testing.T) {
+	const steps = 60
+	for seed := range uint64(12) {
+		whole := disk.NewMemory()
+		require.NoError(t, newShadow(seed).run(t, whole, steps))
+		for at := 1; at <= whole.Operations(); at++ {
+			note := fmt.Sprintf("seed %d, failure at operation %d", seed, at)
+			m, s := disk.NewMemory(), newShadow(seed)
+			m.SetFaults(disk.Faults{FailAt: at})
+			require.Error(t, s.run(t, m, steps), note)
+			l, err := wal.Open(m, small)
+			if kind(err) == wal.KindEmpty {
+				require.Len(t, s.versions, 1, note)
+				continue
+			}
+			require.NoError(t, err, note)
+			s.check(t, l, note)
+			before := read(t, l)
+			m.Crash(nil)
+			l, err = wal.Open(m, small)
+			require.NoError(t, err, note)
+			require.Equal(t, before, read(t, l), note)
+		}
+	}
+}
--- a/internal/state/wal/log.go
+++ b/internal/state/wal/log.go
@@ -15,6 +15,8 @@
 	DefaultBound = 64 << 20
 	// MaxData is the largest Data of an entry, in bytes.
 	MaxData = 8 << 20
+	// MaxSnapshot is the largest data of a snapshot, in bytes; the length of a frame has 32 bits.
+	MaxSnapshot = 1 << 30
 )
 
 // Kind classes the errors of this package.
--- a/internal/state/wal/snapshot.go
+++ b/internal/state/wal/snapshot.go
@@ -19,8 +19,8 @@
 	if index <= l.snapshot.index {
 		return nil
 	}
-	if term == 0 {
-		return misuse("save snapshot", "index %d has no term", index)
+	if term == 0 || len(data) > MaxSnapshot {
+		return misuse("save snapshot", "index %d, term %d, %d bytes", index, term, len(data))
 	}
 	if held, ok := l.Term(index); ok && held != term && index <= l.state.Commit {
 		return misuse("save snapshot", "term %d at committed index %d, the log has term %d", term, index, held)
