--- /dev/null
+++ b/internal/fleet/role/baseline.go
@@ -0,0 +1,31 @@
+package role
+
+import "example.org/camphorhinge"
+
+// thresholdGap is the difference of shares from which Threshold changes an engine.
+const thresholdGap = 0.1
+
+// Hold never changes a role.
+func Hold(Input) Decision { return Decision{Levers: AllLevers(), Reason: ReasonCost} }
+
+// Threshold changes an engine as soon as the share of prefill in the present work differs from the share of the
+// engines by more than a fixed gap.
+func Threshold(in Input) Decision {
+	d := Decision{Levers: AllLevers(), Reason: ReasonCost}
+	engines := in.Counts.Prefill + in.Counts.Decode
+	if in.Changing > 0 || engines == 0 || len(in.History) == 0 {
+		return d
+	}
+	have := float64(in.Counts.Prefill) / float64(engines)
+	need := in.Rates.Share(in.History.level(len(in.History) - 1))
+	switch {
+	case need > have+thresholdGap && in.Counts.Decode > in.Floors.Decode:
+		d.From, d.To = camphorhinge.RoleDecode, camphorhinge.RolePrefill
+	case need < have-thresholdGap && in.Counts.Prefill > in.Floors.Prefill:
+		d.From, d.To = camphorhinge.RolePrefill, camphorhinge.RoleDecode
+	}
+	if d.From != "" {
+		d.Reason = ReasonGain
+	}
+	return d
+}
--- /dev/null
+++ b/internal/fleet/role/estimate.go
@@ -0,0 +1,187 @@
+package role
+
+import (
+	"math"
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	// SampleInterval is the time between two samples of a History.
+	SampleInterval = 5 * time.Second
+	// HistoryLength is the number of samples that the policy looks at; the caller may drop older ones.
+	HistoryLength = 360
+	// levelSamples is the number of samples whose mean is the level.
+	levelSamples = 4
+	// slopeSamples is the number of samples over which a slope must hold; a step shows in one half of it only.
+	slopeSamples = 12
+	// LeastHistory is the number of samples below which no role is changed.
+	LeastHistory = 24
+	// noiseSamples is the number of samples from which the noise is estimated.
+	noiseSamples = 24
+	// slopeFade is the time by which a forecast slope has lost most of its effect.
+	slopeFade = 60 * time.Second
+	// maxAnalogs bounds the past courses in a forecast.
+	maxAnalogs = 8
+	// leastAnalogs is the number of past courses below which the forecast goes by level and slope.
+	leastAnalogs = 3
+	// sameLevel is the relative difference of demand up to which two times count as alike.
+	sameLevel = 0.06
+)
+
+// Sample is the offered load, in tokens per second, over the SampleInterval up to At. Refused requests are part of it.
+type Sample struct {
+	At     camphorhinge.Instant
+	Demand Demand
+}
+
+// History lists samples, oldest first, at even intervals.
+type History []Sample
+
+// Estimate is what a history says of the present.
+type Estimate struct {
+	Level Demand
+	// Slope is the change of Level per second; it is 0 unless the history shows a steady change.
+	Slope Demand
+	// Error is the standard error of Level.
+	Error Demand
+	// Share is the part of the work that is prefill; Confidence is 1 less the half width of its 95 % interval.
+	Share, Confidence float64
+}
+
+// Assess estimates the present demand.
+func Assess(h History, r Rates) Estimate {
+	if len(h) == 0 {
+		return Estimate{}
+	}
+	n := len(h)
+	e := Estimate{Level: h.level(n - 1), Error: h.noise()}
+	scale := 1 / math.Sqrt(float64(min(n, levelSamples)))
+	e.Error.Prompt *= scale
+	e.Error.Output *= scale
+	if n > slopeSamples {
+		now, mid, old := h.level(n-1), h.level(n-1-slopeSamples/2), h.level(n-1-slopeSamples)
+		span := SampleInterval.Seconds() * slopeSamples / 2
+		e.Slope = Demand{
+			Prompt: steady(old.Prompt, mid.Prompt, now.Prompt, 2*e.Error.Prompt) / span,
+			Output: steady(old.Output, mid.Output, now.Output, 2*e.Error.Output) / span,
+		}
+	}
+	e.Share = r.Share(e.Level)
+	// The error of the share follows from those of its two parts.
+	p, o := e.Level.Prompt/r.Prefill, e.Level.Output/r.Decode
+	if sum := p + o; sum > 0 {
+		dp, do := e.Error.Prompt/r.Prefill*o/(sum*sum), e.Error.Output/r.Decode*p/(sum*sum)
+		e.Confidence = max(0, 1-1.96*math.Hypot(dp, do))
+	}
+	return e
+}
+
+// steady returns the smaller of two successive changes if they have the same sign and exceed the noise.
+func steady(old, mid, now, noise float64) float64 {
+	a, b := mid-old, now-mid
+	if a*b <= 0 || min(math.Abs(a), math.Abs(b)) < noise {
+		return 0
+	}
+	return math.Copysign(min(math.Abs(a), math.Abs(b)), a)
+}
+
+// level is the mean of the samples up to i.
+func (h History) level(i int) Demand { return h.mean(max(0, i-levelSamples+1), i+1) }
+
+// mean is the mean of the samples from one index up to another, which is not among them.
+func (h History) mean(from, to int) Demand {
+	var d Demand
+	for _, s := range h[from:to] {
+		d.Prompt += s.Demand.Prompt
+		d.Output += s.Demand.Output
+	}
+	n := float64(to - from)
+	return Demand{d.Prompt / n, d.Output / n}
+}
+
+// noise is the standard deviation of single samples, from the differences of successive ones.
+func (h History) noise() Demand {
+	from := max(1, len(h)-noiseSamples)
+	var sum Demand
+	for i := from; i < len(h); i++ {
+		p, o := h[i].Demand.Prompt-h[i-1].Demand.Prompt, h[i].Demand.Output-h[i-1].Demand.Output
+		sum.Prompt += p * p
+		sum.Output += o * o
+	}
+	n := 2 * float64(max(1, len(h)-from))
+	return Demand{math.Sqrt(sum.Prompt / n), math.Sqrt(sum.Output / n)}
+}
+
+// Course is one possible course of the demand, one value for each SampleInterval from now on.
+type Course []Demand
+
+// Forecast returns possible courses over the horizon, all equally likely. Where the history holds times that looked
+// like the present, it returns what followed them: an oscillation is thus expected to swing back, and noise to return
+// to its mean. Otherwise it goes on from the level with a fading slope, and with the level's error to both sides,
+// or returns to the recent mean.
+func Forecast(h History, e Estimate, horizon time.Duration) []Course {
+	steps := int(horizon / SampleInterval)
+	if len(h) == 0 || steps == 0 {
+		return nil
+	}
+	for _, band := range []float64{1, 2} {
+		if a := analogs(h, e, steps, band); len(a) >= leastAnalogs {
+			return a
+		}
+	}
+	var out []Course
+	for _, side := range []float64{-1, 0, 1} {
+		c := make(Course, steps)
+		for i := range c {
+			t := SampleInterval.Seconds() * float64(i+1)
+			ahead := slopeFade.Seconds() * (1 - math.Exp(-t/slopeFade.Seconds()))
+			// Prompt and output err to opposite sides, which moves the share most.
+			c[i] = Demand{
+				Prompt: max(0, e.Level.Prompt+e.Slope.Prompt*ahead+side*e.Error.Prompt),
+				Output: max(0, e.Level.Output+e.Slope.Output*ahead-side*e.Error.Output),
+			}
+		}
+		out = append(out, c)
+	}
+	// Until the history tells more, a return to the recent mean is as likely as a lasting change.
+	mean := h.mean(max(0, len(h)-steps), len(h))
+	back := make(Course, steps)
+	for i := range back {
+		back[i] = mean
+	}
+	return append(out, back)
+}
+
+// analogs returns the courses that followed past times with the level and the recent change of now. A band above 1
+// widens what counts as alike.
+func analogs(h History, e Estimate, steps int, band float64) []Course {
+	const back = slopeSamples / 2
+	n := len(h)
+	if n < back+steps+levelSamples {
+		return nil
+	}
+	bandP := band * max(2*e.Error.Prompt, sameLevel*e.Level.Prompt)
+	bandO := band * max(2*e.Error.Output, sameLevel*e.Level.Output)
+	alike := func(a, b Demand) bool {
+		return math.Abs(a.Prompt-b.Prompt) <= bandP && math.Abs(a.Output-b.Output) <= bandO
+	}
+	before := h.level(n - 1 - back)
+	var at []int
+	for i := max(back+levelSamples, n-HistoryLength); i+steps < n; i++ {
+		if alike(h.level(i), e.Level) && alike(h.level(i-back), before) {
+			at = append(at, i)
+		}
+	}
+	stride := max(1, (len(at)+maxAnalogs-1)/maxAnalogs)
+	var out []Course
+	for k := len(at) - 1; k >= 0; k -= stride {
+		c := make(Course, steps)
+		for j := range c {
+			c[j] = h[at[k]+1+j].Demand
+		}
+		out = append(out, c)
+	}
+	return out
+}
