--- a/interfaces.go
+++ b/interfaces.go
@@ -76,7 +76,8 @@
 	Apply(e Entry, command []byte) []byte
 	// Snapshot encodes the whole state.
 	Snapshot() ([]byte, error)
-	// Restore replaces the whole state by an encoded one.
+	// Restore replaces the whole state by an encoded one. An empty snapshot stands for the first state: one that was taken
+	// before this kind of Machine existed.
 	Restore(snapshot []byte) error
 }
 
--- a/internal/node/member/table.go
+++ b/internal/node/member/table.go
@@ -108,8 +108,10 @@
 // Restore replaces the table by an encoded one.
 func (t *Table) Restore(snapshot []byte) error {
 	var nodes []Node
-	if err := json.Unmarshal(snapshot, &nodes); err != nil {
-		return err
+	if len(snapshot) > 0 {
+		if err := json.Unmarshal(snapshot, &nodes); err != nil {
+			return err
+		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/record/table/table.go
+++ b/internal/record/table/table.go
@@ -239,6 +239,9 @@
 
 // Restore implements camphorhinge.Machine. After an error the table is unchanged.
 func (t *Table) Restore(snapshot []byte) error {
+	if len(snapshot) == 0 {
+		snapshot = []byte("{}") // The first state.
+	}
 	var in encodedTable
 	if err := json.Unmarshal(snapshot, &in); err != nil {
 		return &Error{Op: "restore", Kind: KindCorrupt, Err: err}
--- a/internal/request/quarantine/machine.go
+++ b/internal/request/quarantine/machine.go
@@ -253,6 +253,9 @@
 
 // Restore implements camphorhinge.Machine.
 func (m *Machine) Restore(encoded []byte) error {
+	if len(encoded) == 0 {
+		encoded = []byte("{}") // The first state.
+	}
 	var s snapshot
 	if err := json.Unmarshal(encoded, &s); err != nil {
 		return &Error{Op: "restore", Kind: KindCorrupt, Err: err}
