--- a/internal/record/table/table_test.go
+++ b/internal/record/table/table_test.go
@@ -111,9 +111,12 @@
 	require.NoError(t, err)
 	require.Equal(t, table.Refused, result.Outcome)
 	require.Zero(t, tab.View().Revision())
-	for _, bad := range []string{"", "{", `{"records":[{"kind":"model","name":"m"}]}`, `{"records":[{"kind":"model","name":"m","history":"AQ=="}]}`} {
+	for _, bad := range []string{" ", "{", `{"records":[{"kind":"model","name":"m"}]}`, `{"records":[{"kind":"model","name":"m","history":"AQ=="}]}`} {
 		require.Error(t, tab.Restore([]byte(bad)), bad)
 	}
+	require.Equal(t, table.Accepted, apply(t, tab, 1, write(t, "m", 1, 1)).Outcome)
+	require.NoError(t, tab.Restore(nil))
+	require.Zero(t, tab.View().Revision(), "an empty snapshot is the first state")
 }
 
 // Guards against a resend that is taken for a new write, or runs into another one, at the end of the kept history.
