Drop an earlier node's answer before the next one is read

Cause: call decodes the answers of all addresses into one body, and json.Unmarshal keeps fields that a later answer leaves out, so an apply that a second node accepted still carried the error of the first. Ruled out: a new body per attempt in each caller, since call has one place that decodes. Conclusion: the body is set to zero before each answer; the test of a second address checks that no error is left.

--- a/internal/cli/client/client.go
+++ b/internal/cli/client/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -232,6 +233,8 @@
 func answer(op, method string, resp *protocol.Response, body any) *Error {
 	code := resp.StatusCode()
 	var wrapped operator.ErrorBody
+	// The body may hold the answer of another node; Unmarshal would keep its fields where this answer has none.
+	reflect.ValueOf(body).Elem().SetZero()
 	err := json.Unmarshal(resp.Body(), body)
 	if code != http.StatusOK && err == nil {
 		err = json.Unmarshal(resp.Body(), &wrapped)
--- a/internal/cli/client/client_test.go
+++ b/internal/cli/client/client_test.go
@@ -156,6 +156,7 @@
 			require.Equal(t, c.want, exit(err), "%v", err)
 			if err == nil {
 				require.Equal(t, table.Accepted, body.Results[0].Outcome)
+				require.Nil(t, body.Error, "left over from a node tried before")
 			}
 			if c.want == client.ExitConflict {
 				require.EqualValues(t, 1, body.Results[0].Winner.Version)
