--- a/internal/cli/command/app.go
+++ b/internal/cli/command/app.go
@@ -5,6 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"slices"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 )
@@ -33,6 +36,10 @@
 const (
 	// KindUsage marks wrong arguments or settings.
 	KindUsage Kind = "usage"
+	// KindRefused marks records with faults.
+	KindRefused Kind = "refused"
+	// KindUnavailable marks an address that did not answer.
+	KindUnavailable Kind = "unavailable"
 	// KindRun marks a failure while the command ran.
 	KindRun Kind = "run"
 )
@@ -63,7 +70,7 @@
 }
 
 // Run parses args, runs the command that they name and returns its exit code. Results go to out, log lines and errors to
-// errs. Every flag can be set by an environment variable CAMPHORHINGE_<COMMAND>_<FLAG> as well.
+// errs. Each flag can be set by an environment variable CAMPHORHINGE_<COMMAND>_<FLAG> as well.
 func Run(ctx context.Context, args []string, out, errs io.Writer) int {
 	a := &app{
 		kingpin: kingpin.New("camphorhinge", "A serving system for a fixed fleet of model engines and plain services."),
@@ -71,14 +78,21 @@
 		run: map[string]func(context.Context) error{},
 	}
 	exit := -1
-	a.kingpin.UsageWriter(errs).ErrorWriter(errs).Terminate(func(code int) { exit = code })
-	a.kingpin.DefaultEnvars()
+	a.kingpin.UsageWriter(errs).ErrorWriter(errs).Terminate(func(code int) {
+		exit = code
+		a.kingpin.UsageWriter(io.Discard) // Parse goes on after --help and would print the usage again.
+	})
 	a.kingpin.HelpFlag.Short('h')
 	a.commands()
 
 	name, err := a.kingpin.Parse(args)
 	if exit >= 0 {
-		return exit // --help was printed.
+		// The usage was printed: by --help or the like, or because there is no command.
+		if errors.Is(err, kingpin.ErrCommandNotSpecified) && !slices.ContainsFunc(args, isFlag) {
+			fmt.Fprintln(errs, "camphorhinge: expected a command")
+			return ExitUsage
+		}
+		return exit
 	}
 	if err != nil {
 		fmt.Fprintf(errs, "camphorhinge: %v; see --help\n", err)
@@ -91,9 +105,64 @@
 	return ExitOK
 }
 
-func (a *app) command(name, help string, bind func(*kingpin.CmdClause) func(context.Context) error) {
-	cmd := a.kingpin.Command(name, help)
+func isFlag(arg string) bool { return strings.HasPrefix(arg, "-") }
+
+// binder adds the flags and arguments of a command and returns what runs it.
+type binder func(*kingpin.CmdClause) func(context.Context) error
+
+func (a *app) command(name, help string, bind binder) {
+	a.bind(name, a.kingpin.Command(name, help), bind)
+}
+
+// bind sets up the command of the given full name.
+func (a *app) bind(name string, cmd *kingpin.CmdClause, bind binder) {
 	a.run[name] = bind(cmd)
+	if cmd.GetFlag(versionFlag) != nil {
+		a.run[name] = withDefaults(cmd, a.run[name])
+	}
+	// Kingpin's own default variables leave out the command, so that --node of serve, a name, and --node of apply, a URL,
+	// would share one.
+	for _, flag := range cmd.Model().Flags {
+		if flag.Envar == "" {
+			cmd.GetFlag(flag.Name).Envar(envar(name, flag.Name))
+		}
+	}
+}
+
+// versionFlag is the name that kingpin takes for its own flag wherever it is given: it then sets no default and reads no
+// environment variable.
+const versionFlag = "version"
+
+// withDefaults gives the flags of a command with a versionFlag, where they are not given, their value from the environment
+// or else their default.
+func withDefaults(cmd *kingpin.CmdClause, run func(context.Context) error) func(context.Context) error {
+	given := map[string]*bool{}
+	for _, flag := range cmd.Model().Flags {
+		given[flag.Name] = new(bool)
+		cmd.GetFlag(flag.Name).IsSetByUser(given[flag.Name])
+	}
+	return func(ctx context.Context) error {
+		for _, flag := range cmd.Model().Flags {
+			values := flag.Default
+			if text := os.Getenv(flag.Envar); text != "" {
+				values = strings.Split(strings.TrimSpace(text), "\n")
+			}
+			for _, value := range values {
+				if *given[flag.Name] {
+					break
+				}
+				if err := flag.Value.Set(value); err != nil {
+					return &Error{Op: "read settings", Kind: KindUsage, Err: fmt.Errorf("--%s: %w", flag.Name, err)}
+				}
+			}
+		}
+		return run(ctx)
+	}
+}
+
+// envar returns the name of the environment variable of a flag.
+func envar(command, flag string) string {
+	return strings.ToUpper(strings.NewReplacer(" ", "_", "-", "_").Replace("camphorhinge_" + command + "_" + flag))
 }
 
 func exitCode(err error) int {
@@ -102,8 +171,15 @@
 		return coder.ExitCode()
 	}
 	var own *Error
-	if errors.As(err, &own) && own.Kind == KindUsage {
-		return ExitUsage
+	if errors.As(err, &own) {
+		switch own.Kind {
+		case KindUsage:
+			return ExitUsage
+		case KindRefused:
+			return ExitRefused
+		case KindUnavailable:
+			return ExitUnavailable
+		}
 	}
 	return ExitFailure
 }
--- /dev/null
+++ b/internal/cli/command/commands.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"example.org/camphorhinge/internal/cli/client"
+)
+
+const (
+	// defaultNode is the operator port that serve has by default.
+	defaultNode = "http://127.0.0.1:8082"
+	// nodeVariable and tokenVariable hold for all commands that talk to an operator port.
+	nodeVariable  = "CAMPHORHINGE_NODE"
+	tokenVariable = "CAMPHORHINGE_TOKEN"
+)
+
+// commands registers all commands.
+func (a *app) commands() {
+	a.command("apply", "Write records; files of one call are validated together before any record is sent.", a.apply)
+	a.command("withdraw", "Withdraw a record.", a.withdraw)
+	a.command("get", "Show the records in force, or one record.", a.get)
+	a.command("status", "Show the status of a node and of the cluster as that node sees it.", a.status)
+	a.command("explain", "Show the latest decisions of a node and what they were based on.", a.explain)
+	a.command("check", "Validate records without a node.", a.check)
+	a.command("probe", "Ask a URL and exit with 0 when it answers 200.", a.probe)
+	a.command("load", "Send requests to caller ports and check every answer.", a.load)
+	standin := a.kingpin.Command("standin", "Run a stand-in for a target.")
+	a.bind("standin engine", standin.Command("engine", "Run a stand-in for a model engine."), a.standinEngine)
+	a.bind("standin service", standin.Command("service", "Run a stand-in for a plain service."), a.standinService)
+}
+
+// connection holds the flags of the commands that talk to an operator port.
+type connection struct {
+	nodeFlag string
+	nodes    []string
+	token    string
+	timeout  time.Duration
+}
+
+func connectionFlags(cmd *kingpin.CmdClause) *connection {
+	c := &connection{nodeFlag: "node"}
+	cmd.Flag("node", "URL of a node's operator port, "+defaultNode+" by default; may be repeated, nodes are tried in turn. $"+
+		nodeVariable+" holds for all commands.").PlaceHolder("URL").StringsVar(&c.nodes)
+	c.tokenFlags(cmd)
+	return c
+}
+
+// tokenFlags adds the flags that don't name nodes.
+func (c *connection) tokenFlags(cmd *kingpin.CmdClause) {
+	cmd.Flag("token", "File with the operator's token. $"+tokenVariable+" holds for all commands.").
+		PlaceHolder("FILE").StringVar(&c.token)
+	cmd.Flag("timeout", "Longest wait for the answer of one node.").Default(client.DefaultTimeout.String()).DurationVar(&c.timeout)
+}
+
+// open returns a client for the flags, or else the environment.
+func (c *connection) open() (*client.Client, error) {
+	fail := func(format string, args ...any) (*client.Client, error) {
+		return nil, &Error{Op: "connect", Kind: KindUsage, Err: fmt.Errorf(format, args...)}
+	}
+	nodes := c.nodes
+	if len(nodes) == 0 {
+		nodes = strings.FieldsFunc(os.Getenv(nodeVariable), func(r rune) bool { return r == ',' || r == ' ' || r == '\n' })
+	}
+	if len(nodes) == 0 {
+		nodes = []string{defaultNode}
+	}
+	addresses := make([]string, len(nodes))
+	for i, node := range nodes {
+		address, ok := hostPort(node)
+		if !ok {
+			return fail("--%s: expected the URL of an operator port, such as %s, got %q", c.nodeFlag, defaultNode, node)
+		}
+		addresses[i] = address
+	}
+	token := c.token
+	if token == "" {
+		token = os.Getenv(tokenVariable)
+	}
+	if token == "" {
+		return fail("--token: expected a file with the operator's token; %s may name it as well", tokenVariable)
+	}
+	if c.timeout <= 0 {
+		return fail("--timeout: expected more than 0, got %v", c.timeout)
+	}
+	opened, err := client.New(client.Config{Addresses: addresses, TokenFile: token, Timeout: c.timeout})
+	if err != nil {
+		return fail("--token: expected a readable file with the operator's token: %w", errors.Unwrap(err))
+	}
+	return opened, nil
+}
+
+// hostPort returns the host:port of a URL without a path. The operator port has no TLS.
+func hostPort(text string) (string, bool) {
+	if !strings.Contains(text, "://") {
+		text = "http://" + text
+	}
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" || u.User != nil || strings.Trim(u.Path, "/") != "" || u.RawQuery != "" {
+		return "", false
+	}
+	host, port, err := net.SplitHostPort(u.Host)
+	return u.Host, err == nil && host != "" && port != ""
+}
--- a/internal/cli/command/output.go
+++ b/internal/cli/command/output.go
@@ -2,14 +2,19 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 )
 
-// outputFlag adds the flag that chooses text or JSON.
-func outputFlag(cmd *kingpin.CmdClause) *string {
-	return cmd.Flag("output", "Format of the result.").Default("text").Enum("text", "json")
+// outputFlag adds the flag that chooses text, JSON or one of the other formats that a command has.
+func outputFlag(cmd *kingpin.CmdClause, more ...string) *string {
+	formats := append([]string{"text", "json"}, more...)
+	return cmd.Flag("output", "Format of the result: "+strings.Join(formats, ", ")+".").Default("text").Enum(formats...)
 }
 
 // print writes a result as JSON or by its own text form.
@@ -22,3 +27,23 @@
 	enc.SetIndent("", "  ")
 	return enc.Encode(result)
 }
+
+// columns writes rows in aligned columns. Like print, it passes over errors of the output.
+func columns(w io.Writer, rows [][]string) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	_ = t.Flush()
+}
+
+// dash shows an empty value.
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// timeText shows a time in milliseconds since the Unix epoch.
+func timeText(ms int64) string { return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05.000Z") }
--- /dev/null
+++ b/internal/cli/command/probe.go
@@ -0,0 +1,46 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+// probeTimeout bounds a probe by default; ports on the same network answer within milliseconds.
+const probeTimeout = 5 * time.Second
+
+func (a *app) probe(cmd *kingpin.CmdClause) func(context.Context) error {
+	timeout := cmd.Flag("timeout", "Longest wait for the answer.").Default(probeTimeout.String()).Duration()
+	target := cmd.Arg("url", "URL to ask, such as http://127.0.0.1:8080/readyz.").Required().String()
+	return func(ctx context.Context) error {
+		u, err := url.Parse(*target)
+		if err != nil || u.Scheme != "http" || u.Host == "" {
+			return &Error{Op: "probe", Kind: KindUsage, Err: fmt.Errorf("URL: expected http://HOST:PORT/PATH, got %q", *target)}
+		}
+		if *timeout <= 0 {
+			return &Error{Op: "probe", Kind: KindUsage, Err: fmt.Errorf("--timeout: expected more than 0, got %v", *timeout)}
+		}
+		h, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(*timeout), client.WithKeepAlive(false))
+		if err != nil {
+			return &Error{Op: "probe", Kind: KindRun, Err: err}
+		}
+		defer h.CloseIdleConnections()
+		req, resp := &protocol.Request{}, &protocol.Response{}
+		req.SetMethod(http.MethodGet)
+		req.SetRequestURI(*target)
+		if err := h.DoTimeout(ctx, req, resp, *timeout); err != nil {
+			return &Error{Op: "probe", Kind: KindUnavailable, Err: fmt.Errorf("%s: %w", *target, err)}
+		}
+		if resp.StatusCode() != http.StatusOK {
+			return &Error{Op: "probe", Kind: KindRun, Err: fmt.Errorf("%s: expected status 200, got %d", *target, resp.StatusCode())}
+		}
+		return nil
+	}
+}
--- a/internal/cli/command/serve.go
+++ b/internal/cli/command/serve.go
@@ -3,14 +3,11 @@
 import (
 	"io"
 	"log/slog"
-	"runtime"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/node/config"
 	"example.org/camphorhinge/internal/node/setting"
 )
--- /dev/null
+++ b/internal/cli/command/status.go
@@ -0,0 +1,168 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/status"
+)
+
+// voter is the member of status.Node that counts towards a majority.
+const voter = "voter"
+
+func (a *app) status(cmd *kingpin.CmdClause) func(context.Context) error {
+	conn, output := connectionFlags(cmd), outputFlag(cmd)
+	voters := cmd.Flag("voters", "Fail unless the cluster is repaired and has exactly this number of voters.").PlaceHolder("N").Int()
+	targets := cmd.Flag("targets", "Fail unless the node sees at least this number of live targets that serve.").PlaceHolder("N").Int()
+	leader := cmd.Flag("leader", "Print only the name of the leader's node.").Bool()
+	follower := cmd.Flag("follower", "Print only the name of a voter's node that is not the leader's.").Bool()
+	return func(ctx context.Context) error {
+		switch {
+		case *leader && *follower:
+			return &Error{Op: "status", Kind: KindUsage, Err: errors.New("--leader: contradicts --follower")}
+		case *voters < 0:
+			return &Error{Op: "status", Kind: KindUsage, Err: fmt.Errorf("--voters: expected at least 1, got %d", *voters)}
+		case *targets < 0:
+			return &Error{Op: "status", Kind: KindUsage, Err: fmt.Errorf("--targets: expected at least 1, got %d", *targets)}
+		}
+		c, err := conn.open()
+		if err != nil {
+			return err
+		}
+		raw, err := c.Status(ctx)
+		if err != nil {
+			return err
+		}
+		var s status.Status
+		if err := json.Unmarshal(raw, &s); err != nil {
+			return &Error{Op: "status", Kind: KindRun, Err: fmt.Errorf("unreadable answer: %w", err)}
+		}
+		switch {
+		case *leader:
+			err = a.printName(s.Leader, "the node knows no leader")
+		case *follower:
+			err = a.printName(followerOf(s), "no voter beside the leader, or no leader, is known")
+		default:
+			// The answer is shown as sent, with fields that this version does not know.
+			err = a.print(*output, raw, func(w io.Writer) { showStatus(w, s) })
+		}
+		return errors.Join(err, conditions(s, *voters, *targets))
+	}
+}
+
+func (a *app) printName(name camphorhinge.NodeID, missing string) error {
+	if name == "" {
+		return &Error{Op: "status", Kind: KindRun, Err: errors.New(missing)}
+	}
+	fmt.Fprintln(a.out, name)
+	return nil
+}
+
+// followerOf returns the first node with a voter that does not lead. Without a known leader any voter may lead.
+func followerOf(s status.Status) camphorhinge.NodeID {
+	for _, n := range s.Nodes {
+		if s.Leader != "" && n.Member == voter && n.Name != s.Leader {
+			return n.Name
+		}
+	}
+	return ""
+}
+
+// conditions returns an error that names what is missing; 0 asks for nothing.
+func conditions(s status.Status, voters, targets int) error {
+	var errs []error
+	missing := func(format string, args ...any) {
+		errs = append(errs, &Error{Op: "status", Kind: KindRun, Err: fmt.Errorf(format, args...)})
+	}
+	have := 0
+	for _, n := range s.Nodes {
+		if n.Member == voter {
+			have++
+		}
+	}
+	if voters > 0 && (have != voters || !s.Repaired) {
+		missing("--voters: expected a repaired cluster with %d voters, got %d, repaired %t", voters, have, s.Repaired)
+	}
+	serving := 0
+	for _, t := range s.Targets {
+		if t.Serving && !t.Leaving {
+			serving++
+		}
+	}
+	if targets > 0 && serving < targets {
+		missing("--targets: expected at least %d targets that serve, got %d of %d", targets, serving, len(s.Targets))
+	}
+	return errors.Join(errs...)
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// ageText shows a duration in milliseconds.
+func ageText(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
+func showStatus(w io.Writer, s status.Status) {
+	configuration := s.Configuration + ", revision " + strconv.FormatUint(uint64(s.Revision), 10)
+	if s.Stale > 0 {
+		configuration += ", lease ended " + ageText(s.Stale) + " ago"
+	}
+	rows := [][]string{
+		{"node", string(s.Node)},
+		{"zone", string(s.Zone)},
+		{"cluster", dash(string(s.Cluster))},
+		{"configuration", configuration},
+		{"stopping", yesNo(s.Stopping)},
+		{"leader", dash(string(s.Leader))},
+		{"repaired", yesNo(s.Repaired)},
+	}
+	if r := s.Replica; r != nil {
+		rows = append(rows, []string{"replica", fmt.Sprintf("%x: %s, term %d, commit %d, applied %d, lease %s, %d bytes on disk",
+			uint64(r.ID), r.Role, r.Term, r.Commit, r.Applied, yesNo(r.Lease), r.Disk)})
+	}
+	columns(w, rows)
+	fmt.Fprintln(w)
+
+	rows = [][]string{{"NODE", "ZONE", "ADDRESS", "MEMBER", "REPLICA", "REVISION", "AGE"}}
+	for _, n := range s.Nodes {
+		replica, revision, age := "-", "-", "-"
+		if n.Replica != 0 {
+			replica = strconv.FormatUint(uint64(n.Replica), 16)
+		}
+		// Both are known to the leader only.
+		if n.Revision != 0 || n.Age != 0 {
+			revision, age = strconv.FormatUint(uint64(n.Revision), 10), ageText(n.Age)
+		}
+		rows = append(rows, []string{string(n.Name), string(n.Zone), n.Address, dash(n.Member), replica, revision, age})
+	}
+	columns(w, rows)
+	fmt.Fprintln(w)
+
+	rows = [][]string{{"TARGET", "SERVICE", "KIND", "ROLE", "ZONE", "ADDRESS", "STATE", "AGE", "NOTE"}}
+	for _, t := range s.Targets {
+		state := "held"
+		switch {
+		case t.Leaving:
+			state = "leaving"
+		case t.Serving:
+			state = "serving"
+		}
+		rows = append(rows, []string{
+			string(t.Name), string(t.Service), t.Kind, dash(string(t.Role)), string(t.Zone), t.Address, state, ageText(t.Age),
+			strings.TrimSpace(t.Note),
+		})
+	}
+	columns(w, rows)
+}
