Test connections of the exchange and keep idle ones past their last read deadline

The look at an idle connection failed once the deadline of its last read had passed, so a connection that was idle for 5 s was never used again. TestReuse sets a passed deadline on each idle connection.

--- a/internal/request/exchange/conn.go
+++ b/internal/request/exchange/conn.go
@@ -70,15 +70,21 @@
 		return true
 	}
 	raw, err := sc.SyscallConn()
-	if err != nil {
+	// The deadline of the last read has often passed; it would fail the look as well.
+	if err != nil || c.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
 	usable := false
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		usable = errors.Is(err, unix.EAGAIN)
+		usable = !readable(fd)
 		return true
 	})
 	return err == nil && usable
 }
+
+// readable reports whether a socket has bytes to read or was closed by the other side.
+func readable(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return !errors.Is(err, unix.EAGAIN)
+}
--- /dev/null
+++ b/internal/request/exchange/exchange_test.go
@@ -0,0 +1,334 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.org/camphorhinge"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"golang.org/x/sync/errgroup"
+)
+
+func client(cfg Config) *Client {
+	cfg.Metrics, cfg.Tracer = metrics.NewSet(), trace.NewTracerProvider().Tracer("")
+	return New(cfg)
+}
+
+// listener serves raw connections on a port of the kernel's choice until the test ends.
+func listener(t *testing.T, serve func(n int, c net.Conn)) *camphorhinge.Target {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var group errgroup.Group
+	group.Go(func() error {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go(func() error { serve(n, c); return c.Close() })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		_ = group.Wait()
+	})
+	return &camphorhinge.Target{Announcement: camphorhinge.Announcement{Name: "t", Address: l.Addr().String()}}
+}
+
+// echo answers each request on a connection with its path, until reading fails.
+func echo(c net.Conn, extra string) {
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s",
+			len(req.URL.Path), req.URL.Path, extra); err != nil {
+			return
+		}
+	}
+}
+
+func get(ctx context.Context, x *Client, target *camphorhinge.Target, path string) (string, error) {
+	a, err := x.Open(ctx, Call{Target: target, Method: "GET", Path: path, Attempt: "a1"})
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+// TestClosedConnections guards the class when a target closes a real socket: not-run only if no byte was sent.
+func TestClosedConnections(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	for _, tc := range []struct {
+		name   string
+		target *camphorhinge.Target
+		kind   Kind
+		run    camphorhinge.RunClass
+		reset  bool
+	}{
+		{"refused", &camphorhinge.Target{Announcement: camphorhinge.Announcement{Address: closed.Addr().String()}}, KindConnect, camphorhinge.NotRun, false},
+		{"closed after the request", listener(t, func(_ int, c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+		}), KindCut, camphorhinge.Unknown, true},
+		{"reset after the request", listener(t, func(_ int, c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+		}), KindCut, camphorhinge.Unknown, true},
+		{"reset within the answer", listener(t, func(_ int, c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab")
+		}), KindCut, camphorhinge.Unknown, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			x := client(Config{})
+			defer func() { require.NoError(t, x.Close()) }()
+			_, err := get(t.Context(), x, tc.target, "/x")
+			var e *Error
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, tc.kind, e.Kind, err)
+			require.Equal(t, tc.run, e.Run)
+			require.Equal(t, tc.reset, e.Reset)
+		})
+	}
+}
+
+// TestReuse guards against a request that is sent on a connection which the target closed while it was idle, or on which
+// it sent bytes that belong to no request: they would be taken for the next answer.
+func TestReuse(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		serve func(c net.Conn, done chan struct{})
+		// later is true when the target acts on the idle connection after done.
+		later bool
+		conns int32
+	}{
+		{"kept alive", func(c net.Conn, _ chan struct{}) { echo(c, "") }, false, 1},
+		{"stale answer behind the first", func(c net.Conn, _ chan struct{}) {
+			echo(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+		}, false, 3},
+		{"stale answer later", func(c net.Conn, done chan struct{}) {
+			br := bufio.NewReader(c)
+			_, _ = http.ReadRequest(br)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/x")
+			<-done
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+			done <- struct{}{}
+			_, _ = http.ReadRequest(br)
+		}, true, 3},
+		{"closed while idle", func(c net.Conn, done chan struct{}) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/x")
+			<-done
+			c.Close()
+			done <- struct{}{}
+		}, true, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var conns atomic.Int32
+			done := make(chan struct{})
+			target := listener(t, func(_ int, c net.Conn) { conns.Add(1); tc.serve(c, done) })
+			x := client(Config{})
+			defer func() { require.NoError(t, x.Close()) }()
+			for range 3 {
+				body, err := get(t.Context(), x, target, "/x")
+				require.NoError(t, err)
+				require.Equal(t, "/x", body)
+				if tc.later {
+					done <- struct{}{}
+					<-done
+					// Waits until what the target did has reached this side.
+					idleSocket(t, x, target.Address, func(c *conn, raw syscall.RawConn) {
+						require.NoError(t, c.SetReadDeadline(time.Time{}))
+						require.NoError(t, raw.Read(readable))
+					})
+				}
+				// The deadline of the last read passes while a connection is idle.
+				idleSocket(t, x, target.Address, func(c *conn, _ syscall.RawConn) {
+					require.NoError(t, c.SetReadDeadline(time.Unix(1, 0)))
+				})
+			}
+			require.Equal(t, tc.conns, conns.Load())
+		})
+	}
+}
+
+// idleSocket calls f with the only idle connection to an address.
+func idleSocket(t *testing.T, x *Client, address string, f func(c *conn, raw syscall.RawConn)) {
+	x.pool.mu.Lock()
+	defer x.pool.mu.Unlock()
+	for _, c := range x.pool.idle[address] {
+		sc, ok := c.Conn.(syscall.Conn)
+		require.True(t, ok)
+		raw, err := sc.SyscallConn()
+		require.NoError(t, err)
+		f(c, raw)
+	}
+}
+
+// pipes connects to a serve function through pipes.
+type pipes struct {
+	group errgroup.Group
+	n     int
+	serve func(n int, c net.Conn)
+}
+
+func (p *pipes) DialContext(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	n := p.n
+	p.n++
+	p.group.Go(func() error { p.serve(n, far); return far.Close() })
+	return near, nil
+}
+
+// TestSilentSiblings guards against further requests on the connections to a target of which one fell silent: when a
+// probe on a new connection works the others are dropped, and when it does not they are kept.
+func TestSilentSiblings(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		probe   bool
+		dropped uint64
+		conns   int
+	}{
+		{"probe works", true, 2, 5},
+		{"probe fails", false, 0, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &pipes{}
+				p.serve = func(n int, c net.Conn) {
+					switch {
+					case n == 2, n == 3 && !tc.probe:
+						_, _ = io.Copy(io.Discard, c)
+					default:
+						echo(c, "")
+					}
+				}
+				x := client(Config{Dialer: p, FirstByte: 10 * time.Second})
+				target := &camphorhinge.Target{Announcement: camphorhinge.Announcement{Address: "t"}}
+				idle, err := x.Open(t.Context(), Call{Target: target, Method: "GET", Path: "/idle"})
+				require.NoError(t, err)
+				busy, err := x.Open(t.Context(), Call{Target: target, Method: "GET", Path: "/busy"})
+				require.NoError(t, err)
+				_, err = io.ReadAll(idle)
+				require.NoError(t, err)
+				idle.Close()
+				start := time.Now()
+				_, err = x.Open(t.Context(), Call{Target: target, Method: "GET", Path: "/", Fresh: true})
+				var e *Error
+				require.ErrorAs(t, err, &e)
+				require.Equal(t, KindSilent, e.Kind)
+				require.Equal(t, 10*time.Second, time.Since(start))
+				time.Sleep(3 * time.Second)
+				synctest.Wait()
+				require.Equal(t, tc.dropped, x.dropped.Get())
+				// An exchange that is under way on a sibling goes on to its end.
+				body, err := io.ReadAll(busy)
+				require.NoError(t, err)
+				require.Equal(t, "/busy", string(body))
+				busy.Close()
+				_, err = get(t.Context(), x, target, "/")
+				require.NoError(t, err)
+				require.Equal(t, tc.conns, p.n)
+				require.NoError(t, errors.Join(x.Close(), p.group.Wait()))
+			})
+		})
+	}
+}
+
+// TestAbandon guards against answers that arrive on the connection of an attempt nobody waits for: whatever ends the wait
+// closes the connection at once.
+func TestAbandon(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(cancel context.CancelFunc, a *Answer)
+		kind Kind
+	}{
+		{"closed", func(_ context.CancelFunc, a *Answer) {
+			_, _ = a.Read(make([]byte, 1))
+			a.Close()
+		}, ""},
+		{"caller left", func(cancel context.CancelFunc, _ *Answer) { cancel() }, KindLeft},
+		{"deadline", func(context.CancelFunc, *Answer) { time.Sleep(6 * time.Second) }, KindDeadline},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var header http.Header
+				closed := false
+				p := &pipes{serve: func(_ int, c net.Conn) {
+					req, _ := http.ReadRequest(bufio.NewReader(c))
+					header = req.Header
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\na")
+					_, _ = io.Copy(io.Discard, c)
+					closed = true
+				}}
+				x := client(Config{Dialer: p, Between: time.Minute})
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				a, err := x.Open(ctx, Call{
+					Target: &camphorhinge.Target{}, Method: "GET", Path: "/", Attempt: "a1", Priority: 7, Resume: 3,
+				})
+				require.NoError(t, err)
+				tc.end(cancel, a)
+				synctest.Wait()
+				require.True(t, closed)
+				if tc.kind != "" {
+					_, err = io.ReadAll(a)
+					var e *Error
+					require.ErrorAs(t, err, &e)
+					require.Equal(t, tc.kind, e.Kind)
+					a.Close()
+				}
+				require.Equal(t, "a1 7 5000 3", strings.Join([]string{
+					header.Get(camphorhinge.HeaderAttempt), header.Get(camphorhinge.HeaderPriority),
+					header.Get(camphorhinge.HeaderDeadline), header.Get(camphorhinge.HeaderResume),
+				}, " "))
+				require.Len(t, strings.Split(header.Get("Traceparent"), "-"), 4)
+				require.NoError(t, errors.Join(x.Close(), p.group.Wait()))
+				require.Empty(t, x.pool.all)
+			})
+		})
+	}
+}
+
+// TestEarlyRefusal guards the class when a target refuses a request without reading its body: the write fails, yet the
+// refusal holds.
+func TestEarlyRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipes{serve: func(_ int, c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nCamphorhinge-Run: not-run\r\nContent-Length: 0\r\n\r\n")
+		}}
+		x := client(Config{Dialer: p})
+		_, err := x.Open(t.Context(), Call{
+			Target: &camphorhinge.Target{}, Method: "POST", Path: "/", Body: strings.NewReader(strings.Repeat("x", 1<<20)), Length: 1 << 20,
+		})
+		var e *Error
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, KindRefused, e.Kind, err)
+		require.Equal(t, camphorhinge.NotRun, e.Run)
+		require.NoError(t, errors.Join(x.Close(), p.group.Wait()))
+		require.Empty(t, x.pool.all, "the rest of the body is unread, so the connection can't be used again")
+	})
+}
