Answer requests that hertz can't parse with a class, and bound the time for a header

hertz answers them in plain text before any handler runs, and bounds the wait for each read but not for the whole header. A guard around its connections replaces the answer and counts the time. A header line without a colon counts as incomplete for hertz, so it ends by that time limit.

--- /dev/null
+++ b/internal/request/frontend/guard.go
@@ -0,0 +1,134 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"example.org/camphorhinge"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/netpoll"
+)
+
+// guarded is hertz's transport for netpoll with a guard around each connection. Of hertz's transports only this one
+// notices a caller that leaves while its body is streamed.
+type guarded struct{ network.Transporter }
+
+func newGuarded(o *config.Options) network.Transporter { return &guarded{netpoll.NewTransporter(o)} }
+
+// ListenAndServe implements network.Transporter.
+func (g *guarded) ListenAndServe(serve network.OnData) error {
+	return g.Transporter.ListenAndServe(func(ctx context.Context, conn any) error {
+		if c, ok := conn.(network.Conn); ok {
+			conn = &guard{Conn: c}
+		}
+		return serve(ctx, conn)
+	})
+}
+
+// phase is where a connection stands with its current request.
+type phase int
+
+const (
+	reading phase = iota
+	serving
+	answering
+)
+
+// guard bounds the time in which a header is received, and replaces hertz's plain-text answers to requests that it can't
+// parse, which state no class. Such an answer is one that is written before a handler ran.
+type guard struct {
+	network.Conn
+	phase phase
+	// began is when the first byte of the header was seen, or zero.
+	began time.Time
+	slow  bool
+	told  bool
+}
+
+// mark is the middleware that tells the guard of the handlers.
+func mark(ctx context.Context, c *app.RequestContext) {
+	if g, ok := c.GetConn().(*guard); ok {
+		g.phase = serving
+		defer func() { g.phase = answering }()
+	}
+	c.Next(ctx)
+}
+
+// Peek implements network.Reader; hertz reads headers through it.
+func (g *guard) Peek(n int) ([]byte, error) {
+	if g.phase == answering {
+		g.phase, g.began = reading, time.Time{}
+	}
+	if g.phase != reading {
+		return g.Conn.Peek(n)
+	}
+	if !g.began.IsZero() {
+		left := headerTimeout - time.Since(g.began)
+		if left <= 0 {
+			g.slow = true
+			return nil, os.ErrDeadlineExceeded
+		}
+		if err := g.SetReadTimeout(left); err != nil {
+			return nil, err
+		}
+	}
+	b, err := g.Conn.Peek(n)
+	switch {
+	case err != nil:
+		g.slow = !g.began.IsZero() && time.Since(g.began) >= headerTimeout
+	case g.began.IsZero():
+		g.began = time.Now()
+	}
+	return b, err
+}
+
+// WriteBinary implements network.Writer.
+func (g *guard) WriteBinary(b []byte) (int, error) {
+	if g.phase != reading || bytes.HasPrefix(b, []byte("HTTP/1.1 100")) {
+		return g.Conn.WriteBinary(b)
+	}
+	return len(b), g.tell(b)
+}
+
+// Malloc implements network.Writer.
+func (g *guard) Malloc(n int) ([]byte, error) {
+	if g.phase != reading {
+		return g.Conn.Malloc(n)
+	}
+	return make([]byte, n), g.tell(nil)
+}
+
+// tell answers a request that could not be parsed; hertz closes the connection after it.
+func (g *guard) tell(original []byte) error {
+	if g.told {
+		return nil
+	}
+	g.told = true
+	err := refuse(KindInvalid, http.StatusBadRequest, "the request is not valid HTTP")
+	switch {
+	case g.slow:
+		err = refuse(KindSlow, http.StatusRequestTimeout, "the header was not received in time")
+	case bytes.HasPrefix(original, []byte("HTTP/1.1 431")):
+		err = refuse(KindTooLarge, http.StatusRequestHeaderFieldsTooLarge, "the header exceeds %d bytes", maxHeader)
+	case bytes.HasPrefix(original, []byte("HTTP/1.1 413")):
+		err = refuse(KindTooLarge, http.StatusRequestEntityTooLarge, "the body is too large")
+	}
+	body := err.body("")
+	head := "HTTP/1.1 " + strconv.Itoa(err.Status) + " " + http.StatusText(err.Status) +
+		"\r\nContent-Type: application/json\r\nConnection: close\r\n" + camphorhinge.HeaderRun + ": " + string(err.Run) +
+		"\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+	_, werr := g.Conn.WriteBinary(append([]byte(head), body...))
+	return werr
+}
+
+// HandleSpecificError implements network.HandleSpecificError.
+func (g *guard) HandleSpecificError(err error, rip string) bool {
+	h, ok := g.Conn.(network.HandleSpecificError)
+	return ok && h.HandleSpecificError(err, rip)
+}
--- a/internal/request/frontend/http.go
+++ b/internal/request/frontend/http.go
@@ -13,7 +13,6 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/netpoll"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cloudwego/hertz/pkg/route"
@@ -22,7 +21,7 @@
 const (
 	// maxHeader bounds a request's header, in bytes.
 	maxHeader = 32 << 10
-	// headerTimeout bounds the wait for more of a request's header.
+	// headerTimeout bounds the time from the first to the last byte of a request's header.
 	headerTimeout = 5 * time.Second
 	// idleTimeout bounds the time between two requests on a connection.
 	idleTimeout = 60 * time.Second
@@ -34,8 +33,7 @@
 // that leave.
 func Options() []config.Option {
 	return []config.Option{
-		// Only this transport notices a caller that leaves while its body is streamed.
-		server.WithTransport(netpoll.NewTransporter),
+		server.WithTransport(newGuarded),
 		server.WithStreamBody(true),
 		server.WithSenseClientDisconnection(true),
 		server.WithMaxHeaderBytes(maxHeader),
@@ -50,6 +48,7 @@
 
 // Register adds the handlers of the caller port to a server made with Options.
 func (f *Frontend) Register(r *route.Engine) {
+	r.Use(mark)
 	r.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(consts.StatusOK, "ok\n") })
 	r.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
 		if !f.cfg.Configuration.Ready() {
--- a/internal/request/frontend/http_test.go
+++ b/internal/request/frontend/http_test.go
@@ -1,9 +1,11 @@
 package frontend
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,12 +16,14 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/request/exchange"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
@@ -97,30 +101,13 @@
 	return Workspace{Name: "lima", Priority: 9}, digest == hex.EncodeToString(sum[:])
 }
 
-// TestHTTP guards the whole path over real sockets: a streamed and a whole answer, a plain call, and JSON errors with a
-// class for requests that are not passed on.
-func TestHTTP(t *testing.T) {
-	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		switch {
-		case strings.HasPrefix(r.URL.Path, "/pedidos"):
-			w.Header().Set("X-Workspace", r.Header.Get("Camphorhinge-Workspace"))
-			_, _ = fmt.Fprintf(w, "%s %d %q", r.Method, len(body), r.Header.Get("Authorization"))
-		case strings.Contains(string(body), `"stream":true`):
-			w.Header().Set("Content-Type", "text/event-stream")
-			id := r.Header.Get(camphorhinge.HeaderAttempt)
-			_, _ = fmt.Fprintf(w, "id: %s/0\ndata: {\"choices\":[{\"text\":\"a\"}]}\n\n", id)
-			_, _ = fmt.Fprintf(w, "id: %s/1\ndata: {\"choices\":[{\"text\":\"b\",\"finish_reason\":\"stop\"}]}\n\n", id)
-			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
-		default:
-			_, _ = fmt.Fprint(w, `{"choices":[]}`)
-		}
-	}))
-	defer target.Close()
+// port serves a Frontend on a real port in front of a target, until the test ends.
+func port(t *testing.T, cfg *fixed, target http.HandlerFunc) (address string) {
+	service := httptest.NewServer(target)
+	t.Cleanup(service.Close)
 	view := &fleet{targets: []*camphorhinge.Target{{
-		Announcement: camphorhinge.Announcement{Name: "t1", Address: target.Listener.Addr().String()}, Serving: true,
+		Announcement: camphorhinge.Announcement{Name: "t1", Address: service.Listener.Addr().String()}, Serving: true,
 	}}}
-	cfg := &fixed{}
 	tracer := noop.NewTracerProvider().Tracer("")
 	x := exchange.New(exchange.Config{Metrics: metrics.NewSet(), Tracer: tracer})
 	f := New(Config{
@@ -133,14 +120,40 @@
 	f.Register(h.Engine)
 	var group errgroup.Group
 	group.Go(h.Run)
-	defer func() {
+	t.Cleanup(func() {
 		http.DefaultClient.CloseIdleConnections()
 		require.NoError(t, h.Shutdown(context.Background()))
 		_ = group.Wait()
 		require.NoError(t, f.Close())
 		require.NoError(t, x.Close())
-	}()
-	base := "http://" + ln.Addr().String()
+	})
+	return ln.Addr().String()
+}
+
+// serveAll answers as an engine and as a plain service.
+func serveAll(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/pedidos"):
+		_, _ = fmt.Fprintf(w, "%s %d %q %s", r.Method, len(body), r.Header.Get("Authorization"),
+			r.Header.Get("Camphorhinge-Workspace"))
+	case strings.Contains(string(body), `"stream":true`):
+		w.Header().Set("Content-Type", "text/event-stream")
+		id := r.Header.Get(camphorhinge.HeaderAttempt)
+		for n := range pieces {
+			_, _ = fmt.Fprintf(w, "id: %s/%d\ndata: %s\n\n", id, n, data(n, false))
+		}
+		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	default:
+		_, _ = fmt.Fprint(w, `{"choices":[]}`)
+	}
+}
+
+// TestHTTP guards the whole path over real sockets: a streamed and a whole answer, a plain call, and JSON errors with a
+// class for requests that are not passed on.
+func TestHTTP(t *testing.T) {
+	cfg := &fixed{}
+	base := "http://" + port(t, cfg, serveAll)
 	for _, tc := range []struct {
 		name, method, path, body, key string
 		stale                         bool
@@ -149,8 +162,8 @@
 	}{
 		{"stream", "POST", "/v1/completions", `{"model":"m","prompt":"x","stream":true}`, "key", false, 200, "run", "data: [DONE]\n\n"},
 		{"whole", "POST", "/v1/chat/completions", `{"model":"m","messages":[{}]}`, "key", false, 200, "run", `{"choices":[]}`},
-		{"plain", "POST", "/pedidos/1?a=b", "hola", "key", false, 200, "run", `POST 4 ""`},
-		{"large plain", "POST", "/pedidos/1", strings.Repeat("x", 3<<20), "key", false, 200, "run", `POST 3145728 ""`},
+		{"plain", "POST", "/pedidos/1?a=b", "hola", "key", false, 200, "run", `POST 4 "" lima`},
+		{"large plain", "POST", "/pedidos/1", strings.Repeat("x", 3<<20), "key", false, 200, "run", `POST 3145728 "" lima`},
 		{"too large plain", "POST", "/pedidos/1", strings.Repeat("x", 17<<20), "key", false, 413, "not-run", "too_large"},
 		{"too large prompt", "POST", "/v1/completions", strings.Repeat("x", 9<<20), "key", false, 413, "not-run", "too_large"},
 		{"no key", "GET", "/pedidos", "", "", false, 401, "not-run", "unauthorized"},
@@ -185,3 +198,105 @@
 		})
 	}
 }
+
+// TestNotHTTP guards against answers without a class to requests that never reach a handler, and against a connection
+// that can't be used any more after a good request.
+func TestNotHTTP(t *testing.T) {
+	address := port(t, &fixed{}, serveAll)
+	good := "GET /pedidos/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n\r\n"
+	for _, tc := range []struct {
+		name, send string
+		want       []int
+	}{
+		{"two good requests", good + good, []int{200, 200}},
+		{"no request line", "nonsense\r\n\r\n", []int{400}},
+		{"bad content length", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", []int{400}},
+		{"after a good request", good + "nonsense\r\n\r\n", []int{200, 400}},
+		{"header too large", "GET / HTTP/1.1\r\nX: " + strings.Repeat("x", maxHeader) + "\r\n\r\n", []int{431}},
+		{"expects to continue", "POST /pedidos/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n" +
+			"Expect: 100-continue\r\nContent-Length: 2\r\n\r\nab", []int{100, 200}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			defer c.Close()
+			_, err = io.WriteString(c, tc.send)
+			require.NoError(t, err)
+			br := bufio.NewReader(c)
+			for _, status := range tc.want {
+				res, err := http.ReadResponse(br, nil)
+				require.NoError(t, err)
+				require.Equal(t, status, res.StatusCode)
+				body, err := io.ReadAll(res.Body)
+				require.NoError(t, err)
+				if status >= 400 {
+					require.Equal(t, "not-run", res.Header.Get(camphorhinge.HeaderRun))
+					require.True(t, json.Valid(body), "%s", body)
+				}
+			}
+		})
+	}
+}
+
+// slowConn gives one more byte of a header every 2 s.
+type slowConn struct {
+	network.Conn
+	sent []byte
+}
+
+func (c *slowConn) Peek(n int) ([]byte, error) {
+	time.Sleep(2 * time.Second)
+	return make([]byte, n), nil
+}
+
+func (c *slowConn) SetReadTimeout(time.Duration) error { return nil }
+
+func (c *slowConn) WriteBinary(b []byte) (int, error) {
+	c.sent = append(c.sent, b...)
+	return len(b), nil
+}
+
+// TestSlowHeader guards against a caller that holds a connection by sending a header byte by byte.
+func TestSlowHeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &slowConn{}
+		g := &guard{Conn: c}
+		start := time.Now()
+		var err error
+		for n := 1; err == nil; n++ {
+			_, err = g.Peek(n)
+		}
+		require.LessOrEqual(t, time.Since(start), headerTimeout+4*time.Second)
+		_, err = g.WriteBinary([]byte("HTTP/1.1 400 Bad Request"))
+		require.NoError(t, err)
+		require.Contains(t, string(c.sent), "HTTP/1.1 408")
+		require.Contains(t, string(c.sent), "not-run")
+	})
+}
+
+// TestCallerLeaves guards against work for nobody: when a caller closes its connection in the middle of a stream, the
+// target is told to end the attempt.
+func TestCallerLeaves(t *testing.T) {
+	cancelled := make(chan string, 1)
+	address := port(t, &fixed{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			cancelled <- r.URL.Path
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprintf(w, "id: %s/0\ndata: %s\n\n", r.Header.Get(camphorhinge.HeaderAttempt), data(0, false))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n"+
+		"Content-Length: %d\r\n\r\n%s", len(askStream), askStream)
+	require.NoError(t, err)
+	line, err := bufio.NewReader(c).ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, line, "200")
+	require.NoError(t, c.Close())
+	require.Contains(t, <-cancelled, "/v1/attempts/")
+}
