Notice callers that leave over hertz's standard transport

netpoll serves a copy of the listener, so closing the listener, by which a node stops, neither refused new connections nor ended the server. hertz's standard transport watches connections only when bodies are not streamed, so the guard watches them itself once the body was read. It also bounds the time in which a caller takes a piece.

--- a/internal/request/frontend/frontend.go
+++ b/internal/request/frontend/frontend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -136,6 +137,8 @@
 	meters *meters
 	// after runs control calls that no caller waits for, such as cancels.
 	after errgroup.Group
+	// watches wait for callers that leave, one for each request whose body was read.
+	watches errgroup.Group
 }
 
 // afterLimit bounds the control calls under way; further ones run before their handler returns.
@@ -163,8 +166,8 @@
 	return f
 }
 
-// Close waits for control calls under way.
-func (f *Frontend) Close() error { return f.after.Wait() }
+// Close waits for control calls under way; the requests must have ended.
+func (f *Frontend) Close() error { return errors.Join(f.watches.Wait(), f.after.Wait()) }
 
 // later runs a control call that no caller waits for.
 func (f *Frontend) later(call func(ctx context.Context) error) {
--- a/internal/request/frontend/guard.go
+++ b/internal/request/frontend/guard.go
@@ -3,29 +3,48 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"example.org/camphorhinge"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/netpoll"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 )
 
-// guarded is hertz's transport for netpoll with a guard around each connection. Of hertz's transports only this one
-// notices a caller that leaves while its body is streamed.
+// guarded is hertz's transport over the standard library with a guard around each connection.
 type guarded struct{ network.Transporter }
 
-func newGuarded(o *config.Options) network.Transporter { return &guarded{netpoll.NewTransporter(o)} }
+// rawKey is the context key of a connection's net.Conn.
+type rawKey struct{}
+
+func newGuarded(o *config.Options) network.Transporter {
+	accept := o.OnAccept
+	o.OnAccept = func(conn net.Conn) context.Context {
+		ctx := context.Background()
+		if accept != nil {
+			ctx = accept(conn)
+		}
+		return context.WithValue(ctx, rawKey{}, conn)
+	}
+	return &guarded{standard.NewTransporter(o)}
+}
 
 // ListenAndServe implements network.Transporter.
 func (g *guarded) ListenAndServe(serve network.OnData) error {
 	return g.Transporter.ListenAndServe(func(ctx context.Context, conn any) error {
-		if c, ok := conn.(network.Conn); ok {
-			conn = &guard{Conn: c}
+		c, ok := conn.(network.Conn)
+		raw, known := ctx.Value(rawKey{}).(net.Conn)
+		if ok && known {
+			conn = &guard{Conn: c, raw: raw}
 		}
 		return serve(ctx, conn)
 	})
@@ -44,6 +63,7 @@
 // parse, which state no class. Such an answer is one that is written before a handler ran.
 type guard struct {
 	network.Conn
+	raw   net.Conn
 	phase phase
 	// began is when the first byte of the header was seen, or zero.
 	began time.Time
@@ -91,6 +111,10 @@
 // WriteBinary implements network.Writer.
 func (g *guard) WriteBinary(b []byte) (int, error) {
 	if g.phase != reading || bytes.HasPrefix(b, []byte("HTTP/1.1 100")) {
+		// A long buffer is written at once.
+		if err := g.SetWriteTimeout(writeTimeout); err != nil {
+			return 0, err
+		}
 		return g.Conn.WriteBinary(b)
 	}
 	return len(b), g.tell(b)
@@ -104,6 +128,50 @@
 	return make([]byte, n), g.tell(nil)
 }
 
+// Flush implements network.Writer; it fails when the caller does not take what was written.
+func (g *guard) Flush() error {
+	if err := g.SetWriteTimeout(writeTimeout); err != nil {
+		return err
+	}
+	return g.Conn.Flush()
+}
+
+// watch cancels a context when the caller closes its connection. It must be called after the request's body was read,
+// since hertz notices callers that leave only where bodies are not streamed. The returned function ends the watch and
+// must be called before hertz reads from the connection again.
+func (g *guard) watch(group *errgroup.Group, cancel context.CancelFunc) (stop func()) {
+	sc, ok := g.raw.(syscall.Conn)
+	if !ok {
+		return func() {}
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil || g.raw.SetReadDeadline(time.Time{}) != nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	group.Go(func() error {
+		defer close(done)
+		left := false
+		err := raw.Read(func(fd uintptr) bool {
+			var b [1]byte
+			n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			// A next request that is already sent hides a later close; the write of the answer finds it.
+			left = n == 0 && err == nil || err != nil && !errors.Is(err, unix.EAGAIN)
+			return !errors.Is(err, unix.EAGAIN)
+		})
+		if err == nil && left {
+			cancel()
+		}
+		return nil
+	})
+	return func() {
+		// A deadline in the past ends the wait. Neither call fails on an open connection, and a closed one ends it too.
+		_ = g.raw.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		_ = g.raw.SetReadDeadline(time.Time{})
+	}
+}
+
 // tell answers a request that could not be parsed; hertz closes the connection after it.
 func (g *guard) tell(original []byte) error {
 	if g.told {
--- a/internal/request/frontend/http.go
+++ b/internal/request/frontend/http.go
@@ -29,17 +29,15 @@
 	writeTimeout = 20 * time.Second
 )
 
-// Options returns the server options that the handlers rely on: streamed bodies, limits and the noticing of callers
-// that leave.
+// Options returns the server options that the handlers rely on: streamed bodies, limits, and a transport that notices
+// callers that leave.
 func Options() []config.Option {
 	return []config.Option{
 		server.WithTransport(newGuarded),
 		server.WithStreamBody(true),
-		server.WithSenseClientDisconnection(true),
 		server.WithMaxHeaderBytes(maxHeader),
 		server.WithReadTimeout(headerTimeout),
 		server.WithIdleTimeout(idleTimeout),
-		server.WithWriteTimeout(writeTimeout),
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithDisablePrintRoute(true),
 		server.WithRedirectTrailingSlash(false),
@@ -76,6 +74,9 @@
 	if in.length != 0 {
 		in.body = &body{r: c.RequestBodyStream(), conn: c.GetConn(), until: time.Now().Add(f.cfg.Receive)}
 	}
+	if g, ok := c.GetConn().(*guard); ok {
+		in.watch = func(cancel context.CancelFunc) func() { return g.watch(&f.watches, cancel) }
+	}
 	f.serve(ctx, in, &hertzSink{c: c})
 }
 
--- a/internal/request/frontend/inbound.go
+++ b/internal/request/frontend/inbound.go
@@ -31,6 +31,8 @@
 	body   io.Reader
 	// length is the body's size in bytes, or -1 when it is not known.
 	length int64
+	// watch cancels a request when its caller leaves, until the returned function is called; it may be nil.
+	watch func(cancel context.CancelFunc) (stop func())
 
 	id        camphorhinge.RequestID
 	began     time.Time
@@ -148,6 +150,20 @@
 	return left - time.Since(in.began), nil
 }
 
+// bound returns the context of the request's attempts: it ends at the deadline or when the caller leaves. whole tells
+// that the body was read.
+func (in *inbound) bound(ctx context.Context, left time.Duration, whole bool) (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(ctx, left)
+	if in.watch == nil || !whole {
+		return ctx, cancel
+	}
+	stop := in.watch(cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // read reads the whole body.
 func (in *inbound) read(limit int64) ([]byte, *Error) {
 	if in.length > limit {
--- a/internal/request/frontend/model.go
+++ b/internal/request/frontend/model.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, left)
+	ctx, cancel := in.bound(ctx, left, true)
 	defer cancel()
 	text := p.text()
 	j := &job{
--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -49,7 +49,7 @@
 	}
 	c.repeat = idempotent && c.rest == nil
 	c.fp = in.fingerprint(append([]byte(in.method+" "+in.target+" "), c.head...))
-	ctx, cancel := context.WithTimeout(ctx, left)
+	ctx, cancel := in.bound(ctx, left, c.rest == nil)
 	defer cancel()
 	choice, release, err := c.admit(ctx)
 	if err != nil {
