--- a/internal/request/frontend/contract_test.go
+++ b/internal/request/frontend/contract_test.go
@@ -292,6 +292,7 @@
 
 func (tc row) checkAnswer(t *testing.T, out *recorder) {
 	got := out.body.String()
+	require.NotContains(t, got, "pipe", "causes with addresses of targets stay inside")
 	require.Equal(t, tc.answer == "aborted", out.aborted)
 	switch tc.answer {
 	case "stream":
--- a/internal/request/frontend/error.go
+++ b/internal/request/frontend/error.go
@@ -45,7 +45,9 @@
 	Status int
 	// RetryAfter is when the caller may try again, or 0.
 	RetryAfter time.Duration
-	Err        error
+	// Message is for the caller; it is empty where Err may be shown. Causes of failed exchanges hold addresses of targets.
+	Message string
+	Err     error
 }
 
 // Error implements error.
@@ -70,7 +72,9 @@
 			Request    camphorhinge.RequestID `json:"request_id"`
 		} `json:"error"`
 	}
-	b.Error.Message = e.Err.Error()
+	if b.Error.Message = e.Message; e.Message == "" {
+		b.Error.Message = e.Err.Error()
+	}
 	b.Error.Type, b.Error.Run, b.Error.Request = e.Kind, e.Run, id
 	b.Error.RetryAfter = e.RetryAfter.Milliseconds()
 	out, err := json.Marshal(b)
@@ -82,7 +86,10 @@
 
 // failed turns the last attempt's error into the caller's. class is the class over all attempts.
 func failed(err error, class camphorhinge.RunClass) *Error {
-	out := &Error{Op: "exchange", Kind: KindTarget, Run: class, Status: http.StatusBadGateway, Err: err}
+	out := &Error{
+		Op: "exchange", Kind: KindTarget, Run: class, Status: http.StatusBadGateway, Err: err,
+		Message: "the connection to the target failed before the whole answer was received",
+	}
 	var own *Error
 	if errors.As(err, &own) {
 		own.Run = class
@@ -94,25 +101,32 @@
 	}
 	var r *exchange.Refused
 	if errors.As(err, &r) && len(r.Body) > 0 {
-		out.Err = fmt.Errorf("%w: %.1024s", r, r.Body)
+		out.Message = fmt.Sprintf("%s: %.1024s", r, r.Body)
 	}
 	switch e.Kind {
 	case exchange.KindDeadline, exchange.KindSilent:
-		out.Status = http.StatusGatewayTimeout
+		out.Status, out.Message = http.StatusGatewayTimeout, "the target did not answer in time"
 		if e.Kind == exchange.KindDeadline {
-			out.Kind = KindDeadline
+			out.Kind, out.Message = KindDeadline, "the deadline passed before the whole answer was received"
 		}
 	case exchange.KindConnect, exchange.KindRefused:
 		out.Status, out.Kind, out.RetryAfter = http.StatusServiceUnavailable, KindNoTarget, retryHint
+		out.Message = "no target took the request"
 		if faulty(e.Status) {
 			out.Status, out.Kind, out.RetryAfter = e.Status, KindInvalid, 0
+			if r != nil {
+				out.Message = fmt.Sprintf("the target refused the request with status %d: %.1024s", r.Status, r.Body)
+			}
 		}
 	case exchange.KindStatus:
 		out.Status = e.Status
+		if r != nil && len(r.Body) == 0 {
+			out.Message = r.Error()
+		}
 	case exchange.KindLeft:
 		out.Kind, out.Status = KindLeft, statusLeft
 	case exchange.KindBody:
-		out.Kind, out.Status = KindInvalid, http.StatusBadRequest
+		out.Kind, out.Status, out.Message = KindInvalid, http.StatusBadRequest, "the body could not be read"
 	}
 	return out
 }
--- /dev/null
+++ b/internal/request/frontend/refuse_test.go
@@ -0,0 +1,109 @@
+package frontend
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/exchange"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// gate refuses a request as scripted, by admission or by quarantine, and records how attempts ended.
+type gate struct {
+	open
+	refusal     *camphorhinge.Refusal
+	quarantined time.Duration
+	released    int
+	ends        []string
+}
+
+func (g *gate) Admit(camphorhinge.AdmitRequest) (func(), *camphorhinge.Refusal) {
+	if g.refusal != nil {
+		return nil, g.refusal
+	}
+	return func() { g.released++ }, nil
+}
+
+func (g *gate) Refused(camphorhinge.Fingerprint) (time.Duration, bool) {
+	return g.quarantined, g.quarantined > 0
+}
+
+func (g *gate) Begin(*camphorhinge.Target, camphorhinge.Fingerprint) func(crashed, succeeded bool) {
+	return func(crashed, succeeded bool) {
+		switch {
+		case crashed:
+			g.ends = append(g.ends, "crashed")
+		case succeeded:
+			g.ends = append(g.ends, "succeeded")
+		default:
+			g.ends = append(g.ends, "failed")
+		}
+	}
+}
+
+// TestGate guards requests that are refused before any target: class, status and retry hint, and that no target hears of
+// them; and what admission and quarantine learn of those that are let through.
+func TestGate(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		gate   gate
+		body   string
+		header map[string]string
+		steps  []step
+		status int
+		kind   string
+		retry  string
+		ends   []string
+	}{
+		{name: "limit", gate: gate{refusal: &camphorhinge.Refusal{Kind: "limit", Message: "m", RetryAfter: 1200 * time.Millisecond}}, body: askWhole, status: 429, kind: "limit", retry: "2"},
+		{name: "shed", gate: gate{refusal: &camphorhinge.Refusal{Kind: "shed", Message: "m", RetryAfter: time.Second}}, body: askWhole, status: 503, kind: "shed", retry: "1"},
+		{name: "deadline", gate: gate{refusal: &camphorhinge.Refusal{Kind: "deadline", Message: "m"}}, body: askWhole, status: 503, kind: "deadline"},
+		{name: "quarantined", gate: gate{quarantined: time.Minute}, body: askWhole, status: 422, kind: "quarantined", retry: "60"},
+		{name: "bad priority", body: askWhole, header: map[string]string{camphorhinge.HeaderPriority: "10"}, status: 400, kind: "invalid_request"},
+		{name: "bad deadline", body: askWhole, header: map[string]string{camphorhinge.HeaderDeadline: "-1"}, status: 400, kind: "invalid_request"},
+		{name: "answer", body: askWhole, steps: []step{whole(200, "ok")}, status: 200, ends: []string{"succeeded"}},
+		{name: "error status", body: askWhole, steps: []step{whole(500, "oops")}, status: 500, ends: []string{"failed"}},
+		{name: "crash, then refusal", gate: gate{open: open{budget: 1}}, body: askWhole, steps: []step{closing(), refusing(503)}, status: 503, retry: "1", ends: []string{"crashed", "failed"}},
+		{name: "crash in a stream, resumed", body: askStream, steps: []step{broken(2, cut), stream()}, status: 200, ends: []string{"crashed", "succeeded"}},
+		{name: "silence", body: askWhole, steps: []step{silent()}, status: 504, ends: []string{"failed"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := &fake{name: "a", steps: tc.steps}
+				net := &pipes{fakes: map[string]*fake{"a": a}}
+				view := &fleet{targets: []*camphorhinge.Target{{
+					Announcement: camphorhinge.Announcement{Name: "a", Address: "a"}, Serving: true,
+				}}}
+				tracer := noop.NewTracerProvider().Tracer("")
+				x := exchange.New(exchange.Config{Dialer: net, Metrics: metrics.NewSet(), Tracer: tracer})
+				f := New(Config{
+					Router: view, Targets: view, Admission: &tc.gate, Quarantine: &tc.gate, Decisions: quiet{},
+					Configuration: &fixed{}, Exchange: x, Metrics: metrics.NewSet(), Tracer: tracer,
+				})
+				defer func() { require.NoError(t, errors.Join(f.Close(), x.Close(), net.group.Wait())) }()
+				in := row{body: tc.body}.request()
+				for k, v := range tc.header {
+					in.header.Set(k, v)
+				}
+				out := &recorder{header: http.Header{}}
+				f.serve(t.Context(), in, out)
+				require.Equal(t, tc.status, out.status, out.body.String())
+				require.Contains(t, out.body.String(), tc.kind)
+				require.Equal(t, tc.retry, out.header.Get("Retry-After"))
+				require.Equal(t, tc.ends, tc.gate.ends)
+				if tc.kind != "" {
+					require.Equal(t, string(camphorhinge.NotRun), out.class())
+					require.Zero(t, a.runs)
+				} else {
+					require.Equal(t, 1, tc.gate.released)
+				}
+			})
+		})
+	}
+}
