Let whole answers and claimed calls take their time

A claimed call goes on when its caller leaves, so that a resend gets the stored answer instead of an unknown outcome, and a claim is released before its caller is told not-run.

--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -123,6 +123,8 @@
 	// Body is read once; Length is its size in bytes, or -1 when it is not known.
 	Body   io.Reader
 	Length int64
+	// Wait is added to the first-byte limit, for answers that come in one piece once they are complete.
+	Wait time.Duration
 	// Priority is passed on to the target.
 	Priority camphorhinge.Priority
 	// Resume is the offset at which a stream goes on, or 0 for a new one.
@@ -193,7 +195,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cn.begin(c.cfg.FirstByte, c.cfg.Between, headerLimit)
+	cn.begin(c.cfg.FirstByte+call.Wait, c.cfg.Between, headerLimit)
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	// Closing a body of net/http would read it to its end; here the connection is closed or kept instead.
 	resp, err := c.roundTrip(ctx, cn, call) //nolint:bodyclose // see above
--- a/internal/request/frontend/frontend.go
+++ b/internal/request/frontend/frontend.go
@@ -186,10 +186,10 @@
 
 // sink receives the answer for a caller.
 type sink interface {
-	// Whole sends a complete answer.
-	Whole(status int, header http.Header, body []byte) error
+	// Whole sends a complete answer. A caller that left is not noticed.
+	Whole(status int, header http.Header, body []byte)
 	// Head starts an answer that is sent in pieces.
-	Head(status int, header http.Header) error
+	Head(status int, header http.Header)
 	// Write sends one piece at once; an error means that the caller is gone.
 	Write(p []byte) (int, error)
 	// Abort cuts the connection, so that the caller can't take the pieces for the whole answer.
--- a/internal/request/frontend/http.go
+++ b/internal/request/frontend/http.go
@@ -124,19 +124,17 @@
 	}
 }
 
-// Whole implements sink. hertz sends the answer after the handler, so a caller that left is not noticed.
-func (s *hertzSink) Whole(status int, header http.Header, body []byte) error {
+// Whole implements sink; hertz sends the answer after the handler.
+func (s *hertzSink) Whole(status int, header http.Header, body []byte) {
 	s.head(status, header)
 	s.c.Response.SetBodyRaw(body)
-	return nil
 }
 
 // Head implements sink.
-func (s *hertzSink) Head(status int, header http.Header) error {
+func (s *hertzSink) Head(status int, header http.Header) {
 	s.head(status, header)
 	s.w = &chunks{ExtWriter: resp.NewChunkedBodyWriter(&s.c.Response, s.c.GetWriter())}
 	s.c.Response.HijackWriter(s.w)
-	return nil
 }
 
 // Write implements sink.
--- a/internal/request/frontend/inbound.go
+++ b/internal/request/frontend/inbound.go
@@ -68,7 +68,7 @@
 		"cause": err.Err.Error(),
 	})
 	if !errors.Is(err, errWritten) {
-		_ = out.Whole(err.Status, f.header(in, err.Run, err.RetryAfter, "application/json"), err.body(in.id))
+		out.Whole(err.Status, f.header(in, err.Run, err.RetryAfter, "application/json"), err.body(in.id))
 	}
 }
 
--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -49,7 +49,8 @@
 	}
 	c.repeat = idempotent && c.rest == nil
 	c.fp = in.fingerprint(append([]byte(in.method+" "+in.target+" "), c.head...))
-	ctx, cancel := in.bound(ctx, left, c.rest == nil)
+	// A claimed call goes on when its caller leaves: the answer is stored for the resend.
+	ctx, cancel := in.bound(ctx, left, c.rest == nil && !claimed)
 	defer cancel()
 	choice, release, err := c.admit(ctx)
 	if err != nil {
@@ -173,23 +174,19 @@
 	h.Set(camphorhinge.HeaderRequest, string(c.in.id))
 	if whole {
 		c.complete(claim.Answer{Status: a.Status, Header: h, Body: head})
-		if c.out.Whole(a.Status, h, head) != nil {
-			return failed(errCaller, camphorhinge.Run), nil
-		}
+		c.out.Whole(a.Status, h, head)
 		return nil, nil
 	}
-	if c.out.Head(a.Status, h) != nil {
-		return failed(errCaller, camphorhinge.Unknown), nil
-	}
+	c.out.Head(a.Status, h)
 	if _, err := c.out.Write(head); err != nil {
-		return failed(errCaller, camphorhinge.Unknown), nil
+		return c.left(a, h), nil
 	}
 	part := make([]byte, 32<<10)
 	for {
 		n, err := a.Read(part)
 		if n > 0 {
 			if _, werr := c.out.Write(part[:n]); werr != nil {
-				return failed(errCaller, camphorhinge.Unknown), nil
+				return c.left(a, h), nil
 			}
 		}
 		switch {
@@ -203,7 +200,13 @@
 	}
 }
 
-// hopHeaders concern one connection and are not passed on.
+// left ends a call whose caller left in the middle of a long answer.
+func (c *call) left(a *exchange.Answer, h http.Header) *Error {
+	c.complete(claim.Answer{Status: a.Status, Header: h, Omitted: true})
+	return failed(errCaller, camphorhinge.Unknown)
+}
+
+// hop reports whether a header concerns one connection only, and is not passed on.
 func hop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
@@ -282,7 +285,8 @@
 		c.grant = &g
 		return false, nil
 	case claim.Stored:
-		return true, c.replay(g.Answer)
+		c.replay(g.Answer)
+		return true, nil
 	case claim.Busy:
 		out := refuse(KindInProgress, http.StatusConflict, "a request with this key is in progress")
 		out.Run, out.RetryAfter = camphorhinge.Unknown, retryHint
@@ -303,7 +307,7 @@
 const maxKey = 255
 
 // replay sends a stored answer.
-func (c *call) replay(a *claim.Answer) *Error {
+func (c *call) replay(a *claim.Answer) {
 	h := http.Header(a.Header).Clone()
 	if h == nil {
 		h = http.Header{}
@@ -314,10 +318,7 @@
 	if a.Omitted {
 		h.Set("Camphorhinge-Body", "omitted")
 	}
-	if c.out.Whole(a.Status, h, a.Body) != nil {
-		return failed(errCaller, camphorhinge.Run)
-	}
-	return nil
+	c.out.Whole(a.Status, h, a.Body)
 }
 
 // complete stores the answer before the caller gets it. When that fails, a later call with the key is told that the
@@ -346,7 +347,12 @@
 	}
 	g := *c.grant
 	c.grant = nil
-	c.f.later(func(ctx context.Context) error { return c.f.cfg.Claims.Release(ctx, g) })
+	// Released before the caller is told, so that a resend at once does not find the request in progress.
+	ctx, cancel := context.WithTimeout(context.Background(), control)
+	defer cancel()
+	if c.f.cfg.Claims.Release(ctx, g) != nil {
+		c.f.meters.controlFailures.Inc()
+	}
 }
 
 func (c *call) lose() {
--- a/internal/request/frontend/relay.go
+++ b/internal/request/frontend/relay.go
@@ -153,9 +153,7 @@
 	if !r.headed {
 		h := r.f.header(r.in, camphorhinge.Run, 0, "text/event-stream")
 		h.Set("Cache-Control", "no-cache")
-		if r.out.Head(http.StatusOK, h) != nil {
-			return errCaller
-		}
+		r.out.Head(http.StatusOK, h)
 		r.headed = true
 	}
 	var b bytes.Buffer
