--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -221,7 +221,7 @@
 		a.finish()
 		return nil, &Error{
 			Op: "open", Kind: KindRefused, Run: camphorhinge.NotRun, Status: resp.StatusCode,
-			Err: &Refused{Status: resp.StatusCode, Header: resp.Header, Body: body},
+			Body: body, Err: statusError(resp.StatusCode),
 		}
 	}
 	return a, nil
--- a/internal/request/exchange/error.go
+++ b/internal/request/exchange/error.go
@@ -45,6 +45,8 @@
 	Run camphorhinge.RunClass
 	// Status is the target's HTTP status, or 0 when there was none.
 	Status int
+	// Body is what came with an error status, up to 64 KiB.
+	Body []byte
 	// Reset is true when the target reset or closed the connection during the request, as a crash does.
 	Reset bool
 	Err   error
@@ -69,6 +71,8 @@
 	errClosed   = errors.New("client is closed")
 )
 
+func statusError(status int) error { return fmt.Errorf("target answered with status %d", status) }
+
 // fail builds the Error of an exchange that broke after the connection was made.
 func fail(ctx context.Context, op string, c *conn, err error) *Error {
 	e := &Error{Op: op, Kind: KindCut, Run: camphorhinge.Unknown, Err: err}
--- a/internal/request/exchange/probe.go
+++ b/internal/request/exchange/probe.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -112,7 +111,7 @@
 	if a.Status >= http.StatusBadRequest {
 		return &Error{
 			Op: path, Kind: KindStatus, Run: a.Class(), Status: a.Status,
-			Err: fmt.Errorf("status %d", a.Status),
+			Err: statusError(a.Status),
 		}
 	}
 	if out == nil {
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -46,18 +46,7 @@
 	err      error
 }
 
-// Refused is the answer of a target with an error status.
-type Refused struct {
-	Status int
-	Header http.Header
-	Body   []byte
-}
-
-// Error implements error.
-func (r *Refused) Error() string { return fmt.Sprintf("target answered with status %d", r.Status) }
-
-// Stream sends a request whose answer is an event stream. An error status is an Error of KindStatus that wraps a
-// *Refused.
+// Stream sends a request whose answer is an event stream. An error status is an Error of KindStatus.
 func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
 	a, err := c.Open(ctx, call)
 	if err != nil {
@@ -71,7 +60,7 @@
 		}
 		e := &Error{
 			Op: "stream", Kind: KindStatus, Run: a.Class(), Status: a.Status,
-			Err: &Refused{Status: a.Status, Header: a.Header, Body: body},
+			Body: body, Err: statusError(a.Status),
 		}
 		c.count(e)
 		return nil, e
--- a/internal/request/frontend/error.go
+++ b/internal/request/frontend/error.go
@@ -99,10 +99,6 @@
 	if !errors.As(err, &e) {
 		return out
 	}
-	var r *exchange.Refused
-	if errors.As(err, &r) && len(r.Body) > 0 {
-		out.Message = fmt.Sprintf("%s: %.1024s", r, r.Body)
-	}
 	switch e.Kind {
 	case exchange.KindDeadline, exchange.KindSilent:
 		out.Status, out.Message = http.StatusGatewayTimeout, "the target did not answer in time"
@@ -114,15 +110,11 @@
 		out.Message = "no target took the request"
 		if faulty(e.Status) {
 			out.Status, out.Kind, out.RetryAfter = e.Status, KindInvalid, 0
-			if r != nil {
-				out.Message = fmt.Sprintf("the target refused the request with status %d: %.1024s", r.Status, r.Body)
-			}
+			out.Message = fmt.Sprintf("the target refused the request: %.1024s", e.Body)
 		}
 	case exchange.KindStatus:
 		out.Status = e.Status
-		if r != nil && len(r.Body) == 0 {
-			out.Message = r.Error()
-		}
+		out.Message = fmt.Sprintf("the target answered with status %d: %.1024s", e.Status, e.Body)
 	case exchange.KindLeft:
 		out.Kind, out.Status = KindLeft, statusLeft
 	case exchange.KindBody:
--- a/internal/request/frontend/model.go
+++ b/internal/request/frontend/model.go
@@ -126,7 +126,7 @@
 	case a.Status >= http.StatusBadRequest:
 		return nil, nil, &exchange.Error{
 			Op: "read body", Kind: exchange.KindStatus, Run: a.Class(), Status: a.Status,
-			Err: &exchange.Refused{Status: a.Status, Header: a.Header, Body: answer},
+			Body: answer, Err: fmt.Errorf("target answered with status %d", a.Status),
 		}
 	}
 	return a, answer, nil
