--- a/internal/state/consensus/core_test.go
+++ b/internal/state/consensus/core_test.go
@@ -225,3 +225,126 @@
 		})
 	}
 }
+
+// voter returns replica 1 of three voters, with a log that ends with an entry of index 2 and term 2.
+func voter(t *testing.T) *Core {
+	t.Helper()
+	var m Membership
+	for id := camphorhinge.ReplicaID(1); id <= 3; id++ {
+		m = m.with(Member{ID: id, Voter: true})
+	}
+	_, entries := Bootstrap(m)
+	c, err := New(Config{
+		ID: 1, Timing: DefaultTiming(), Limits: DefaultLimits(), HardState: HardState{Term: 2},
+		Entries: append(entries, Entry{Index: 2, Term: 2, Kind: EntryCommand, Data: []byte{1}}),
+	})
+	require.NoError(t, err)
+	return c
+}
+
+// flush syncs all writes and returns the messages.
+func flush(c *Core) []Message {
+	var out []Message
+	for r := c.Ready(); !r.Empty(); r = c.Ready() {
+		out = append(out, r.Messages...)
+		if r.Write > 0 {
+			c.Synced(0, r.Write)
+		}
+	}
+	return out
+}
+
+// TestVoteRules guards each condition of a grant on its own, since pre-vote hides a fault in the vote itself.
+func TestVoteRules(t *testing.T) {
+	t.Parallel()
+	const late = camphorhinge.Instant(5 * time.Second)
+	request := Message{From: 2, To: 1, Term: 3, Index: 2, LogTerm: 2}
+	tests := []struct {
+		name  string
+		at    camphorhinge.Instant
+		heard bool
+		edit  func(*Message)
+		want  bool
+	}{
+		{"granted", late, false, func(*Message) {}, true},
+		{"longer log", late, false, func(m *Message) { m.Index = 9 }, true},
+		{"shorter log", late, false, func(m *Message) { m.Index = 1 }, false},
+		{"longer log of a lower term", late, false, func(m *Message) { m.Index, m.LogTerm = 9, 1 }, false},
+		{"999 ms after a restart", camphorhinge.Instant(999 * time.Millisecond), false, func(*Message) {}, false},
+		{"1000 ms after a restart", camphorhinge.Instant(time.Second), false, func(*Message) {}, true},
+		{"just heard from a leader", late, true, func(*Message) {}, false},
+		{"lower term", late, false, func(m *Message) { m.Term = 1 }, false},
+	}
+	for _, typ := range []MessageType{MessagePreVote, MessageVote} {
+		for _, test := range tests {
+			c := voter(t)
+			if test.heard {
+				require.NoError(t, c.Step(test.at, Message{Type: MessageHeartbeat, From: 3, To: 1, Term: 2}))
+				flush(c)
+			}
+			m := request
+			m.Type = typ
+			test.edit(&m)
+			require.NoError(t, c.Step(test.at, m))
+			unsynced := c.Ready()
+			for _, r := range append(unsynced.Messages, flush(c)...) {
+				require.False(t, typ == MessageVote && !r.Reject, "%s: a vote left before its sync", test.name)
+			}
+			c.Synced(test.at, unsynced.Write)
+			granted := false
+			for _, r := range append(unsynced.Messages, flush(c)...) {
+				granted = granted || !r.Reject
+			}
+			require.Equal(t, test.want, granted, "%s, type %d", test.name, typ)
+			// A request within the wait leaves the term alone, so that it doesn't depose the leader.
+			raised := typ == MessageVote && !test.heard && test.at >= camphorhinge.Instant(time.Second) && m.Term == 3
+			require.Equal(t, raised, c.hard.Term == 3, "%s, type %d: term", test.name, typ)
+			if test.want && typ == MessageVote {
+				m.From = 3
+				require.NoError(t, c.Step(test.at, m))
+				again := flush(c)
+				require.Len(t, again, 1)
+				require.True(t, again[0].Reject, "a second candidate got a vote in the same term")
+			}
+		}
+	}
+}
+
+// TestCommitOnlyOwnTerm guards against committing entries of earlier terms by counting, which a later leader may replace.
+func TestCommitOnlyOwnTerm(t *testing.T) {
+	t.Parallel()
+	c := voter(t)
+	now := camphorhinge.Instant(5 * time.Second)
+	c.Tick(now)
+	require.NoError(t, c.Step(now, Message{Type: MessagePreVoteReply, From: 2, To: 1, Term: 3}))
+	require.NoError(t, c.Step(now, Message{Type: MessageVoteReply, From: 2, To: 1, Term: 3}))
+	require.Equal(t, Candidate, c.role, "the own vote counts once it is synced")
+	flush(c)
+	require.Equal(t, Leader, c.role)
+	require.NoError(t, c.Step(now, Message{Type: MessageAppendReply, From: 2, To: 1, Term: 3, Index: 2}))
+	require.Zero(t, c.commit)
+	require.NoError(t, c.Step(now, Message{Type: MessageAppendReply, From: 2, To: 1, Term: 3, Index: 3}))
+	require.EqualValues(t, 3, c.commit)
+}
+
+// TestTruncateRollsBack guards against a membership, or a durable index, that outlives the entry it came from.
+func TestTruncateRollsBack(t *testing.T) {
+	t.Parallel()
+	c := voter(t)
+	alone := AppendMembership(nil, Membership{Members: []Member{{ID: 3, Voter: true}}})
+	require.NoError(t, c.Step(0, Message{
+		Type: MessageAppend, From: 3, To: 1, Term: 3, Index: 2, LogTerm: 2,
+		Entries: []Entry{{Index: 3, Term: 3, Kind: EntryMembership, Data: alone}},
+	}))
+	flush(c)
+	require.Len(t, c.membership().Members, 1)
+	require.EqualValues(t, 3, c.writes.durable)
+	require.NoError(t, c.Step(0, Message{
+		Type: MessageAppend, From: 2, To: 1, Term: 4, Index: 2, LogTerm: 2, Commit: 3,
+		Entries: []Entry{{Index: 3, Term: 4, Kind: EntryNoop}},
+	}))
+	require.Len(t, c.membership().Members, 3)
+	r := c.Ready()
+	require.Len(t, r.Committed, 2, "the replacing entry is not synced yet")
+	require.Empty(t, r.Messages, "the acknowledgement left before the sync")
+}
--- a/internal/state/consensus/random_test.go
+++ b/internal/state/consensus/random_test.go
@@ -42,7 +42,7 @@
 
 func (w *world) oneFault() {
 	n := w.anyNode()
-	switch w.random.IntN(10) {
+	switch w.random.IntN(11) {
 	case 0, 1:
 		w.crashFor(n, w.between(10*time.Millisecond, 2500*time.Millisecond))
 	case 2:
@@ -63,7 +63,7 @@
 		}
 	case 7:
 		w.loss = 0.2
-	case 8:
+	case 8, 10:
 		if l := w.anyLeader(); l != nil {
 			to := w.order[w.random.IntN(len(w.order))]
 			w.on(l, 0, func() {
@@ -71,6 +71,9 @@
 					w.stats.transfers++
 				}
 			})
+			if w.chance(0.5) {
+				w.after(w.between(0, 10*time.Millisecond), func() { w.pauseFor(l, w.between(50*time.Millisecond, time.Second)) })
+			}
 		}
 	case 9:
 		w.destroy(n)
@@ -141,6 +144,7 @@
 	n.deferred = nil
 	for _, f := range fs {
 		f()
+		w.checks.leases()
 	}
 }
 
