replica: drive consensus over the log on disk

One goroutine owns the consensus core and the machines, a second one the log, so that a slow sync doesn't stop heartbeats; all writes that wait during a sync share the next one.

The view that Authority reads is published before messages leave: a lease that is given up for a transfer is invalid before the request to take over is sent. OnLeader is called once an entry of the own term is applied, so that the machines hold all that earlier leaders committed.

--- a/internal/state/consensus/authority.go
+++ b/internal/state/consensus/authority.go
@@ -28,6 +28,14 @@
 	return c.hard.Term, max(now, c.now).Sub(l.leased) < c.timing.Lease
 }
 
+// LeaseEnd returns when the lease held now ends, unless a later round renews it; ok is false without a lease.
+func (c *Core) LeaseEnd() (end camphorhinge.Instant, ok bool) {
+	if _, ok := c.Lease(c.now); !ok {
+		return 0, false
+	}
+	return c.lead.leased.Add(c.timing.Lease), true
+}
+
 // LeaseRead returns the index that a machine must have applied to answer a read that started before now. It is false
 // without a valid lease, or before the leader has committed an entry of its own term.
 func (c *Core) LeaseRead(now camphorhinge.Instant) (camphorhinge.Index, bool) {
@@ -37,6 +45,9 @@
 	return c.commit, true
 }
 
+// Settled reports whether this replica leads and has committed an entry of its own term.
+func (c *Core) Settled() bool { return c.role == Leader && c.settled() }
+
 // ReadIndex asks for a round that proves leadership; the answer appears in Ready.Reads under id. The requests since the
 // last Ready share one round.
 func (c *Core) ReadIndex(now camphorhinge.Instant, id uint64) error {
@@ -141,6 +152,9 @@
 	return nil
 }
 
+// Transferring reports whether leadership is being handed over.
+func (c *Core) Transferring() bool { return c.role == Leader && c.lead.transfer.to != 0 }
+
 // tryTransfer asks the chosen voter to take over once it has the whole log.
 func (c *Core) tryTransfer() {
 	t := &c.lead.transfer
--- /dev/null
+++ b/internal/state/replica/control.go
@@ -0,0 +1,170 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/consensus"
+)
+
+// Receive takes messages from other replicas. The network may have lost, delayed or duplicated them.
+func (r *Replica) Receive(_ context.Context, messages []consensus.Message) error {
+	return r.enqueue("receive", func(in *inbox) bool {
+		if len(in.messages)+len(messages) > maxQueued {
+			return false
+		}
+		in.messages = append(in.messages, messages...)
+		return true
+	})
+}
+
+// Authority returns the term and whether this replica leads with a valid lease now. It is asked again before each step
+// that only a leader may take.
+func (r *Replica) Authority() (camphorhinge.Term, bool) {
+	v := r.view.Load()
+	return v.status.Term, v.leased && r.cfg.Clock.Now() < v.end
+}
+
+// Leader returns the replica that leads as far as this one knows, or 0.
+func (r *Replica) Leader() camphorhinge.ReplicaID { return r.view.Load().status.Leader }
+
+// Status describes a replica.
+type Status struct {
+	consensus.Status
+	Cluster camphorhinge.ClusterID
+	// Leased is true while this replica holds a valid lease.
+	Leased bool
+	// Applied is the last entry that the machines have applied.
+	Applied camphorhinge.Index
+}
+
+// Status returns the state as of the last input.
+func (r *Replica) Status() Status {
+	v := r.view.Load()
+	_, leased := r.Authority()
+	return Status{Status: v.status, Cluster: r.cfg.Storage.Identity().Cluster, Leased: leased, Applied: v.applied}
+}
+
+// Membership returns the replicas of the group as this one knows them; the last change may be uncommitted.
+func (r *Replica) Membership() consensus.Membership { return r.view.Load().status.Membership }
+
+// AddLearner adds a replica without a vote and returns once that is committed.
+func (r *Replica) AddLearner(ctx context.Context, id camphorhinge.ReplicaID, address string) error {
+	return r.change(ctx, "add learner", consensus.Change{Kind: consensus.AddLearner, ID: id, Address: address})
+}
+
+// Promote makes a learner a voter and returns once that is committed. It is refused while the learner is not caught up.
+func (r *Replica) Promote(ctx context.Context, id camphorhinge.ReplicaID) error {
+	return r.change(ctx, "promote", consensus.Change{Kind: consensus.Promote, ID: id})
+}
+
+// Remove takes a replica out of the group and returns once that is committed. The leader can't be removed.
+func (r *Replica) Remove(ctx context.Context, id camphorhinge.ReplicaID) error {
+	return r.change(ctx, "remove", consensus.Change{Kind: consensus.Remove, ID: id})
+}
+
+func (r *Replica) change(ctx context.Context, op string, ch consensus.Change) error {
+	if ctx.Err() != nil {
+		return canceled(ctx, op)
+	}
+	c := newCall(op)
+	err := r.act(c, func(now camphorhinge.Instant) {
+		i, term, err := r.core.ProposeChange(now, ch)
+		if err != nil {
+			c.finish(nil, refused(op, err))
+			return
+		}
+		r.await(i, term, c)
+		r.cfg.Log.Info("membership change proposed", "change", op, "replica", ch.ID, "index", i)
+	})
+	if err != nil {
+		return err
+	}
+	_, err = c.wait(ctx, false)
+	return err
+}
+
+// Transfer hands leadership to a voter, or with 0 to the one with the longest log, and returns once this replica no
+// longer leads. The lease is given up before the voter takes over.
+func (r *Replica) Transfer(ctx context.Context, to camphorhinge.ReplicaID) error {
+	const op = "transfer"
+	if ctx.Err() != nil {
+		return canceled(ctx, op)
+	}
+	c := newCall(op)
+	var from camphorhinge.Term
+	err := r.act(c, func(now camphorhinge.Instant) {
+		s := r.core.Status()
+		if to == 0 {
+			to = successor(s)
+		}
+		from = s.Term
+		if err := r.core.Transfer(now, to); err != nil {
+			c.finish(nil, refused(op, err))
+			return
+		}
+		c.finish(nil, nil)
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := c.wait(ctx, false); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(transferPoll)
+	defer ticker.Stop()
+	for {
+		s := r.view.Load().status
+		if s.Role != consensus.Leader || s.Term != from {
+			return nil
+		}
+		if _, ok := r.Authority(); ok && !r.transferring() {
+			return failure(op, KindRefused, "replica %d did not catch up in time", to)
+		}
+		select {
+		case <-ctx.Done():
+			return uncertain(op, context.Cause(ctx).Error())
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Replica) transferring() bool { return r.view.Load().transferring }
+
+// successor returns the other voter with the longest synced log.
+func successor(s consensus.Status) (id camphorhinge.ReplicaID) {
+	var match camphorhinge.Index
+	for _, p := range s.Progress {
+		if m, ok := s.Membership.Find(p.ID); ok && m.Voter && p.ID != s.ID && (id == 0 || p.Match > match) {
+			id, match = p.ID, p.Match
+		}
+	}
+	return id
+}
+
+// Repaired returns nil once the committed membership has three voters, all of which have synced the log up to the entry
+// of that membership, so that any one of them may be lost. It reads the leader's state.
+func (r *Replica) Repaired(ctx context.Context) error {
+	const op = "repaired"
+	if err := r.Barrier(ctx); err != nil {
+		return err
+	}
+	s := r.view.Load().status
+	voters := s.Membership.Voters()
+	switch {
+	case s.Role != consensus.Leader:
+		return notLeader(op)
+	case s.MembershipIndex > s.Commit:
+		return failure(op, KindUnrepaired, "the membership of entry %d is uncommitted", s.MembershipIndex)
+	case len(voters) != repairedVoters:
+		return failure(op, KindUnrepaired, "%d voters, want %d", len(voters), repairedVoters)
+	}
+	for _, p := range s.Progress {
+		if m, ok := s.Membership.Find(p.ID); ok && m.Voter && p.Match < s.MembershipIndex {
+			return failure(op, KindUnrepaired, "replica %d has synced up to %d, the membership is at %d", p.ID, p.Match,
+				s.MembershipIndex)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/replica/machine.go
@@ -0,0 +1,155 @@
+package replica
+
+import (
+	"encoding/binary"
+	"errors"
+	"maps"
+	"slices"
+
+	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/consensus"
+	"example.org/camphorhinge/internal/state/wal"
+)
+
+// headerBytes is the length of a command's kind and stamp in the log.
+const headerBytes = 1 + 8
+
+// encodeCommand returns the data of a log entry: kind, stamp, payload.
+func encodeCommand(kind camphorhinge.CommandKind, stamp int64, payload []byte) []byte {
+	b := make([]byte, 0, headerBytes+len(payload))
+	b = append(b, byte(kind))
+	b = binary.BigEndian.AppendUint64(b, uint64(stamp))
+	return append(b, payload...)
+}
+
+// router hands commands to the machine of their kind.
+type router struct {
+	machines map[camphorhinge.CommandKind]camphorhinge.Machine
+	kinds    []camphorhinge.CommandKind
+	applied  camphorhinge.Index
+	// stamp is that of the last command; a leader with a slow wall clock doesn't move it back.
+	stamp int64
+}
+
+func newRouter(m map[camphorhinge.CommandKind]camphorhinge.Machine) router {
+	return router{machines: m, kinds: slices.Sorted(maps.Keys(m))}
+}
+
+// apply applies one committed entry; the result is nil for entries without a command.
+func (m *router) apply(e consensus.Entry) ([]byte, error) {
+	m.applied = e.Index
+	if e.Kind != consensus.EntryCommand {
+		return nil, nil
+	}
+	if len(e.Data) < headerBytes {
+		return nil, failure("apply", KindCorrupt, "entry %d has %d bytes", e.Index, len(e.Data))
+	}
+	kind := camphorhinge.CommandKind(e.Data[0])
+	machine := m.machines[kind]
+	if machine == nil {
+		// Passing over the command would make this replica differ from the others.
+		return nil, failure("apply", KindCorrupt, "entry %d has the unknown kind %d", e.Index, kind)
+	}
+	m.stamp = max(m.stamp, int64(binary.BigEndian.Uint64(e.Data[1:])))
+	entry := camphorhinge.Entry{Index: e.Index, Term: e.Term, Stamp: m.stamp}
+	return machine.Apply(entry, e.Data[headerBytes:]), nil
+}
+
+// snapshot encodes the stamp and the state of all machines.
+func (m *router) snapshot() ([]byte, error) {
+	b := binary.BigEndian.AppendUint64(nil, uint64(m.stamp))
+	for _, kind := range m.kinds {
+		state, err := m.machines[kind].Snapshot()
+		if err != nil {
+			return nil, &Error{Op: "snapshot", Kind: KindCorrupt, Err: err}
+		}
+		b = append(b, byte(kind))
+		b = binary.AppendUvarint(b, uint64(len(state)))
+		b = append(b, state...)
+	}
+	return b, nil
+}
+
+// restore replaces the state of all machines. A machine that the snapshot doesn't hold, since it is newer, is restored
+// from nil, which stands for its first state.
+func (m *router) restore(b []byte) error {
+	const op = "restore"
+	malformed := &Error{Op: op, Kind: KindCorrupt, Err: errors.New("malformed snapshot")}
+	if len(b) < 8 {
+		return malformed
+	}
+	stamp := int64(binary.BigEndian.Uint64(b))
+	b = b[8:]
+	states := make(map[camphorhinge.CommandKind][]byte)
+	for len(b) > 0 {
+		kind := camphorhinge.CommandKind(b[0])
+		size, n := binary.Uvarint(b[1:])
+		if n <= 0 || size > uint64(len(b)-1-n) {
+			return malformed
+		}
+		if m.machines[kind] == nil {
+			return failure(op, KindCorrupt, "the snapshot holds the unknown kind %d", kind)
+		}
+		states[kind] = b[1+n : 1+n+int(size)]
+		b = b[1+n+int(size):]
+	}
+	for _, kind := range m.kinds {
+		if err := m.machines[kind].Restore(states[kind]); err != nil {
+			return &Error{Op: op, Kind: KindCorrupt, Err: err}
+		}
+	}
+	m.stamp = stamp
+	return nil
+}
+
+// stored is a snapshot as storage and other replicas hold it.
+type stored struct {
+	meta consensus.SnapshotMeta
+	data []byte
+}
+
+func encodeSnapshot(meta consensus.SnapshotMeta, state []byte) []byte {
+	head := consensus.AppendSnapshotMeta(nil, meta)
+	b := make([]byte, 0, binary.MaxVarintLen64+len(head)+len(state))
+	b = binary.AppendUvarint(b, uint64(len(head)))
+	b = append(b, head...)
+	return append(b, state...)
+}
+
+func decodeSnapshot(b []byte) (consensus.Snapshot, error) {
+	const op = "decode snapshot"
+	size, n := binary.Uvarint(b)
+	if n <= 0 || size > uint64(len(b)-n) {
+		return consensus.Snapshot{}, failure(op, KindCorrupt, "truncated")
+	}
+	meta, err := consensus.DecodeSnapshotMeta(b[n : n+int(size)])
+	if err != nil {
+		return consensus.Snapshot{}, &Error{Op: op, Kind: KindCorrupt, Err: err}
+	}
+	return consensus.Snapshot{SnapshotMeta: meta, Data: b[n+int(size):]}, nil
+}
+
+// loadEntries returns the stored entries after the snapshot at index.
+func loadEntries(s Storage, index camphorhinge.Index) ([]consensus.Entry, error) {
+	lo, hi := max(index+1, s.First()), s.Last()+1
+	if lo >= hi {
+		return nil, nil
+	}
+	found, err := s.Entries(lo, hi)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]consensus.Entry, len(found))
+	for i, e := range found {
+		out[i] = consensus.Entry{Index: e.Index, Term: e.Term, Kind: consensus.EntryKind(e.Kind), Data: e.Data}
+	}
+	return out, nil
+}
+
+func storedEntries(es []consensus.Entry) []wal.Entry {
+	out := make([]wal.Entry, len(es))
+	for i, e := range es {
+		out[i] = wal.Entry{Index: e.Index, Term: e.Term, Kind: byte(e.Kind), Data: e.Data}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/replica/replica.go
@@ -0,0 +1,312 @@
+package replica
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/consensus"
+	"example.org/camphorhinge/internal/state/wal"
+)
+
+const (
+	// tickInterval is how often the Core is told the time.
+	tickInterval = 50 * time.Millisecond
+	// defaultSnapshotEntries and defaultSnapshotBytes bound the log after which a snapshot is taken.
+	defaultSnapshotEntries = 4096
+	defaultSnapshotBytes   = 8 << 20
+	// keptEntries stay in memory after a snapshot, so that a replica that lags a little needs no snapshot.
+	keptEntries = 512
+	// maxQueued bounds the waiting messages and the waiting calls.
+	maxQueued = 4096
+	// repairedVoters is the number of voters of a whole group.
+	repairedVoters = 3
+)
+
+// Storage is the part of *wal.Log that a Replica uses. Its methods are called by one goroutine at a time.
+type Storage interface {
+	Identity() wal.Identity
+	State() wal.State
+	First() camphorhinge.Index
+	Last() camphorhinge.Index
+	Entries(lo, hi camphorhinge.Index) ([]wal.Entry, error)
+	Snapshot() (index camphorhinge.Index, term camphorhinge.Term, data []byte, err error)
+	Append(entries []wal.Entry) error
+	SaveState(s wal.State) error
+	SaveSnapshot(index camphorhinge.Index, term camphorhinge.Term, data []byte) error
+	Compact(index camphorhinge.Index) error
+	Sync() error
+}
+
+var _ Storage = (*wal.Log)(nil)
+
+// Transport carries messages to other replicas.
+type Transport interface {
+	// Send queues messages without blocking; it may drop, delay and reorder them.
+	Send(to camphorhinge.ReplicaID, messages []consensus.Message)
+	// SendChunk delivers a part of a snapshot and returns when the receiver has taken it.
+	SendChunk(ctx context.Context, to camphorhinge.ReplicaID, c Chunk) error
+}
+
+// Config holds what a Replica needs.
+type Config struct {
+	Storage   Storage
+	Transport Transport
+	// Clock counts suspended time.
+	Clock camphorhinge.Clock
+	// Wall returns the wall clock in milliseconds since the Unix epoch, for stamps.
+	Wall     func() int64
+	Machines map[camphorhinge.CommandKind]camphorhinge.Machine
+	// Seed seeds election timeouts; it differs between replicas.
+	Seed   uint64
+	Log    *slog.Logger
+	Timing consensus.Timing
+	Limits consensus.Limits
+	// SnapshotEntries and SnapshotBytes bound the log after which a snapshot is taken; 0 means the default.
+	SnapshotEntries int
+	SnapshotBytes   int
+	// OnLeader and OnFollower, if set, are called in turn by one goroutine, with the term of the leadership that began or
+	// ended. They may lag behind, so work of a leader checks Authority as well.
+	OnLeader   func(camphorhinge.Term)
+	OnFollower func(camphorhinge.Term)
+}
+
+// Replica is one replica of the durable state.
+type Replica struct {
+	cfg      Config
+	id       camphorhinge.ReplicaID
+	core     *consensus.Core
+	machines router
+	view     atomic.Pointer[view]
+
+	// inbox holds the inputs of the loop; wake has room for one signal.
+	mu    sync.Mutex
+	inbox inbox
+	wake  chan struct{}
+
+	writer *writer
+	chunks assembler
+	tasks  *errgroup.Group
+	hooks  *queue[hook]
+
+	// The fields below belong to the loop.
+	waiting  map[camphorhinge.Index]*call
+	reads    map[uint64]*call
+	readSeq  uint64
+	applying []*call
+	sending  map[camphorhinge.ReplicaID]bool
+	// stamp is the latest one given to a proposal.
+	stamp int64
+	// leading is the term for which OnLeader was announced, or 0.
+	leading camphorhinge.Term
+	// snapshot is the latest stored one, as it is sent to other replicas.
+	snapshot    stored
+	sinceBytes  int
+	snapshotDue camphorhinge.Index
+	saving      bool
+}
+
+// view is what other goroutines see of the Core.
+type view struct {
+	status  consensus.Status
+	leased  bool
+	end     camphorhinge.Instant
+	settled bool
+	applied camphorhinge.Index
+	// transferring is true while leadership is being handed over.
+	transferring bool
+}
+
+// New loads the stored state and returns a Replica that runs once Run is called. A restart needs nothing else; for an
+// empty folder see Open.
+func New(cfg Config) (*Replica, error) {
+	const op = "new"
+	if cfg.SnapshotEntries == 0 {
+		cfg.SnapshotEntries = defaultSnapshotEntries
+	}
+	if cfg.SnapshotBytes == 0 {
+		cfg.SnapshotBytes = defaultSnapshotBytes
+	}
+	if cfg.Timing == (consensus.Timing{}) {
+		cfg.Timing = consensus.DefaultTiming()
+	}
+	if cfg.Limits == (consensus.Limits{}) {
+		cfg.Limits = consensus.DefaultLimits()
+	}
+	r := &Replica{
+		cfg: cfg, id: cfg.Storage.Identity().Replica, machines: newRouter(cfg.Machines),
+		wake: make(chan struct{}, 1), sending: make(map[camphorhinge.ReplicaID]bool),
+		waiting: make(map[camphorhinge.Index]*call), reads: make(map[uint64]*call),
+		writer: &writer{storage: cfg.Storage, jobs: newQueue[write]()}, hooks: newQueue[hook](),
+	}
+	start := consensus.Config{ID: r.id, Now: cfg.Clock.Now(), Seed: cfg.Seed, Timing: cfg.Timing, Limits: cfg.Limits}
+	state := cfg.Storage.State()
+	start.HardState = consensus.HardState{Term: state.Term, Vote: state.Vote}
+	index, _, data, err := cfg.Storage.Snapshot()
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindStorage, Err: err}
+	}
+	if index > 0 {
+		s, err := decodeSnapshot(data)
+		if err != nil {
+			return nil, err
+		}
+		if err := r.machines.restore(s.Data); err != nil {
+			return nil, err
+		}
+		r.machines.applied = index
+		start.Snapshot, r.snapshot = s.SnapshotMeta, stored{meta: s.SnapshotMeta, data: data}
+	}
+	if start.Entries, err = loadEntries(cfg.Storage, index); err != nil {
+		return nil, &Error{Op: op, Kind: KindStorage, Err: err}
+	}
+	if r.core, err = consensus.New(start); err != nil {
+		return nil, &Error{Op: op, Kind: KindCorrupt, Err: err}
+	}
+	r.snapshotDue = index + camphorhinge.Index(cfg.SnapshotEntries)
+	r.publish()
+	return r, nil
+}
+
+// Run drives the replica until ctx ends, which returns nil, or until storage fails.
+func (r *Replica) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	r.tasks = g
+	r.mu.Lock()
+	r.inbox.open = true
+	r.mu.Unlock()
+	g.Go(func() error { return r.writer.run(ctx, r.signal) })
+	g.Go(func() error { return r.runHooks(ctx) })
+	g.Go(func() error {
+		defer r.shut()
+		return r.loop(ctx)
+	})
+	return g.Wait()
+}
+
+func (r *Replica) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Replica) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.core.Tick(r.cfg.Clock.Now())
+		case <-r.wake:
+		}
+		r.takeInputs()
+		if err := r.drain(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// takeInputs hands all waiting inputs to the Core.
+func (r *Replica) takeInputs() {
+	r.mu.Lock()
+	in := r.inbox
+	r.inbox = inbox{open: in.open}
+	r.mu.Unlock()
+	now := r.cfg.Clock.Now()
+	if write := r.writer.confirmed.Load(); write > 0 {
+		r.core.Synced(now, write)
+	}
+	for _, m := range in.messages {
+		if err := r.core.Step(now, m); err != nil {
+			r.cfg.Log.Warn("refused message", "from", m.From, "error", err)
+		}
+	}
+	for _, a := range in.actions {
+		if a.call == nil || a.call.take() {
+			a.run(now)
+		}
+	}
+	r.proposeAll(now, in.proposals)
+}
+
+// drain does what the Core asks for until nothing is left. The view is published before messages leave and before calls
+// return, so that a lease given up is never seen as valid later than by other replicas.
+func (r *Replica) drain(ctx context.Context) error {
+	for {
+		ready := r.core.Ready()
+		r.publish()
+		if ready.Empty() {
+			r.loseCalls()
+			r.announce()
+			return r.compact()
+		}
+		if ready.Write > 0 {
+			r.writer.jobs.add(writeOf(&ready))
+		}
+		r.transmit(ready.Messages)
+		if ready.Snapshot != nil {
+			if err := r.install(*ready.Snapshot); err != nil {
+				return err
+			}
+		}
+		for _, e := range ready.Committed {
+			if err := r.apply(e); err != nil {
+				return err
+			}
+		}
+		for _, s := range ready.Reads {
+			r.confirmRead(s)
+		}
+		r.releaseReads()
+		for _, s := range ready.SendSnapshots {
+			r.sendSnapshot(ctx, s)
+		}
+	}
+}
+
+func (r *Replica) transmit(messages []consensus.Message) {
+	byReceiver := make(map[camphorhinge.ReplicaID][]consensus.Message)
+	var order []camphorhinge.ReplicaID
+	for _, m := range messages {
+		if byReceiver[m.To] == nil {
+			order = append(order, m.To)
+		}
+		byReceiver[m.To] = append(byReceiver[m.To], m)
+	}
+	for _, to := range order {
+		r.cfg.Transport.Send(to, byReceiver[to])
+	}
+}
+
+func (r *Replica) publish() {
+	v := &view{
+		status: r.core.Status(), settled: r.core.Settled(), applied: r.machines.applied, transferring: r.core.Transferring(),
+	}
+	v.end, v.leased = r.core.LeaseEnd()
+	r.view.Store(v)
+}
+
+// announce queues the hooks for a leadership that began or ended.
+func (r *Replica) announce() {
+	v := r.view.Load()
+	leads := v.status.Role == consensus.Leader
+	if r.leading != 0 && (!leads || v.status.Term != r.leading) {
+		r.cfg.Log.Info("leadership ended", "term", r.leading)
+		r.hooks.add(hook{term: r.leading})
+		r.leading = 0
+	}
+	// The commit of the own term's first entry and its application show that earlier commits are applied too.
+	if leads && r.leading == 0 && v.settled && r.machines.applied >= v.status.Commit {
+		r.leading = v.status.Term
+		r.cfg.Log.Info("leadership began", "term", r.leading)
+		r.hooks.add(hook{term: r.leading, leader: true})
+	}
+}
--- /dev/null
+++ b/internal/state/replica/replica_test.go
@@ -0,0 +1,343 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/disk"
+	"example.org/camphorhinge/internal/state/wal"
+)
+
+func requireKind(t *testing.T, err error, kind Kind) {
+	t.Helper()
+	var e *Error
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, kind, e.Kind, "%v", err)
+}
+
+// TestLeaderKilled guards against acknowledged commands that are lost with the leader, and against a takeover that takes
+// longer than 2 s plus the votes.
+func TestLeaderKilled(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.three()
+		var want []string
+		for round := range 4 {
+			old := l.leader()
+			for i := range 10 {
+				want = append(want, fmt.Sprintf("%d.%d", round, i))
+				l.propose(want[len(want)-1])
+			}
+			old.kill()
+			begin := time.Now()
+			next := l.leader()
+			require.NotEqual(t, old.id, next.id)
+			require.Less(t, time.Since(begin), 2*time.Second)
+			l.propose("after")
+			want = append(want, "after")
+			old.restart()
+			l.requireEqual(want)
+		}
+	})
+}
+
+// TestIsolatedLeader guards against authority that outlives the lease, and against a definite error for a command that
+// may still be committed.
+func TestIsolatedLeader(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.three()
+		old := l.leader()
+		l.setCut(old.id, true)
+		began := time.Now()
+		_, err := old.r.Propose(t.Context(), testKind, []byte("lost"))
+		requireKind(t, err, KindUncertain)
+		require.ErrorIs(t, err, camphorhinge.ErrUncertain)
+		require.Less(t, time.Since(began), 1200*time.Millisecond)
+		_, ok := old.r.Authority()
+		require.False(t, ok)
+		err = old.r.Barrier(t.Context())
+		requireKind(t, err, KindNotLeader)
+		_, err = old.r.Propose(t.Context(), testKind, []byte("refused"))
+		require.ErrorIs(t, err, camphorhinge.ErrNotLeader)
+		require.NotErrorIs(t, err, camphorhinge.ErrUncertain)
+		l.propose("new")
+		l.setCut(old.id, false)
+		l.requireEqual([]string{"new"})
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		require.Equal(t, []string{"leader", "follower"}, old.hooks)
+	})
+}
+
+// TestAuthorityEndsInTime guards the moment at which an isolated leader stops: at most 700 ms after the last round.
+func TestAuthorityEndsInTime(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.three()
+		old := l.leader()
+		l.setCut(old.id, true)
+		time.Sleep(600 * time.Millisecond)
+		_, ok := old.r.Authority()
+		require.True(t, ok)
+		require.NoError(t, old.r.Barrier(t.Context()))
+		time.Sleep(100 * time.Millisecond)
+		_, ok = old.r.Authority()
+		require.False(t, ok)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		requireKind(t, old.r.Barrier(ctx), KindCanceled)
+	})
+}
+
+// TestPlannedTransfer guards against a handover that waits for an election timeout or loses a command.
+func TestPlannedTransfer(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.three()
+		l.propose("before")
+		old := l.leader()
+		began := time.Now()
+		require.NoError(t, old.r.Transfer(t.Context(), 0))
+		_, ok := old.r.Authority()
+		require.False(t, ok)
+		require.NotEqual(t, old.id, l.leader().id)
+		require.Less(t, time.Since(began), 150*time.Millisecond)
+		l.propose("after")
+		l.requireEqual([]string{"before", "after"})
+	})
+}
+
+// TestBatches guards against one sync per command: commands that wait together share syncs.
+func TestBatches(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.three()
+		v := l.leader()
+		v.disk.SetFaults(disk.Faults{})
+		const callers, each = 50, 20
+		g := new(errgroup.Group)
+		for i := range callers {
+			g.Go(func() error {
+				for k := range each {
+					if _, err := v.r.Propose(t.Context(), testKind, fmt.Appendf(nil, "%d.%d", i, k)); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		}
+		require.NoError(t, g.Wait())
+		require.Len(t, v.machine.read(), callers*each)
+		require.Less(t, v.disk.Operations(), callers*each)
+	})
+}
+
+// TestRestartFromSnapshot guards against state that is lost or applied twice over snapshot and tail, and against a
+// replica that can't catch up once the log it misses is gone.
+func TestRestartFromSnapshot(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.snapshotEntries = 100
+		l.three()
+		v := l.leader()
+		var late *vm
+		for _, x := range l.all() {
+			if x != v {
+				late = x
+			}
+		}
+		late.kill()
+		var want []string
+		for i := range 950 {
+			// The state is larger than two parts of a snapshot.
+			want = append(want, fmt.Sprintf("%d %s", i, strings.Repeat("x", 700)))
+			l.propose(want[i])
+		}
+		require.Greater(t, v.r.Status().First, camphorhinge.Index(100), "the log was not shortened")
+		late.restart()
+		l.requireEqual(want)
+		l.mu.Lock()
+		require.Greater(t, l.chunks, 2)
+		l.mu.Unlock()
+		for _, x := range l.all() {
+			x.kill()
+		}
+		for _, x := range l.vms {
+			x.restart()
+		}
+		l.propose("tail")
+		l.requireEqual(append(want, "tail"))
+	})
+}
+
+// TestLostDisk guards the replacement of a lost disk step by step. A second VM stops at each step and comes back with its
+// disk; nothing that was acknowledged may be lost, and the repair ends whole.
+func TestLostDisk(t *testing.T) {
+	t.Parallel()
+	steps := []string{"lost", "learner added", "promoted", "removed", "repaired"}
+	for _, second := range steps {
+		for _, leader := range []bool{false, true} {
+			t.Run(fmt.Sprintf("second loss when %s, leader %v", second, leader), func(t *testing.T) {
+				t.Parallel()
+				inBubble(t, func(t *testing.T, l *lab) {
+					l.three()
+					want := []string{"first"}
+					l.propose("first")
+					var lost, fresh *vm
+					for _, v := range l.all() {
+						if v != l.leader() {
+							lost = v
+						}
+					}
+					var down *vm
+					for _, step := range steps {
+						switch step {
+						case "lost":
+							lost.forget()
+						case "learner added":
+							fresh = l.enlarge()
+						case "promoted":
+							l.promote(fresh)
+						case "removed":
+							l.remove(lost.id)
+						case "repaired":
+							l.repaired()
+						}
+						l.propose(step)
+						want = append(want, step)
+						if step != second {
+							continue
+						}
+						down = l.leader()
+						for _, v := range l.all() {
+							if !leader && v != down && v != fresh {
+								down = v
+								break
+							}
+						}
+						down.kill()
+						if step == "repaired" || step == "removed" {
+							l.propose("without a second VM")
+							want = append(want, "without a second VM")
+						} else {
+							l.requireStalled()
+						}
+						down.restart()
+					}
+					l.requireEqual(want)
+					require.Len(t, l.leader().r.Membership().Members, 3)
+				})
+			})
+		}
+	}
+}
+
+// requireStalled checks that no replica has authority once the leases have run out: two losses of three or four voters
+// leave no majority.
+func (l *lab) requireStalled() {
+	l.t.Helper()
+	time.Sleep(2 * time.Second)
+	for _, v := range l.all() {
+		_, ok := v.r.Authority()
+		require.False(l.t, ok)
+	}
+}
+
+// TestFailedSync guards against a replica that goes on after a failed sync, when it can't know what is durable.
+func TestFailedSync(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.three()
+		l.propose("good")
+		v := l.leader()
+		v.disk.SetFaults(disk.Faults{FailAt: 2})
+		_, err := v.r.Propose(t.Context(), testKind, []byte("open"))
+		if err != nil {
+			require.ErrorIs(t, err, camphorhinge.ErrUncertain)
+		}
+		requireKind(t, v.group.Wait(), KindStorage)
+		_, err = v.r.Propose(t.Context(), testKind, []byte("none"))
+		require.Error(t, err)
+		require.NotErrorIs(t, err, camphorhinge.ErrUncertain)
+		_, ok := v.r.Authority()
+		require.False(t, ok)
+		v.kill()
+		l.propose("next")
+		v.restart()
+		l.eventually(func() error {
+			got := v.machine.read()
+			if len(got) == 0 || got[0] != "good" || got[len(got)-1] != "next" {
+				return errors.New("not caught up")
+			}
+			return nil
+		})
+	})
+}
+
+// TestProposeRefusals guards the promise that errors other than ErrUncertain leave no effect.
+func TestProposeRefusals(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.three()
+		r := l.leader().r
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := r.Propose(ended, testKind, []byte("x"))
+		requireKind(t, err, KindCanceled)
+		_, err = r.Propose(t.Context(), camphorhinge.CommandOrder, []byte("x"))
+		requireKind(t, err, KindRefused)
+		_, err = r.Propose(t.Context(), testKind, make([]byte, maxCommand+1))
+		requireKind(t, err, KindRefused)
+		for _, v := range l.all() {
+			if v.r != r {
+				_, err = v.r.Propose(t.Context(), testKind, []byte("x"))
+				requireKind(t, err, KindNotLeader)
+				requireKind(t, v.r.Barrier(t.Context()), KindNotLeader)
+			}
+		}
+		l.requireEqual(nil)
+	})
+}
+
+// TestOpen guards the identities: an empty folder never takes an old one, and a folder is bootstrapped once.
+func TestOpen(t *testing.T) {
+	t.Parallel()
+	used := disk.NewMemory()
+	log, err := Open(used, wal.Config{}, Start{Bootstrap: true})
+	require.NoError(t, err)
+	first := log.Identity()
+	require.NoError(t, log.Close())
+	tests := []struct {
+		name  string
+		disk  *disk.Memory
+		start Start
+		kind  Kind
+	}{
+		{"restart of an empty folder", disk.NewMemory(), Start{}, KindStart},
+		{"second bootstrap", used, Start{Bootstrap: true}, KindStart},
+		{"join of another cluster", used, Start{Join: "other"}, KindStart},
+		{"restart", used, Start{}, ""},
+		{"join of the folder's cluster", used, Start{Join: first.Cluster}, ""},
+		{"join", disk.NewMemory(), Start{Join: first.Cluster}, ""},
+	}
+	for _, test := range tests {
+		log, err := Open(test.disk, wal.Config{}, test.start)
+		if test.kind != "" {
+			requireKind(t, err, test.kind)
+			continue
+		}
+		require.NoError(t, err, test.name)
+		require.Equal(t, first.Cluster, log.Identity().Cluster, test.name)
+		require.Equal(t, test.disk == used, first.Replica == log.Identity().Replica, test.name)
+		require.NoError(t, log.Close())
+	}
+}
--- /dev/null
+++ b/internal/state/replica/start.go
@@ -0,0 +1,74 @@
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+
+	"github.com/google/uuid"
+
+	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/consensus"
+	"example.org/camphorhinge/internal/state/wal"
+)
+
+// Start says what to do with an empty data folder. The zero value is a restart, which needs a folder with a log.
+type Start struct {
+	// Bootstrap makes a new cluster with this replica as its only voter.
+	Bootstrap bool
+	// Join makes a replica of an existing cluster. It waits until the leader adds it as a learner.
+	Join camphorhinge.ClusterID
+	// Address is this replica's peer address, for Bootstrap.
+	Address string
+}
+
+// Open opens the log of a data folder, or makes one in an empty folder. An identity is never taken over by an empty
+// folder: each new log gets a random one. Bootstrap is refused for a folder that holds a log, and so is joining another
+// cluster than the folder's.
+func Open(fsys camphorhinge.FileSystem, cfg wal.Config, start Start) (*wal.Log, error) {
+	const op = "open"
+	log, err := wal.Open(fsys, cfg)
+	var e *wal.Error
+	switch {
+	case err == nil && start.Bootstrap:
+		return nil, errors.Join(failure(op, KindStart, "bootstrap of a folder that holds replica %d", log.Identity().Replica),
+			log.Close())
+	case err == nil && start.Join != "" && start.Join != log.Identity().Cluster:
+		return nil, errors.Join(failure(op, KindStart, "the folder belongs to cluster %q", log.Identity().Cluster), log.Close())
+	case err == nil:
+		return log, nil
+	case !errors.As(err, &e) || e.Kind != wal.KindEmpty:
+		return nil, &Error{Op: op, Kind: KindStorage, Err: err}
+	case !start.Bootstrap && start.Join == "":
+		return nil, &Error{Op: op, Kind: KindStart, Err: err}
+	}
+	id := wal.Identity{Replica: randomReplica(), Cluster: start.Join}
+	if start.Bootstrap {
+		id.Cluster = camphorhinge.ClusterID(uuid.NewString())
+	}
+	if log, err = wal.Create(fsys, id, cfg); err != nil {
+		return nil, &Error{Op: op, Kind: KindStorage, Err: err}
+	}
+	if !start.Bootstrap {
+		return log, nil
+	}
+	members := consensus.Membership{Members: []consensus.Member{{ID: id.Replica, Voter: true, Address: start.Address}}}
+	hard, entries := consensus.Bootstrap(members)
+	w := writer{storage: log}
+	if err := w.writeAll([]write{{number: 1, hard: &hard, entries: entries}}); err != nil {
+		return nil, errors.Join(&Error{Op: op, Kind: KindStorage, Err: err}, log.Close())
+	}
+	return log, nil
+}
+
+// randomReplica draws an identity that no other replica has had.
+func randomReplica() camphorhinge.ReplicaID {
+	var b [8]byte
+	for {
+		// rand.Read never fails.
+		_, _ = rand.Read(b[:])
+		if id := binary.BigEndian.Uint64(b[:]) >> 1; id != 0 {
+			return camphorhinge.ReplicaID(id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/replica/writer.go
@@ -0,0 +1,164 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/consensus"
+	"example.org/camphorhinge/internal/state/wal"
+)
+
+// write is one job of the writer: the writes of a Ready, or a snapshot of this replica's own machines.
+type write struct {
+	number   uint64
+	hard     *consensus.HardState
+	snapshot *stored
+	entries  []consensus.Entry
+	// own marks a snapshot that only shortens the log; done is called once it is durable or failed for lack of space.
+	own  bool
+	done func(ok bool)
+}
+
+func writeOf(r *consensus.Ready) write {
+	w := write{number: r.Write, hard: r.HardState, entries: r.Entries}
+	if r.Snapshot != nil {
+		w.snapshot = &stored{meta: r.Snapshot.SnapshotMeta, data: encodeSnapshot(r.Snapshot.SnapshotMeta, r.Snapshot.Data)}
+	}
+	return w
+}
+
+// queue passes values to one goroutine; it is unbounded, as its producers are bounded by other means.
+type queue[T any] struct {
+	mu    sync.Mutex
+	items []T
+	wake  chan struct{}
+}
+
+func newQueue[T any]() *queue[T] { return &queue[T]{wake: make(chan struct{}, 1)} }
+
+func (q *queue[T]) add(x T) {
+	q.mu.Lock()
+	q.items = append(q.items, x)
+	q.mu.Unlock()
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (q *queue[T]) take() []T {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	items := q.items
+	q.items = nil
+	return items
+}
+
+// writer owns the storage; all writes that wait when it is free share one sync.
+type writer struct {
+	storage Storage
+	jobs    *queue[write]
+	// confirmed numbers the last synced write.
+	confirmed atomic.Uint64
+}
+
+// run writes until ctx ends or a write fails; signal is called after each sync.
+func (w *writer) run(ctx context.Context, signal func()) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.jobs.wake:
+		}
+		if err := w.writeAll(w.jobs.take()); err != nil {
+			return &Error{Op: "write", Kind: KindStorage, Err: err}
+		}
+		signal()
+	}
+}
+
+func (w *writer) writeAll(jobs []write) error {
+	var last uint64
+	for _, j := range jobs {
+		var err error
+		if j.own {
+			err = w.saveOwn(j)
+		} else {
+			last, err = j.number, w.writeOne(j)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if last == 0 {
+		return nil
+	}
+	if err := w.storage.Sync(); err != nil {
+		return err
+	}
+	w.confirmed.Store(last)
+	return nil
+}
+
+func (w *writer) writeOne(j write) error {
+	if j.hard != nil {
+		if err := w.storage.SaveState(wal.State{Term: j.hard.Term, Vote: j.hard.Vote}); err != nil {
+			return err
+		}
+	}
+	if s := j.snapshot; s != nil {
+		if err := w.storage.SaveSnapshot(s.meta.Index, s.meta.Term, s.data); err != nil {
+			return err
+		}
+		if err := w.storage.Compact(s.meta.Index); err != nil {
+			return err
+		}
+	}
+	return w.storage.Append(storedEntries(j.entries))
+}
+
+// saveOwn stores a snapshot of the own machines. Without space for it the log just stays longer.
+func (w *writer) saveOwn(j write) error {
+	err := w.storage.SaveSnapshot(j.snapshot.meta.Index, j.snapshot.meta.Term, j.snapshot.data)
+	var e *wal.Error
+	if errors.As(err, &e) && e.Kind == wal.KindFull {
+		j.done(false)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := w.storage.Compact(j.snapshot.meta.Index); err != nil {
+		return err
+	}
+	j.done(true)
+	return nil
+}
+
+// hook is one call of OnLeader or OnFollower.
+type hook struct {
+	term   camphorhinge.Term
+	leader bool
+}
+
+// runHooks calls the hooks in order, outside the loop, so that they may propose and read.
+func (r *Replica) runHooks(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.hooks.wake:
+		}
+		for _, h := range r.hooks.take() {
+			switch {
+			case h.leader && r.cfg.OnLeader != nil:
+				r.cfg.OnLeader(h.term)
+			case !h.leader && r.cfg.OnFollower != nil:
+				r.cfg.OnFollower(h.term)
+			}
+		}
+	}
+}
