--- /dev/null
+++ b/model/election.pml
@@ -0,0 +1,186 @@
+/*
+ * Election, sync of votes and leader lease of design.md section 4.
+ *
+ * Three voters, terms up to TERMS, crashes and restarts without limit, one lost disk. Logs are left out, so any voter
+ * may be voted for; this allows more behaviours than the code has. Time is a global tick that ages every timer.
+ */
+#ifndef TERMS
+#define TERMS 3
+#endif
+#define N 3
+#define LEASE 1 /* ticks from the sending of a round that a majority answered */
+#define HOLD 2  /* ticks in which a voter grants nothing after it heard a leader; above LEASE by the clock drift */
+
+#define NOBODY 3
+
+typedef Voter {
+  byte term;   /* in memory */
+  byte vote;   /* in memory, NOBODY when none */
+  byte dterm;  /* on disk */
+  byte dvote;  /* on disk */
+  byte votes;  /* bit mask of grants, while candidate */
+  bit cand;
+  bit lead;
+  bit lost;    /* its disk is gone: this identity has ended */
+  byte hold;   /* ticks left in which it grants nothing */
+  byte acks;   /* bit mask of the voters that answered the open round */
+  byte age;    /* ticks since the open round was sent */
+  byte lease;  /* ticks left of the lease */
+};
+
+Voter v[N];
+byte leader[TERMS + 1]; /* first leader seen in each term, plus one */
+byte losses;
+
+#define BIT(i) (1 << (i))
+#define MAJORITY(m) ((m) == 3 || (m) == 5 || (m) == 6 || (m) == 7)
+#define SYNCED(i) (v[i].dterm == v[i].term && v[i].dvote == v[i].vote)
+#define VALID(i) (v[i].lead && v[i].lease > 0)
+
+inline follow(i) {
+  v[i].cand = 0; v[i].lead = 0; v[i].votes = 0; v[i].acks = 0; v[i].age = 0; v[i].lease = 0
+}
+
+/* A vote counts only after the voter's sync; the fault counts it while it is in memory only. */
+#ifdef FAULT_VOTE_WITHOUT_SYNC
+#define DURABLE(i) (true)
+#else
+#define DURABLE(i) SYNCED(i)
+#endif
+
+#ifdef FAULT_OLD_IDENTITY
+#define ALIVE(i) (true)
+#else
+#define ALIVE(i) (!v[i].lost)
+#endif
+
+/* Voter i gives its vote to candidate c: first in memory, then (sync) on disk, then the answer is counted. */
+#define CAN_GRANT(i, c) (ALIVE(i) && v[c].cand && v[i].hold == 0 && !v[i].lead && \
+  (v[i].term < v[c].term || (v[i].term == v[c].term && v[i].vote == NOBODY)))
+#define CAN_COUNT(i, c) (ALIVE(i) && v[c].cand && v[i].term == v[c].term && v[i].vote == c && DURABLE(i) && \
+  !(v[c].votes & BIT(i)))
+
+#define GRANT(i, c) \
+  :: d_step { i != c && CAN_GRANT(i, c) -> \
+       follow(i); v[i].term = v[c].term; v[i].vote = c; }
+#define COUNT(i, c) \
+  :: d_step { CAN_COUNT(i, c) -> \
+       CHECK_IDENTITY(i); v[c].votes = v[c].votes | BIT(i); }
+
+/* Without this assertion the fault has to show by its consequence, two leaders in one term. */
+#ifdef NO_IDENTITY_ASSERT
+#define CHECK_IDENTITY(i) skip
+#else
+#define CHECK_IDENTITY(i) assert(!v[i].lost)
+#endif
+
+/* Voter i hears the open round of leader l and answers it. */
+#define CAN_ANSWER(i, l) (ALIVE(i) && i != l && v[l].lead && v[l].acks != 0 && !(v[l].acks & BIT(i)) && \
+  v[i].term <= v[l].term)
+#define ANSWER(i, l) \
+  :: d_step { CAN_ANSWER(i, l) -> \
+       if \
+       :: v[i].term < v[l].term -> follow(i); v[i].term = v[l].term; v[i].vote = NOBODY \
+       :: else -> v[i].cand = 0; v[i].votes = 0 \
+       fi; \
+       v[i].hold = HOLD; v[l].acks = v[l].acks | BIT(i); }
+
+/* A node that sees a higher term follows it. */
+#define STEP_DOWN(i, j) \
+  :: d_step { i != j && ALIVE(i) && (v[i].lead || v[i].cand) && v[i].term < v[j].term -> \
+       follow(i); v[i].term = v[j].term; v[i].vote = NOBODY; }
+
+proctype node(byte me) {
+end:
+  do
+  /* Campaign: pre-vote is the condition that the candidate itself has not heard a leader. */
+  :: d_step { ALIVE(me) && !v[me].lead && v[me].hold == 0 && v[me].term < TERMS ->
+       follow(me);
+       v[me].term = v[me].term + 1; v[me].vote = me; v[me].cand = 1; }
+  :: d_step { !SYNCED(me) && !v[me].lost -> v[me].dterm = v[me].term; v[me].dvote = v[me].vote; }
+  GRANT(me, 0)
+  GRANT(me, 1)
+  GRANT(me, 2)
+  COUNT(me, 0)
+  COUNT(me, 1)
+  COUNT(me, 2)
+  /* Elected. */
+  :: d_step { v[me].cand && MAJORITY(v[me].votes) ->
+       assert(leader[v[me].term] == 0 || leader[v[me].term] == me + 1);
+       leader[v[me].term] = me + 1;
+       v[me].cand = 0; v[me].votes = 0; v[me].lead = 1; }
+  /* Heartbeat round: sent, answered, completed. */
+  :: d_step { v[me].lead -> v[me].acks = BIT(me); v[me].age = 0; v[me].hold = HOLD; }
+  ANSWER(me, 0)
+  ANSWER(me, 1)
+  ANSWER(me, 2)
+  :: d_step { v[me].lead && MAJORITY(v[me].acks) ->
+#ifdef FAULT_LEASE_FROM_ANSWER
+       v[me].lease = LEASE;
+#else
+       v[me].lease = (v[me].age < LEASE && LEASE - v[me].age > v[me].lease -> LEASE - v[me].age : v[me].lease);
+#endif
+       v[me].acks = 0; v[me].age = 0; }
+  STEP_DOWN(me, 0)
+  STEP_DOWN(me, 1)
+  STEP_DOWN(me, 2)
+  /* Kill and restart: memory is gone, and the voter can't know when it last heard a leader. */
+  :: d_step { !v[me].lost ->
+       follow(me);
+       v[me].term = v[me].dterm; v[me].vote = v[me].dvote;
+#ifdef FAULT_NO_LEASE_WAIT
+       v[me].hold = 0;
+#else
+       v[me].hold = HOLD;
+#endif
+     }
+  /* The disk is lost. The identity ends; the fault restarts it with an empty folder. */
+  :: d_step { !v[me].lost && losses == 0 ->
+       losses = 1;
+       follow(me);
+       v[me].lost = 1; v[me].hold = 0;
+       v[me].term = 0; v[me].dterm = 0; v[me].vote = NOBODY; v[me].dvote = NOBODY; }
+#ifdef FAULT_OLD_IDENTITY
+  :: d_step { v[me].lost && !SYNCED(me) -> v[me].dterm = v[me].term; v[me].dvote = v[me].vote; }
+#endif
+  od
+}
+
+/* One tick of time. At most one lease is valid whenever time stands. */
+proctype clock() {
+  byte i;
+end:
+  do
+  :: d_step {
+       i = 0;
+       do
+       :: i < N ->
+            v[i].hold = (v[i].hold > 0 -> v[i].hold - 1 : 0);
+            v[i].lease = (v[i].lease > 0 -> v[i].lease - 1 : 0);
+            v[i].age = (v[i].acks != 0 && v[i].age < LEASE -> v[i].age + 1 : v[i].age);
+            i++
+       :: else -> break
+       od;
+       i = 0 }
+  od
+}
+
+/* Safety is checked in every state by a monitor that is always able to run. */
+active proctype monitor() {
+end:
+  if
+  :: d_step { (VALID(0) && VALID(1)) || (VALID(0) && VALID(2)) || (VALID(1) && VALID(2)) -> assert(false) }
+#ifdef REACH
+  /* Shows that the search is not empty: a lease in the last term after a lost disk and three leaders exists. */
+  :: d_step { VALID(2) && v[2].term == TERMS && v[1].lost && leader[1] == 1 && leader[2] == 2 -> assert(false) }
+#endif
+  fi
+}
+
+init {
+  atomic {
+    v[0].vote = NOBODY; v[1].vote = NOBODY; v[2].vote = NOBODY;
+    v[0].dvote = NOBODY; v[1].dvote = NOBODY; v[2].dvote = NOBODY;
+    run node(0); run node(1); run node(2); run clock()
+  }
+}
