--- /dev/null
+++ b/internal/node/control/renewer.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/config"
+	"example.org/camphorhinge/internal/node/member"
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/record/table"
+)
+
+// renewTimeout bounds one renewal, longer than the leader may hold it and shorter than the lease.
+const renewTimeout = config.RenewHold + 700*time.Millisecond
+
+// RenewerConfig holds what a Renewer needs.
+type RenewerConfig struct {
+	Self   *peerpb.Node
+	Client *Client
+	Mirror *table.Mirror
+	Holder *config.Holder
+	Clock  camphorhinge.Clock
+	// Changed is called after the engine holds have changed.
+	Changed func()
+	// Scores takes the crash counts by request fingerprint, encoded.
+	Scores func([]byte)
+	Log    *slog.Logger
+}
+
+// Renewer keeps a node's configuration lease and its copy of the configuration current.
+type Renewer struct {
+	cfg  RenewerConfig
+	held atomic.Pointer[map[camphorhinge.TargetName]bool]
+
+	mu    sync.Mutex
+	term  uint64
+	holds uint64
+	// gap asks for all records, after changes that did not fit.
+	gap   bool
+	nodes []member.Node
+	fresh bool
+}
+
+// NewRenewer returns a Renewer that has no configuration yet.
+func NewRenewer(cfg RenewerConfig) *Renewer {
+	r := &Renewer{cfg: cfg}
+	r.held.Store(&map[camphorhinge.TargetName]bool{})
+	return r
+}
+
+// Held reports whether the engine must get no new work from this node.
+func (r *Renewer) Held(t camphorhinge.TargetName) bool { return (*r.held.Load())[t] }
+
+// Nodes returns all entry nodes as of the last renewal.
+func (r *Renewer) Nodes() []member.Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.nodes)
+}
+
+// Run renews until ctx ends.
+func (r *Renewer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := r.renew(ctx, false)
+		r.noteState(err)
+		if err != nil && !pause(ctx) {
+			break
+		}
+	}
+	return nil
+}
+
+// Leave tells the leader that this node takes no new request from now on.
+func (r *Renewer) Leave(ctx context.Context) error { return r.renew(ctx, true) }
+
+// noteState logs when the lease is lost or held again.
+func (r *Renewer) noteState(err error) {
+	fresh := r.cfg.Holder.State() == config.StateFresh
+	r.mu.Lock()
+	was := r.fresh
+	r.fresh = fresh
+	r.mu.Unlock()
+	switch {
+	case fresh && !was:
+		r.cfg.Log.Info("configuration lease held", "revision", r.cfg.Mirror.View().Revision())
+	case !fresh && was:
+		r.cfg.Log.Warn("configuration lease lost", "revision", r.cfg.Mirror.View().Revision(), "error", err)
+	}
+}
+
+func (r *Renewer) renew(ctx context.Context, leaving bool) error {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	r.mu.Lock()
+	req := &peerpb.RenewRequest{
+		Node: r.cfg.Self.GetName(), Address: r.cfg.Self.GetAddress(), Zone: r.cfg.Self.GetZone(),
+		Revision: uint64(r.cfg.Mirror.View().Revision()), Term: r.term, Holds: r.holds, Leaving: leaving,
+		Full: r.gap || !r.cfg.Mirror.Known(),
+	}
+	r.mu.Unlock()
+
+	var sent camphorhinge.Instant
+	var resp *peerpb.RenewResponse
+	err := r.cfg.Client.lead(ctx, "renew", func(ctx context.Context, conn *peer.Conn) (verdict, error) {
+		sent = r.cfg.Clock.Now()
+		var err error
+		resp, err = conn.Control.Renew(ctx, req)
+		if err != nil {
+			return verdict{}, err
+		}
+		return verdict{outcome: resp.GetOutcome(), hint: resp.GetLeader()}, nil
+	})
+	if err != nil || leaving {
+		return err
+	}
+	return r.accept(sent, resp)
+}
+
+// accept puts an answer in force and then counts its lease.
+func (r *Renewer) accept(sent camphorhinge.Instant, resp *peerpb.RenewResponse) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if resp.GetTerm() < r.term {
+		return &Error{Op: "renew", Kind: KindRefused, Err: errors.New("answer of a deposed leader")}
+	}
+	_, err := r.cfg.Mirror.Apply(table.Changes{
+		Changes: resp.GetChanges(), Full: resp.GetFull(), Revision: camphorhinge.Revision(resp.GetRevision()),
+	})
+	r.gap = err != nil
+	if err != nil {
+		return &Error{Op: "renew", Kind: KindMalformed, Err: err}
+	}
+	if resp.GetHolds() != r.holds {
+		held := make(map[camphorhinge.TargetName]bool, len(resp.GetHeld()))
+		for _, name := range resp.GetHeld() {
+			held[camphorhinge.TargetName(name)] = true
+		}
+		r.held.Store(&held)
+		r.cfg.Changed()
+	}
+	r.term, r.holds = resp.GetTerm(), resp.GetHolds()
+	r.nodes = r.nodes[:0]
+	for _, n := range resp.GetNodes() {
+		r.nodes = append(r.nodes, decodeNode(n))
+	}
+	if scores := resp.GetScores(); len(scores) > 0 {
+		r.cfg.Scores(scores)
+	}
+	r.cfg.Holder.Renewed(sent, time.Duration(resp.GetLease())*time.Millisecond)
+	return nil
+}
--- /dev/null
+++ b/internal/node/web/server.go
@@ -0,0 +1,108 @@
+package web
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// headerLimit is the largest request header, in bytes.
+	headerLimit = 64 << 10
+	// readTimeout bounds the wait for each read of a request, so that a slow client can't hold a connection for ever.
+	readTimeout = 30 * time.Second
+	// idleTimeout closes a connection that no request uses.
+	idleTimeout = 2 * time.Minute
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// KindListen marks a port that can't be opened or served.
+const KindListen Kind = "listen"
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("web %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Config holds what a Server needs.
+type Config struct {
+	// Address is the IP:port to listen on.
+	Address string
+	// MaxBody is the largest request body that hertz reads by itself, in bytes.
+	MaxBody int
+	// Options are added after the server's own, so that they take precedence.
+	Options []hertzconfig.Option
+}
+
+// Server is a hertz server on its own port.
+type Server struct {
+	// Hertz takes the routes, before Serve is called.
+	Hertz    *server.Hertz
+	listener net.Listener
+	requests requests
+}
+
+// New opens the port of cfg; requests are answered once Serve is called.
+func New(cfg Config) (*Server, error) {
+	listener, err := net.Listen("tcp", cfg.Address)
+	if err != nil {
+		return nil, &Error{Op: "new", Kind: KindListen, Err: err}
+	}
+	s := &Server{listener: listener}
+	options := []hertzconfig.Option{
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(cfg.MaxBody),
+		server.WithMaxHeaderBytes(headerLimit),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithDisablePrintRoute(true),
+		server.WithTracer(&s.requests),
+	}
+	s.Hertz = server.New(append(options, cfg.Options...)...)
+	s.Hertz.Use(s.requests.closeWhileDraining)
+	return s, nil
+}
+
+// Address returns the IP:port that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Drain makes the server close each connection after its next answer, so that clients open their next one elsewhere.
+func (s *Server) Drain() { s.requests.draining.Store(true) }
+
+// Serve answers requests until ctx ends; then it refuses new connections and waits at most grace for requests under way.
+// hertz's own shutdown is not used, since it cuts requests after 30 s.
+func (s *Server) Serve(ctx context.Context, grace time.Duration) error {
+	var g errgroup.Group
+	g.Go(func() error {
+		err := s.Hertz.Run()
+		if ctx.Err() != nil || err == nil {
+			return nil
+		}
+		return &Error{Op: "serve", Kind: KindListen, Err: err}
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		s.Drain()
+		s.listener.Close()
+		s.requests.wait(grace)
+		return nil
+	})
+	return g.Wait()
+}
