--- /dev/null
+++ b/internal/fleet/engine/client_test.go
@@ -0,0 +1,106 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+)
+
+// serve answers every request on a listener with handle until the test ends; it returns the address.
+func serve(t *testing.T, handle http.HandlerFunc) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{Handler: handle}
+	var g errgroup.Group
+	g.Go(func() error { return s.Serve(l) })
+	t.Cleanup(func() {
+		require.NoError(t, s.Close())
+		require.ErrorIs(t, g.Wait(), http.ErrServerClosed)
+	})
+	return l.Addr().String()
+}
+
+// Guards against an answer that is not the engine's word on the order being counted as done or refused, and against an
+// order that is sent twice.
+func TestOutcomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		status  int
+		body    string
+		cut     bool
+		prepare bool
+		want    Outcome
+		reason  string
+	}{
+		{name: "done", status: 200, body: `{"state":"done","incarnation":3,"revision":8}`, want: Done},
+		{name: "changing", status: 200, body: `{"state":"changing","incarnation":3,"revision":8}`, want: Changing},
+		{name: "refused", status: 409, body: `{"state":"refused","error":"fence","incarnation":3,"revision":8}`, want: Refused, reason: "fence"},
+		{name: "conflict of another sort", status: 409, body: `{"state":"done"}`, want: Unknown},
+		{name: "refused with a good status", status: 200, body: `{"state":"refused"}`, want: Unknown},
+		{name: "server error", status: 500, body: `{"state":"done"}`, want: Unknown},
+		{name: "no JSON", status: 200, body: `done`, want: Unknown},
+		{name: "unknown state", status: 200, body: `{"state":"later"}`, want: Unknown},
+		{name: "connection cut", cut: true, want: Unknown},
+		{name: "prepared", status: 200, body: `{"state":"done","nonce":"n"}`, prepare: true, want: Done},
+		{name: "prepared without a nonce", status: 200, body: `{"state":"done"}`, prepare: true, want: Unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var calls atomic.Int32
+			address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				calls.Add(1)
+				if tt.cut {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(tt.status)
+				_, _ = w.Write([]byte(tt.body))
+			})
+			c, err := New(Config{})
+			require.NoError(t, err)
+			defer c.Close()
+			got := c.Order(context.Background(), address, Order{Fence: 1, Seq: 1})
+			if tt.prepare {
+				got = c.Prepare(context.Background(), address, 1, 1)
+				calls.Add(-1)
+			}
+			require.Equal(t, tt.want, got.Outcome, "%v", got.Err)
+			require.Equal(t, tt.reason, got.Reason)
+			require.EqualValues(t, 1, calls.Load())
+		})
+	}
+}
+
+// Guards against a client that waits for a silent engine without end, or calls an unreachable engine's order refused.
+func TestSilentAndUnreachable(t *testing.T) {
+	release := make(chan struct{})
+	silent := serve(t, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := l.Addr().String()
+	require.NoError(t, l.Close())
+	c, err := New(Config{Read: 20 * time.Millisecond, Order: 20 * time.Millisecond, Move: 20 * time.Millisecond})
+	require.NoError(t, err)
+	defer c.Close()
+	for _, address := range []string{silent, closed} {
+		require.Equal(t, Unknown, c.Order(context.Background(), address, Order{}).Outcome)
+		require.Equal(t, Unknown, c.Prepare(context.Background(), address, 1, 1).Outcome)
+		_, err = c.Read(context.Background(), address)
+		var e *Error
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, KindNetwork, e.Kind)
+		require.Error(t, c.Import(context.Background(), address, closed, Export{Handle: "h"}, camphorhinge.AttemptID("a")))
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, c.Order(ended, closed, Order{}).Err, context.Canceled)
+}
