Learn the token mix on the lease holder

The role policy needs the offered load per service, which no single node sees.

Delivered tokens alone are no measure of demand: what is shed is missing from them. Prompt tokens count on arrival, and output tokens are arrivals times the mean output of recent complete answers. Requests over a limit are left out, since no role change serves them.

AttemptResult gets Moved, since an attempt that hands its stream over ends with class Run as well and would count as a second answer.

--- a/interfaces.go
+++ b/interfaces.go
@@ -136,6 +136,8 @@
 	FirstByte time.Duration
 	// Output is the number of output tokens received.
 	Output Tokens
+	// Moved is true when another attempt goes on with the answer from here; Class is Run then.
+	Moved bool
 }
 
 // Admission decides whether a request may start now.
--- /dev/null
+++ b/internal/fleet/mix/amounts.go
@@ -0,0 +1,115 @@
+package mix
+
+import (
+	"fmt"
+	"math"
+
+	"example.org/camphorhinge"
+)
+
+// Amounts counts the model requests of one service over some time.
+type Amounts struct {
+	// Asked are the requests that arrived, Prompt their prompt tokens, and Most the output tokens that they allow.
+	Asked  int64               `json:"a,omitempty"`
+	Prompt camphorhinge.Tokens `json:"p,omitempty"`
+	Most   camphorhinge.Tokens `json:"m,omitempty"`
+	// Output are the output tokens delivered, those of answers that broke off included.
+	Output camphorhinge.Tokens `json:"o,omitempty"`
+	// Complete are the whole answers, InTime those within the deadline.
+	Complete int64 `json:"c,omitempty"`
+	InTime   int64 `json:"t,omitempty"`
+	// Counted are the complete answers whose output tokens are known, Whole those tokens. An answer that is not streamed
+	// has no known number of them.
+	Counted int64               `json:"n,omitempty"`
+	Whole   camphorhinge.Tokens `json:"w,omitempty"`
+	// Refused are the requests that were shed or found no target.
+	Refused int64 `json:"r,omitempty"`
+	// Limited are the requests over their workspace's limit, LimitedTokens their prompt tokens and allowed output.
+	Limited       int64               `json:"l,omitempty"`
+	LimitedTokens camphorhinge.Tokens `json:"lt,omitempty"`
+}
+
+func (a *Amounts) add(b Amounts) {
+	a.Asked += b.Asked
+	a.Prompt += b.Prompt
+	a.Most += b.Most
+	a.Output += b.Output
+	a.Complete += b.Complete
+	a.InTime += b.InTime
+	a.Counted += b.Counted
+	a.Whole += b.Whole
+	a.Refused += b.Refused
+	a.Limited += b.Limited
+	a.LimitedTokens += b.LimitedTokens
+}
+
+// times returns a part of the amounts.
+func (a *Amounts) times(part float64) Amounts {
+	count := func(n int64) int64 { return int64(math.Round(float64(n) * part)) }
+	tokens := func(n camphorhinge.Tokens) camphorhinge.Tokens { return camphorhinge.Tokens(count(int64(n))) }
+	return Amounts{
+		Asked: count(a.Asked), Prompt: tokens(a.Prompt), Most: tokens(a.Most), Output: tokens(a.Output),
+		Complete: count(a.Complete), InTime: count(a.InTime), Counted: count(a.Counted), Whole: tokens(a.Whole),
+		Refused: count(a.Refused), Limited: count(a.Limited), LimitedTokens: tokens(a.LimitedTokens),
+	}
+}
+
+// valid reports whether all amounts lie within what a node can count.
+func (a *Amounts) valid() bool {
+	for _, n := range []int64{
+		a.Asked, int64(a.Prompt), int64(a.Most), int64(a.Output), a.Complete, a.InTime, a.Counted, int64(a.Whole),
+		a.Refused, a.Limited, int64(a.LimitedTokens),
+	} {
+		if n < 0 || n > maxAmount {
+			return false
+		}
+	}
+	return true
+}
+
+// maxAmount bounds a single amount, so that sums over all nodes and samples can't overflow.
+const maxAmount = 1 << 44
+
+// report is what a Meter sends.
+type report struct {
+	Node camphorhinge.NodeID `json:"node"`
+	// Start tells the starts of a node's process apart, Seq numbers the reports of one start from 1.
+	Start uint64 `json:"start"`
+	Seq   uint64 `json:"seq"`
+	// Span is the time that the report covers, in milliseconds.
+	Span     int64                                `json:"span"`
+	Services map[camphorhinge.ServiceName]Amounts `json:"services,omitempty"`
+}
+
+const (
+	// MaxServices is the largest number of services in a report.
+	MaxServices = 64
+	// MaxReport is the largest size of a report in bytes. It holds MaxServices services with the longest names and
+	// amounts.
+	MaxReport = 24 << 10
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// KindMalformed marks a report that can't be used; nothing of it counts.
+	KindMalformed Kind = "malformed"
+	// KindFull marks a report some of whose services exceed the number that the collector keeps; the others count.
+	KindFull Kind = "full"
+	// KindFollower marks a report that reached a node which does not lead.
+	KindFollower Kind = "follower"
+)
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("mix %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/fleet/mix/collector.go
@@ -0,0 +1,279 @@
+package mix
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/role"
+)
+
+const (
+	// maxTracked bounds the services in one sample; with role.HistoryLength samples that is about 5 MB.
+	maxTracked = 128
+	// maxNodes bounds the nodes whose reports are told apart; it is above the 330 nodes of the size in two years.
+	maxNodes = 512
+	// maxStarts is the number of starts of one node whose reports are told apart; a late report of an older start counts
+	// at most once more.
+	maxStarts = 4
+	// outputSamples is the number of samples whose answers give the mean output, which is half a minute.
+	outputSamples = 6
+	// recentSamples is the number of samples in Recent, which is a minute.
+	recentSamples = 12
+)
+
+// Collector adds the reports of all nodes up to samples on the lease holder. It is safe for concurrent use.
+type Collector struct {
+	clock camphorhinge.Clock
+
+	mu     sync.Mutex
+	active bool
+	since  camphorhinge.Instant
+	// first is the number of samples that were dropped; the last sample is still open.
+	first   int
+	samples []sample
+	nodes   map[camphorhinge.NodeID]*origin
+}
+
+// sample holds what was reported in one role.SampleInterval.
+type sample struct {
+	reports  int
+	services map[camphorhinge.ServiceName]*Amounts
+}
+
+// origin tells which reports of a node were counted.
+type origin struct {
+	heard  camphorhinge.Instant
+	starts []start // the latest used one is last
+}
+
+type start struct{ id, seq uint64 }
+
+// NewCollector returns a Collector that does not collect yet.
+func NewCollector(clock camphorhinge.Clock) *Collector { return &Collector{clock: clock} }
+
+// Lead starts a leadership with an empty history: what the predecessor collected is lost, and the nodes report only
+// what it has not taken.
+func (c *Collector) Lead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active, c.since, c.first = true, c.clock.Now(), 0
+	c.samples = []sample{{}}
+	c.nodes = map[camphorhinge.NodeID]*origin{}
+}
+
+// Follow ends a leadership and drops the history.
+func (c *Collector) Follow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active, c.samples, c.nodes = false, nil, nil
+}
+
+// Since returns when the history began; ok is false on a node that does not lead.
+func (c *Collector) Since() (at camphorhinge.Instant, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, c.active
+}
+
+// Add takes the report of a node's Meter; a report that was taken before changes nothing. A report over more than a
+// role.SampleInterval, such as the first one after the leader was not reachable, counts at its mean rate, so that a
+// backlog does not look like a peak.
+func (c *Collector) Add(encoded []byte) error {
+	r, err := decode(encoded)
+	if err != nil {
+		return &Error{Op: "add", Kind: KindMalformed, Err: err}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.active {
+		return &Error{Op: "add", Kind: KindFollower, Err: camphorhinge.ErrNotLeader}
+	}
+	now := c.clock.Now()
+	c.advance(now)
+	if !c.isNew(r, now) {
+		return nil
+	}
+	s := &c.samples[len(c.samples)-1]
+	s.reports++
+	if s.services == nil {
+		s.services = map[camphorhinge.ServiceName]*Amounts{}
+	}
+	part := 1.0
+	if span := time.Duration(r.Span) * time.Millisecond; span > role.SampleInterval {
+		part = float64(role.SampleInterval) / float64(span)
+	}
+	for name, amounts := range r.Services {
+		sum := s.services[name]
+		if sum == nil {
+			if len(s.services) >= maxTracked {
+				err = &Error{Op: "add", Kind: KindFull, Err: fmt.Errorf("more than %d services", maxTracked)}
+				continue
+			}
+			sum = &Amounts{}
+			s.services[name] = sum
+		}
+		sum.add(amounts.times(part))
+	}
+	return err
+}
+
+func decode(encoded []byte) (*report, error) {
+	if len(encoded) > MaxReport {
+		return nil, fmt.Errorf("%d bytes, at most %d are allowed", len(encoded), MaxReport)
+	}
+	var r report
+	if err := json.Unmarshal(encoded, &r); err != nil {
+		return nil, err
+	}
+	if r.Node == "" || r.Seq == 0 || r.Span < 0 || len(r.Services) > MaxServices {
+		return nil, errors.New("node, seq, span or number of services out of range")
+	}
+	for name, a := range r.Services {
+		if !a.valid() {
+			return nil, fmt.Errorf("an amount of %s is out of range", name)
+		}
+	}
+	return &r, nil
+}
+
+// isNew reports whether a report was not counted yet, and notes it.
+func (c *Collector) isNew(r *report, now camphorhinge.Instant) bool {
+	o := c.nodes[r.Node]
+	if o == nil {
+		if len(c.nodes) >= maxNodes {
+			c.forget()
+		}
+		o = &origin{}
+		c.nodes[r.Node] = o
+	}
+	o.heard = now
+	last := start{id: r.Start}
+	if i := slices.IndexFunc(o.starts, func(s start) bool { return s.id == r.Start }); i >= 0 {
+		last = o.starts[i]
+		if r.Seq <= last.seq {
+			return false
+		}
+		o.starts = slices.Delete(o.starts, i, i+1)
+	}
+	if len(o.starts) >= maxStarts {
+		o.starts = slices.Delete(o.starts, 0, 1)
+	}
+	last.seq = r.Seq
+	o.starts = append(o.starts, last)
+	return true
+}
+
+// forget drops the node that was heard of longest ago.
+func (c *Collector) forget() {
+	var oldest camphorhinge.NodeID
+	for name, o := range c.nodes {
+		if p := c.nodes[oldest]; p == nil || o.heard < p.heard || o.heard == p.heard && name < oldest {
+			oldest = name
+		}
+	}
+	delete(c.nodes, oldest)
+}
+
+// advance opens the sample of the present, with empty ones for the time that passed, and drops those that are too old.
+func (c *Collector) advance(now camphorhinge.Instant) {
+	n := int(now.Sub(c.since) / role.SampleInterval) // The number of the open sample.
+	if n-c.first-len(c.samples) > role.HistoryLength {
+		c.first, c.samples = n, []sample{{}}
+		return
+	}
+	for c.first+len(c.samples) <= n {
+		c.samples = append(c.samples, sample{})
+	}
+	if extra := len(c.samples) - role.HistoryLength - 1; extra > 0 {
+		c.samples = slices.Delete(c.samples, 0, extra)
+		c.first += extra
+	}
+}
+
+// closed returns the complete samples from the second one with a report on, and the number of the first of them. While
+// the first one was open, nodes still looked for the new leader.
+func (c *Collector) closed() ([]sample, int) {
+	if !c.active {
+		return nil, 0
+	}
+	c.advance(c.clock.Now())
+	done := c.samples[:len(c.samples)-1]
+	from := 0
+	if c.first == 0 {
+		from = slices.IndexFunc(done, func(s sample) bool { return s.reports > 0 }) + 1
+		if from == 0 {
+			return nil, 0
+		}
+	}
+	return done[from:], c.first + from
+}
+
+// History returns the demand on a service in the last role.HistoryLength samples, oldest first. It is zero for a service
+// that nobody asked for, and empty on a node that does not lead or has led too short. A sample in which no node reported
+// anything repeats the one before, since nothing is known of it.
+func (c *Collector) History(service camphorhinge.ServiceName) role.History {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	samples, number := c.closed()
+	h := make(role.History, 0, len(samples))
+	var asked, window Amounts
+	var last role.Demand
+	mean, known := 0.0, false // output tokens of one answer
+	of := func(i int) Amounts {
+		if i < 0 || samples[i].services[service] == nil {
+			return Amounts{}
+		}
+		return *samples[i].services[service]
+	}
+	for i := range samples {
+		a, old := of(i), of(i-outputSamples)
+		window.Counted += a.Counted - old.Counted
+		window.Whole += a.Whole - old.Whole
+		asked.add(a)
+		switch {
+		case window.Counted > 0:
+			mean, known = float64(window.Whole)/float64(window.Counted), true
+		case !known && asked.Asked > 0:
+			// No answer has ended yet; what the requests allow is all that is known.
+			mean = float64(asked.Most) / float64(asked.Asked)
+		}
+		if samples[i].reports > 0 {
+			last = a.demand(mean)
+		}
+		at := c.since.Add(time.Duration(number+i+1) * role.SampleInterval)
+		h = append(h, role.Sample{At: at, Demand: last})
+	}
+	return h
+}
+
+// demand returns the demand in tokens per second, without the requests over a limit.
+func (a *Amounts) demand(output float64) role.Demand {
+	allowed := 1.0
+	if all := a.Prompt + a.Most; all > 0 {
+		allowed = max(0, 1-float64(a.LimitedTokens)/float64(all))
+	}
+	seconds := role.SampleInterval.Seconds()
+	return role.Demand{
+		Prompt: float64(a.Prompt) * allowed / seconds,
+		Output: float64(max(0, a.Asked-a.Limited)) * output / seconds,
+	}
+}
+
+// Recent returns what was counted for a service in the last minute of complete samples.
+func (c *Collector) Recent(service camphorhinge.ServiceName) Amounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var sum Amounts
+	samples, _ := c.closed()
+	for _, s := range samples[max(0, len(samples)-recentSamples):] {
+		if a := s.services[service]; a != nil {
+			sum.add(*a)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/fleet/mix/mix_test.go
@@ -0,0 +1,360 @@
+package mix
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/role"
+	"example.org/camphorhinge/internal/request/admit"
+	"example.org/camphorhinge/internal/request/route"
+)
+
+// The optional abilities that Wrap and WrapAdmission keep are those of the real router and admission.
+var (
+	_ decoder  = (*route.Router)(nil)
+	_ expecter = (*route.Router)(nil)
+	_ jitterer = (*admit.Admission)(nil)
+)
+
+type testClock struct{ now camphorhinge.Instant }
+
+func (c *testClock) Now() camphorhinge.Instant { return c.now }
+
+// backend is a router and an admission with fixed answers.
+type backend struct {
+	none    bool
+	refusal *camphorhinge.Refusal
+	ended   int
+}
+
+func (b *backend) Pick(camphorhinge.RouteRequest) (camphorhinge.RouteChoice, bool) {
+	return camphorhinge.RouteChoice{}, !b.none
+}
+
+func (b *backend) Sent(camphorhinge.RouteChoice, camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
+	return func(camphorhinge.AttemptResult) { b.ended++ }
+}
+
+func (b *backend) Admit(camphorhinge.AdmitRequest) (func(), *camphorhinge.Refusal) {
+	return func() {}, b.refusal
+}
+
+func (b *backend) Retry() bool { return true }
+
+// able has the optional abilities as well.
+type able struct{ backend }
+
+func (b *able) PickDecode(camphorhinge.RouteRequest, *camphorhinge.Target) (camphorhinge.RouteChoice, bool) {
+	return camphorhinge.RouteChoice{Reason: "decode"}, true
+}
+
+func (b *able) SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
+	return b.Sent(choice, req)
+}
+
+func (b *able) Output(camphorhinge.ServiceName, camphorhinge.Tokens) camphorhinge.Tokens { return 7 }
+
+func (b *able) Jitter() time.Duration { return time.Millisecond }
+
+func take(t *testing.T, m *Meter) report {
+	t.Helper()
+	var r report
+	require.NoError(t, json.Unmarshal(m.Take(), &r))
+	return r
+}
+
+// Guards against a meter that takes served work for demand, counts a repeat or a moved stream as a request of its own, or
+// counts calls to plain services.
+func TestMeter(t *testing.T) {
+	run := camphorhinge.AttemptResult{Class: camphorhinge.Run, Output: 40}
+	moved := run
+	moved.Moved = true
+	failed := camphorhinge.AttemptResult{Class: camphorhinge.Unknown, Failed: true, Output: 3}
+	model := camphorhinge.RouteRequest{Service: "s", Model: "m", Prompt: 1000, Output: 200, Deadline: 10 * time.Second}
+	tests := []struct {
+		name    string
+		req     camphorhinge.RouteRequest
+		none    bool
+		refusal string
+		took    time.Duration
+		legs    []camphorhinge.AttemptResult
+		want    Amounts
+	}{
+		{name: "complete", req: model, took: time.Second, legs: []camphorhinge.AttemptResult{run}, want: Amounts{
+			Asked: 1, Prompt: 1000, Most: 200, Output: 40, Complete: 1, InTime: 1, Counted: 1, Whole: 40,
+		}},
+		{name: "late", req: model, took: 11 * time.Second, legs: []camphorhinge.AttemptResult{run}, want: Amounts{
+			Asked: 1, Prompt: 1000, Most: 200, Output: 40, Complete: 1, Counted: 1, Whole: 40,
+		}},
+		{name: "repeated", req: model, legs: []camphorhinge.AttemptResult{failed, run}, want: Amounts{
+			Asked: 1, Prompt: 1000, Most: 200, Output: 43, Complete: 1, InTime: 1, Counted: 1, Whole: 40,
+		}},
+		{name: "moved", req: model, legs: []camphorhinge.AttemptResult{moved, run}, want: Amounts{
+			Asked: 1, Prompt: 1000, Most: 200, Output: 80, Complete: 1, InTime: 1, Counted: 1, Whole: 80,
+		}},
+		{name: "not streamed", req: model, legs: []camphorhinge.AttemptResult{{Class: camphorhinge.Run}}, want: Amounts{
+			Asked: 1, Prompt: 1000, Most: 200, Complete: 1, InTime: 1,
+		}},
+		{name: "no target", req: model, none: true, want: Amounts{Asked: 1, Prompt: 1000, Most: 200, Refused: 1}},
+		{name: "shed", req: model, refusal: "shed", want: Amounts{Asked: 1, Prompt: 1000, Most: 200, Refused: 1}},
+		{name: "over its limit", req: model, refusal: "limit", want: Amounts{
+			Asked: 1, Prompt: 1000, Most: 200, Limited: 1, LimitedTokens: 1200,
+		}},
+		{name: "plain", req: camphorhinge.RouteRequest{Service: "p", Prompt: 1, Output: 1}, legs: []camphorhinge.AttemptResult{run}},
+		{name: "plain refused", req: camphorhinge.RouteRequest{Service: "p", Prompt: 1, Output: 1}, refusal: "shed"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := &testClock{}
+			b := &able{backend{none: tt.none}}
+			if tt.refusal != "" {
+				b.refusal = &camphorhinge.Refusal{Kind: tt.refusal}
+			}
+			m := NewMeter("n", 1, clock)
+			r, a := Wrap(b, m), WrapAdmission(b, m)
+			if choice, ok := r.Pick(tt.req); ok {
+				a.Admit(camphorhinge.AdmitRequest{Service: tt.req.Service, Tokens: tt.req.Prompt + tt.req.Output})
+				req := tt.req
+				for i, leg := range tt.legs {
+					if i > 0 {
+						req.Exclude = append(req.Exclude, "failed")
+						_, _ = r.Pick(req)
+					}
+					done := r.Sent(choice, req)
+					clock.now = clock.now.Add(tt.took)
+					done(leg)
+				}
+			}
+			require.Equal(t, len(tt.legs), b.ended, "the wrapped router hears of each end")
+			got := take(t, m)
+			if tt.want == (Amounts{}) {
+				require.Empty(t, got.Services)
+			} else {
+				require.Equal(t, map[camphorhinge.ServiceName]Amounts{"s": tt.want}, got.Services)
+			}
+			require.Empty(t, take(t, m).Services, "what was taken is not counted again")
+		})
+	}
+}
+
+// Guards against abilities that are lost, or seem to be there, after wrapping.
+func TestWrapKeepsAbilities(t *testing.T) {
+	m := NewMeter("n", 1, &testClock{})
+	full, bare := Wrap(&able{}, m), Wrap(&backend{}, m)
+	d, ok := full.(decoder)
+	require.True(t, ok)
+	choice, ok := d.PickDecode(camphorhinge.RouteRequest{}, nil)
+	require.True(t, ok)
+	require.Equal(t, "decode", choice.Reason)
+	d.SentDecode(choice, camphorhinge.RouteRequest{Service: "s", Model: "m"})(camphorhinge.AttemptResult{Output: 5})
+	require.EqualValues(t, 5, take(t, m).Services["s"].Output)
+	require.EqualValues(t, 7, full.(expecter).Output("s", 0))
+	require.IsType(t, &able{}, full.(interface{ Unwrap() camphorhinge.Router }).Unwrap())
+	require.Equal(t, time.Millisecond, WrapAdmission(&able{}, m).(jitterer).Jitter())
+	_, ok = bare.(decoder)
+	require.False(t, ok)
+	_, ok = bare.(expecter)
+	require.False(t, ok)
+	_, ok = WrapAdmission(&backend{}, m).(jitterer)
+	require.False(t, ok)
+}
+
+// Guards against a report above its bounds, and against services that are lost or starve because of them.
+func TestTakeIsBounded(t *testing.T) {
+	m := NewMeter("n", 1, &testClock{})
+	const services = 3*MaxServices + 1
+	large := Amounts{
+		maxAmount, maxAmount, maxAmount, maxAmount, maxAmount, maxAmount, maxAmount, maxAmount, maxAmount, maxAmount, maxAmount,
+	}
+	for i := range services {
+		m.count(camphorhinge.ServiceName(fmt.Sprintf("%063d", i)), func(a *Amounts) { *a = large })
+	}
+	seen := map[camphorhinge.ServiceName]bool{}
+	for i := range 4 {
+		data := m.Take()
+		require.LessOrEqual(t, len(data), MaxReport)
+		r, err := decode(data)
+		require.NoError(t, err)
+		require.EqualValues(t, i+1, r.Seq)
+		require.Equal(t, min(MaxServices, services-i*MaxServices), len(r.Services))
+		for name := range r.Services {
+			seen[name] = true
+		}
+	}
+	require.Len(t, seen, services)
+}
+
+// lead returns a collector that has led for the samples before the first counted one.
+func lead(clock *testClock) *Collector {
+	c := NewCollector(clock)
+	c.Lead()
+	warm := NewMeter("warm", 1, clock)
+	_ = c.Add(warm.Take())
+	clock.now = clock.now.Add(role.SampleInterval)
+	return c
+}
+
+func encoded(t *testing.T, r report) []byte {
+	t.Helper()
+	data, err := json.Marshal(r)
+	require.NoError(t, err)
+	return data
+}
+
+// Guards against a report that counts twice or not at all: one that is repeated, late, or of another start of the node.
+func TestEachReportCountsOnce(t *testing.T) {
+	type arrival struct {
+		node       camphorhinge.NodeID
+		start, seq uint64
+		counts     bool
+	}
+	tests := []struct {
+		name     string
+		arrivals []arrival
+	}{
+		{"in order", []arrival{{"a", 1, 1, true}, {"a", 1, 2, true}, {"a", 1, 3, true}}},
+		{"repeated", []arrival{{"a", 1, 1, true}, {"a", 1, 1, false}, {"a", 1, 2, true}, {"a", 1, 1, false}}},
+		{"two nodes", []arrival{{"a", 1, 1, true}, {"b", 1, 1, true}, {"a", 1, 1, false}}},
+		{"restarted", []arrival{{"a", 1, 7, true}, {"a", 2, 1, true}, {"a", 1, 7, false}, {"a", 2, 1, false}, {"a", 2, 2, true}}},
+		{"late report of an earlier start", []arrival{{"a", 2, 1, true}, {"a", 1, 9, true}, {"a", 2, 2, true}, {"a", 1, 9, false}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := &testClock{}
+			c := lead(clock)
+			want := 0
+			for _, a := range tt.arrivals {
+				require.NoError(t, c.Add(encoded(t, report{
+					Node: a.node, Start: a.start, Seq: a.seq, Span: 500, Services: map[camphorhinge.ServiceName]Amounts{"s": {Asked: 1}},
+				})))
+				if a.counts {
+					want++
+				}
+			}
+			clock.now = clock.now.Add(role.SampleInterval)
+			require.EqualValues(t, want, c.Recent("s").Asked)
+		})
+	}
+}
+
+// Guards against reports that fill the collector's memory or overflow its sums.
+func TestAddRefuses(t *testing.T) {
+	c := lead(&testClock{})
+	many := map[camphorhinge.ServiceName]Amounts{}
+	for i := range MaxServices + 1 {
+		many[camphorhinge.ServiceName(fmt.Sprint(i))] = Amounts{Asked: 1}
+	}
+	for name, data := range map[string][]byte{
+		"not JSON":          []byte("{"),
+		"too long":          []byte(strings.Repeat(" ", MaxReport+1)),
+		"no node":           encoded(t, report{Seq: 1}),
+		"no number":         encoded(t, report{Node: "a"}),
+		"negative":          encoded(t, report{Node: "a", Seq: 1, Services: map[camphorhinge.ServiceName]Amounts{"s": {Asked: -1}}}),
+		"huge":              encoded(t, report{Node: "a", Seq: 1, Services: map[camphorhinge.ServiceName]Amounts{"s": {Whole: maxAmount + 1}}}),
+		"too many services": encoded(t, report{Node: "a", Seq: 1, Services: many}),
+	} {
+		var e *Error
+		require.ErrorAs(t, c.Add(data), &e, name)
+		require.Equal(t, KindMalformed, e.Kind, name)
+	}
+	for i := range 2 * maxNodes {
+		require.NoError(t, c.Add(encoded(t, report{Node: camphorhinge.NodeID(fmt.Sprint(i)), Seq: 1})))
+	}
+	require.Len(t, c.nodes, maxNodes)
+}
+
+// Guards against a demand that follows what was served: shed requests belong to it, requests over a limit don't, and a
+// missing or late report is neither an absence nor a peak of demand.
+func TestHistory(t *testing.T) {
+	steady := Amounts{Asked: 50, Prompt: 50_000, Most: 10_000, Output: 2000, Complete: 50, Counted: 50, Whole: 2000}
+	shed := Amounts{Asked: 50, Prompt: 50_000, Most: 10_000, Output: 400, Complete: 10, Counted: 10, Whole: 400, Refused: 40}
+	limited := Amounts{
+		Asked: 100, Prompt: 100_000, Most: 20_000, Output: 2000, Complete: 50, Counted: 50, Whole: 2000, Limited: 50, LimitedTokens: 60_000,
+	}
+	want := role.Demand{Prompt: 10_000, Output: 400}
+	type interval struct {
+		amounts Amounts
+		span    time.Duration // 0 for no report
+	}
+	tests := []struct {
+		name      string
+		intervals []interval
+		want      []role.Demand
+	}{
+		{"steady", []interval{{steady, 5 * time.Second}, {steady, 5 * time.Second}}, []role.Demand{want, want}},
+		{"shed", []interval{{steady, 5 * time.Second}, {shed, 5 * time.Second}}, []role.Demand{want, want}},
+		{"over a limit", []interval{{limited, 5 * time.Second}}, []role.Demand{want}},
+		{"all shed", []interval{{Amounts{Asked: 50, Prompt: 50_000, Most: 2000, Refused: 50}, 5 * time.Second}}, []role.Demand{want}},
+		{"no report", []interval{{steady, 5 * time.Second}, {}, {steady, 5 * time.Second}}, []role.Demand{want, want, want}},
+		{"report without demand", []interval{{steady, 5 * time.Second}, {Amounts{}, 5 * time.Second}}, []role.Demand{want, {}}},
+		{"backlog", []interval{{steady, 5 * time.Second}, {}, {steady.times(4), 20 * time.Second}}, []role.Demand{want, want, want}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := &testClock{}
+			c := lead(clock)
+			for i, in := range tt.intervals {
+				if in.span > 0 {
+					require.NoError(t, c.Add(encoded(t, report{
+						Node: "a", Start: 1, Seq: uint64(i + 1), Span: in.span.Milliseconds(),
+						Services: map[camphorhinge.ServiceName]Amounts{"s": in.amounts},
+					})))
+				}
+				clock.now = clock.now.Add(role.SampleInterval)
+			}
+			h := c.History("s")
+			require.Len(t, h, len(tt.want))
+			for i, d := range tt.want {
+				require.InDelta(t, d.Prompt, h[i].Demand.Prompt, 1e-6, "sample %d", i)
+				require.InDelta(t, d.Output, h[i].Demand.Output, 1e-6, "sample %d", i)
+				require.Equal(t, camphorhinge.Instant(i+2)*camphorhinge.Instant(role.SampleInterval), h[i].At)
+			}
+		})
+	}
+}
+
+// Guards against a leader that decides by its predecessor's or its own former history, and against one that grows for
+// ever.
+func TestLeadership(t *testing.T) {
+	clock := &testClock{now: 77}
+	c := NewCollector(clock)
+	data := NewMeter("a", 1, clock).Take()
+	var e *Error
+	require.ErrorAs(t, c.Add(data), &e)
+	require.Equal(t, KindFollower, e.Kind)
+	_, ok := c.Since()
+	require.False(t, ok)
+	fill := func(samples int) {
+		m := NewMeter("a", uint64(clock.now), clock)
+		for range samples {
+			clock.now = clock.now.Add(role.SampleInterval)
+			m.count("s", func(a *Amounts) { *a = Amounts{Asked: 1, Prompt: 1000, Most: 100} })
+			require.NoError(t, c.Add(m.Take()))
+		}
+	}
+	c.Lead()
+	require.Empty(t, c.History("s"))
+	fill(2*role.HistoryLength + 9)
+	require.Len(t, c.History("s"), role.HistoryLength)
+	clock.now = clock.now.Add(10 * role.HistoryLength * role.SampleInterval)
+	require.Empty(t, c.History("s"), "nothing is known after a long pause")
+	fill(3)
+	require.Len(t, c.History("s"), 3)
+	c.Follow()
+	require.Empty(t, c.History("s"))
+	c.Lead()
+	at, ok := c.Since()
+	require.True(t, ok)
+	require.Equal(t, clock.now, at)
+	fill(role.LeastHistory)
+	require.Equal(t, role.ReasonYoung, role.Decide(role.Input{
+		Now: clock.now, History: c.History("s"), Rates: role.Rates{Prefill: 1, Decode: 1},
+		Counts: role.Counts{}, Weights: role.Weights{Goodput: 1},
+	}).Reason)
+}
--- /dev/null
+++ b/internal/fleet/mix/wrap.go
@@ -0,0 +1,140 @@
+package mix
+
+import (
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+// decoder is an optional ability of a router: it chooses the engine to which a KV cache moves.
+type decoder interface {
+	PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool)
+	SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) (done func(camphorhinge.AttemptResult))
+}
+
+// expecter is an optional ability of a router: it knows the expected output of a service.
+type expecter interface {
+	Output(service camphorhinge.ServiceName, limit camphorhinge.Tokens) camphorhinge.Tokens
+}
+
+// Wrap returns a router that feeds m and leaves each choice to inner. It has the methods PickDecode, SentDecode and
+// Output if inner has them; Unwrap returns inner for all others.
+//
+// Only requests that name a model count. One counts as asked for at a choice without excluded targets; a repeat that
+// starts over with all targets counts again, which the retry budget bounds to a tenth of the requests.
+func Wrap(inner camphorhinge.Router, m *Meter) camphorhinge.Router {
+	r := &router{inner: inner, meter: m}
+	d, decodes := inner.(decoder)
+	x, expects := inner.(expecter)
+	switch {
+	case decodes && expects:
+		return struct {
+			*router
+			*decoding
+			expecter
+		}{r, &decoding{d, m}, x}
+	case decodes:
+		return struct {
+			*router
+			*decoding
+		}{r, &decoding{d, m}}
+	case expects:
+		return struct {
+			*router
+			expecter
+		}{r, x}
+	}
+	return r
+}
+
+type router struct {
+	inner camphorhinge.Router
+	meter *Meter
+}
+
+// Unwrap returns the wrapped router.
+func (r *router) Unwrap() camphorhinge.Router { return r.inner }
+
+// Pick implements camphorhinge.Router.
+func (r *router) Pick(req camphorhinge.RouteRequest) (camphorhinge.RouteChoice, bool) {
+	choice, ok := r.inner.Pick(req)
+	if req.Model != "" && len(req.Exclude) == 0 {
+		r.meter.count(req.Service, func(a *Amounts) {
+			a.Asked++
+			a.Prompt += req.Prompt
+			a.Most += req.Output
+			if !ok {
+				a.Refused++
+			}
+		})
+	}
+	return choice, ok
+}
+
+// Sent implements camphorhinge.Router.
+func (r *router) Sent(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
+	return r.meter.sent(req, r.inner.Sent(choice, req))
+}
+
+type decoding struct {
+	inner decoder
+	meter *Meter
+}
+
+// PickDecode passes the call on.
+func (d *decoding) PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool) {
+	return d.inner.PickDecode(req, from)
+}
+
+// SentDecode counts the attempt's answer as Sent does.
+func (d *decoding) SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
+	return d.meter.sent(req, d.inner.SentDecode(choice, req))
+}
+
+// jitterer is an optional ability of an Admission: a random delay before a repeated attempt.
+type jitterer interface {
+	Jitter() time.Duration
+}
+
+// WrapAdmission returns an Admission that feeds m with the refusals of inner. It has the method Jitter if inner has it.
+func WrapAdmission(inner camphorhinge.Admission, m *Meter) camphorhinge.Admission {
+	a := &admission{Admission: inner, meter: m}
+	if j, ok := inner.(jitterer); ok {
+		return struct {
+			*admission
+			jitterer
+		}{a, j}
+	}
+	return a
+}
+
+type admission struct {
+	camphorhinge.Admission
+	meter *Meter
+}
+
+// Admit implements camphorhinge.Admission.
+func (w *admission) Admit(req camphorhinge.AdmitRequest) (func(), *camphorhinge.Refusal) {
+	release, refusal := w.Admission.Admit(req)
+	if refusal != nil {
+		w.meter.refused(req, refusal.Kind == "limit")
+	}
+	return release, refusal
+}
+
+// refused counts a refusal that follows the choice of a target. Requests to plain services have no amounts and are left
+// out; so is a refusal right after the amounts were taken, which is rare enough.
+func (m *Meter) refused(req camphorhinge.AdmitRequest, limit bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := m.services[req.Service]
+	if a == nil {
+		return
+	}
+	if !limit {
+		a.Refused++
+		return
+	}
+	a.Limited++
+	a.LimitedTokens += req.Tokens
+}
