--- a/internal/node/control/renewer.go
+++ b/internal/node/control/renewer.go
@@ -31,7 +31,9 @@
 	Changed func()
 	// Scores takes the crash counts by request fingerprint, encoded.
 	Scores func([]byte)
-	Log    *slog.Logger
+	// Mix takes the next report on the token mix for the leader; nil sends none.
+	Mix func() []byte
+	Log *slog.Logger
 }
 
 // Renewer keeps a node's configuration lease and its copy of the configuration current.
@@ -46,6 +48,8 @@
 	gap   bool
 	nodes []member.Node
 	fresh bool
+	// mix is the report that no leader has answered yet. It is sent again unchanged, so that the leader knows it.
+	mix []byte
 }
 
 // NewRenewer returns a Renewer that has no configuration yet.
@@ -99,10 +103,13 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	r.mu.Lock()
+	if r.cfg.Mix != nil && r.mix == nil {
+		r.mix = r.cfg.Mix()
+	}
 	req := &peerpb.RenewRequest{
 		Node: r.cfg.Self.GetName(), Address: r.cfg.Self.GetAddress(), Zone: r.cfg.Self.GetZone(),
 		Revision: uint64(r.cfg.Mirror.View().Revision()), Term: r.term, Holds: r.holds, Leaving: leaving,
-		Full: r.gap || !r.cfg.Mirror.Known(),
+		Full: r.gap || !r.cfg.Mirror.Known(), Mix: r.mix,
 	}
 	r.mu.Unlock()
 
@@ -130,6 +137,7 @@
 	if resp.GetTerm() < r.term {
 		return &Error{Op: "renew", Kind: KindRefused, Err: errors.New("answer of a deposed leader")}
 	}
+	r.mix = nil
 	_, err := r.cfg.Mirror.Apply(table.Changes{
 		Changes: resp.GetChanges(), Full: resp.GetFull(), Revision: camphorhinge.Revision(resp.GetRevision()),
 	})
--- a/internal/node/control/server.go
+++ b/internal/node/control/server.go
@@ -23,7 +23,9 @@
 	Records Records
 	Holds   Holds
 	// Scores returns the crash counts by request fingerprint, encoded; nil when there are none.
-	Scores  func() []byte
+	Scores func() []byte
+	// Mix takes a node's report on the token mix, which may be one that it took before; nil ignores reports.
+	Mix     func(report []byte) error
 	Members *member.Table
 	Leases  *config.Leases
 	// Queries are the linearizable reads by name.
@@ -48,7 +50,7 @@
 	mu   sync.Mutex
 	wake chan struct{}
 
-	renewals, redirects *metrics.Counter
+	renewals, redirects, mixFailures *metrics.Counter
 }
 
 // NewServer returns a Server.
@@ -58,6 +60,8 @@
 		wake:      make(chan struct{}),
 		renewals:  cfg.Metrics.NewCounter(`camphorhinge_renewals_total`),
 		redirects: cfg.Metrics.NewCounter(`camphorhinge_redirects_total`),
+
+		mixFailures: cfg.Metrics.NewCounter(`camphorhinge_mix_report_failures_total`),
 	}
 }
 
@@ -152,6 +156,9 @@
 	if err := s.cfg.Leases.Renew(name, position); err != nil {
 		return s.notLeader(), nil
 	}
+	if report := req.GetMix(); len(report) > 0 && s.cfg.Mix != nil && s.cfg.Mix(report) != nil {
+		s.mixFailures.Inc() // The demand is then taken for a little lower; the lease does not depend on it.
+	}
 	if !req.GetFull() {
 		s.await(ctx, position)
 	}
