--- a/internal/node/control/server.go
+++ b/internal/node/control/server.go
@@ -16,7 +16,8 @@
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 )
 
-// ServerConfig holds what a Server needs. Replica, Records, Holds and Joiner are nil on a node without a replica.
+// ServerConfig holds what a Server needs. Replica, Records, Holds, Scores, Queries and Members are nil on a node without
+// a replica.
 type ServerConfig struct {
 	Self    *peerpb.Node
 	Replica Replica
@@ -32,8 +33,6 @@
 	Queries map[string]Query
 	// Revision returns the revision in a result of a record command, or 0 when nothing was accepted.
 	Revision func(result []byte) camphorhinge.Revision
-	// Join adds a replica as a learner and, when the group needs it, makes it a voter.
-	Join func(ctx context.Context, node member.Node) error
 	// Cluster returns the id of the cluster that the data folder belongs to.
 	Cluster func() camphorhinge.ClusterID
 	// Status returns the node's status as JSON.
@@ -242,7 +241,7 @@
 	return resp
 }
 
-// Join adds the caller as an entry node and its replica as a learner.
+// Join lists the caller as an entry node with its replica; the leader's upkeep makes the replica a member.
 func (s *Server) Join(ctx context.Context, req *peerpb.JoinRequest) (*peerpb.JoinResponse, error) {
 	if _, ok := s.leads(); !ok {
 		return &peerpb.JoinResponse{Outcome: OutcomeRedirect, Leader: s.redirect()}, nil
@@ -255,9 +254,6 @@
 	if err := s.put(ctx, n); err != nil {
 		return &peerpb.JoinResponse{Outcome: OutcomeUncertain, Message: err.Error()}, nil
 	}
-	if err := s.cfg.Join(ctx, n); err != nil {
-		return &peerpb.JoinResponse{Outcome: OutcomeUncertain, Cluster: cluster, Message: err.Error()}, nil
-	}
 	return &peerpb.JoinResponse{Outcome: OutcomeDone, Cluster: cluster}, nil
 }
 
--- /dev/null
+++ b/internal/node/server/control.go
@@ -0,0 +1,103 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/control"
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/record/table"
+)
+
+// buildControl makes the Control service: on a node without a replica it redirects to the leader.
+func (s *Server) buildControl() {
+	cfg := control.ServerConfig{
+		Self: s.self, Leases: s.leases, Metrics: s.metrics,
+		Revision:      acceptedRevision,
+		Cluster:       func() camphorhinge.ClusterID { return "" },
+		LeaderAddress: s.leaderAddress,
+		Status:        func() ([]byte, error) { return json.Marshal(s.local()) },
+	}
+	if d := s.durable; d != nil {
+		cfg.Replica, cfg.Records, cfg.Members = d.replica, distributed{d.records}, d.members
+		cfg.Holds = noHolds{}
+		cfg.Scores = d.scores
+		cfg.Queries = s.queries(d.records)
+		cfg.Cluster = func() camphorhinge.ClusterID { return d.cluster }
+	}
+	s.control = control.NewServer(cfg)
+}
+
+// acceptedRevision returns the revision of an accepted record command, or 0.
+func acceptedRevision(result []byte) camphorhinge.Revision {
+	r, err := table.DecodeResult(result)
+	if err != nil || r.Outcome != table.Accepted {
+		return 0
+	}
+	return r.Revision
+}
+
+// leaderAddress returns the peer address of the leader as far as this node knows.
+func (s *Server) leaderAddress() string {
+	if d := s.durable; d != nil {
+		if id := d.replica.Leader(); id != 0 {
+			if id == d.id {
+				return s.self.GetAddress()
+			}
+			return d.address(id)
+		}
+	}
+	return s.client.Leader()
+}
+
+// services returns what the peer port offers.
+func (s *Server) services() peer.Services {
+	svc := peer.Services{Replica: noReplica{}, Control: s.control, Spread: s.spreader}
+	if s.durable != nil {
+		svc.Replica = s.durable.transport
+	}
+	return svc
+}
+
+// noReplica refuses consensus traffic on a node without a replica.
+type noReplica struct{}
+
+var errNoReplica = errors.New("this node has no replica")
+
+// Step refuses messages.
+func (noReplica) Step(context.Context, *peerpb.StepRequest) (*peerpb.StepResponse, error) {
+	return nil, errNoReplica
+}
+
+// Chunk refuses snapshots.
+func (noReplica) Chunk(context.Context, *peerpb.ChunkRequest) (*peerpb.ChunkResponse, error) {
+	return nil, errNoReplica
+}
+
+// scores returns the crash counts for the nodes.
+func (d *durable) scores() []byte {
+	scores := d.crashes.Scores()
+	if len(scores) == 0 {
+		return nil
+	}
+	data, err := json.Marshal(scores)
+	if err != nil {
+		panic("encode scores: " + err.Error()) // Scores have only marshalable fields.
+	}
+	return data
+}
+
+// distributed is the table of records as the leader distributes it; it implements control.Records.
+type distributed struct{ *table.Table }
+
+// Revision returns the latest applied revision.
+func (t distributed) Revision() camphorhinge.Revision { return t.View().Revision() }
+
+// noHolds holds no engine back.
+type noHolds struct{}
+
+// Held implements control.Holds.
+func (noHolds) Held() ([]string, uint64) { return nil, 0 }
--- /dev/null
+++ b/internal/node/server/operator.go
@@ -0,0 +1,164 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/control"
+	"example.org/camphorhinge/internal/node/operator"
+	"example.org/camphorhinge/internal/node/status"
+	"example.org/camphorhinge/internal/node/web"
+	"example.org/camphorhinge/internal/record/schema"
+	"example.org/camphorhinge/internal/record/table"
+)
+
+// Names of the linearizable queries.
+const (
+	queryRecords = "records"
+	queryHistory = "history"
+	queryStatus  = "status"
+)
+
+func (s *Server) openOperatorPort() error {
+	api, err := operator.New(operator.Config{
+		TokenFile: s.cfg.OperatorToken, Writer: writer{s.client}, Reader: reader{s.client}, Status: s, Explain: s, Metrics: s.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	s.operators, err = web.New(web.Config{Address: s.cfg.OperatorListen, MaxBody: operator.MaxBody})
+	if err != nil {
+		return err
+	}
+	api.Register(s.operators.Hertz.Engine)
+	return nil
+}
+
+// writer commits record commands by way of the leader; it implements operator.RecordWriter.
+type writer struct{ client *control.Client }
+
+// Write returns the result once the write is in force on all nodes.
+func (w writer) Write(ctx context.Context, c table.Command) (table.Result, error) {
+	command, err := c.Encode()
+	if err != nil {
+		return table.Result{}, err
+	}
+	result, err := w.client.Propose(ctx, camphorhinge.CommandRecord, command)
+	if err != nil {
+		return table.Result{}, err
+	}
+	return table.DecodeResult(result)
+}
+
+// reader reads records from the leader; it implements operator.RecordReader.
+type reader struct{ client *control.Client }
+
+// View returns the records in force.
+func (r reader) View(ctx context.Context) (*table.View, error) {
+	data, err := r.client.Read(ctx, queryRecords, nil)
+	if err != nil {
+		return nil, err
+	}
+	var all table.Changes
+	if err := json.Unmarshal(data, &all); err != nil {
+		return nil, err
+	}
+	m := table.NewMirror()
+	if _, err := m.Apply(all); err != nil {
+		return nil, err
+	}
+	return m.View(), nil
+}
+
+// History returns the kept writes of a record.
+func (r reader) History(ctx context.Context, key schema.Key) ([]table.Write, error) {
+	args, err := json.Marshal(key)
+	if err != nil {
+		return nil, err
+	}
+	data, err := r.client.Read(ctx, queryHistory, args)
+	if err != nil {
+		return nil, err
+	}
+	var writes []table.Write
+	err = json.Unmarshal(data, &writes)
+	return writes, err
+}
+
+// queries are the linearizable reads that the leader answers.
+func (s *Server) queries(t *table.Table) map[string]control.Query {
+	return map[string]control.Query{
+		queryRecords: func([]byte) ([]byte, error) { return json.Marshal(t.Since(0, true)) },
+		queryHistory: func(args []byte) ([]byte, error) {
+			var key schema.Key
+			if err := json.Unmarshal(args, &key); err != nil {
+				return nil, err
+			}
+			return json.Marshal(t.History(key))
+		},
+		queryStatus: func([]byte) ([]byte, error) { return json.Marshal(s.local()) },
+	}
+}
+
+// Explain implements operator.Explainer.
+func (s *Server) Explain(_ context.Context, q operator.Query) ([]camphorhinge.Decision, error) {
+	found := s.ring.Find(q.Kind, q.Subject, q.Limit)
+	found = slices.DeleteFunc(found, func(d camphorhinge.Decision) bool { return q.After > 0 && d.Seq <= q.After })
+	slices.Reverse(found)
+	return found, nil
+}
+
+// Status implements operator.StatusSource: what this node knows, with the leader's word on all nodes when it answers.
+func (s *Server) Status(ctx context.Context) (any, error) {
+	own := s.local()
+	data, err := s.client.Read(ctx, queryStatus, nil)
+	if errors.Is(err, context.Canceled) {
+		return nil, err
+	}
+	if err != nil {
+		return own, nil // Without a leader the node tells what it knows itself.
+	}
+	var lead status.Status
+	if err := json.Unmarshal(data, &lead); err != nil {
+		return nil, err
+	}
+	own.Leader, own.Nodes, own.Repaired, own.Cluster = lead.Node, lead.Nodes, lead.Repaired, lead.Cluster
+	return own, nil
+}
+
+// local is what this node knows by itself.
+func (s *Server) local() *status.Status {
+	st := &status.Status{
+		Node: s.cfg.Node, Zone: s.cfg.Zone, Configuration: string(s.holder.State()), Revision: s.mirror.View().Revision(),
+		Stale: s.holder.Age().Milliseconds(), Stopping: s.settings.stopping.Load(),
+	}
+	now := s.clock.Now()
+	for _, t := range s.registry.All() {
+		st.Targets = append(st.Targets, status.Target{
+			Name: t.Name, Service: t.Service, Address: t.Address, Zone: t.Zone, Kind: t.Kind, Role: t.Role,
+			Serving: t.Serving, Leaving: t.Leaving, Age: now.Sub(t.Heard).Milliseconds(), Note: s.orderNote(t),
+		})
+	}
+	if s.durable != nil {
+		s.durable.describe(st)
+		return st
+	}
+	for _, n := range s.renewer.Nodes() {
+		st.Nodes = append(st.Nodes, status.Node{Name: n.Name, Address: n.Address, Zone: n.Zone, Replica: n.Replica})
+	}
+	return st
+}
+
+// orderNote says why a target gets no orders, or "".
+func (s *Server) orderNote(t *camphorhinge.Target) string {
+	if t.Kind != camphorhinge.KindEngine || t.Fencing == camphorhinge.FencingChecked || t.Orders != camphorhinge.OrdersPlain {
+		return ""
+	}
+	if svc := s.mirror.View().Service(t.Service); svc != nil && svc.Unfenced {
+		return "orders allowed without fencing: a late order may take effect"
+	}
+	return "no orders: the engine ignores fencing tokens and has no other protection"
+}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -196,6 +196,7 @@
 
 func (s *Server) buildRequests() error {
 	var err error
+	s.buildControl()
 	s.router, err = route.New(route.Config{
 		Targets: s.registry, Clock: s.clock, Zone: s.cfg.Zone, Seed: s.seed(), Nodes: s.nodeCount,
 	})
@@ -214,7 +215,8 @@
 	s.frontend = frontend.New(frontend.Config{
 		Router: s.router, Admission: s.admission, Targets: s.registry, Decisions: s.ring, Configuration: s.settings,
 		Exchange: s.exchange, Claims: claims, Quarantine: s.quarantine, Metrics: s.metrics,
-		Tracer: s.traces.Tracer("frontend"),
+		Tracer:   s.traces.Tracer("frontend"),
+		Prefixes: prefixes,
 	})
 	return nil
 }
@@ -314,7 +316,7 @@
 	g, work := errgroup.WithContext(base)
 	callers, closeCallers := context.WithCancel(work)
 	defer closeCallers()
-	g.Go(func() error { return s.peers.Serve(work) })
+	g.Go(func() error { return s.peers.Serve(work, s.services()) })
 	g.Go(func() error { return s.spreader.Run(work) })
 	g.Go(func() error { return s.renewer.Run(work) })
 	g.Go(func() error { return s.targets.Serve(work, controlGrace) })
--- a/internal/node/server/targets.go
+++ b/internal/node/server/targets.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/prefix"
 	"example.org/camphorhinge/internal/request/quarantine"
 )
 
@@ -26,3 +27,11 @@
 	}
 	s.quarantine.Learn(scores)
 }
+
+// maxPrefixes bounds the hashes of one prompt; 256 blocks are a prompt of 256,000 tokens.
+const maxPrefixes = 256
+
+// prefixes hashes the leading blocks of a prompt as engines do.
+func prefixes(model camphorhinge.ModelName, adapter camphorhinge.AdapterName, prompt string) []uint64 {
+	return prefix.Hashes(model, adapter, prompt, maxPrefixes)
+}
