--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -131,7 +131,7 @@
 		limit = rate.Limit(r.cfg.Rate)
 	}
 	limiter := rate.NewLimiter(limit, 1)
-	g, ctx := errgroup.WithContext(ctx)
+	var g errgroup.Group
 	g.SetLimit(r.cfg.Workers)
 	for i := range r.cfg.Requests {
 		if err := limiter.Wait(ctx); err != nil {
