Share a limit by reports between nodes, and one bucket between priorities

Two faults: priorities that share a bucket by the record each had a bucket of their own, so a workspace could get a multiple of its limit; and nodes had no news of one another, so a workspace whose callers all use one of seven nodes got a seventh of its limit.

Peers counts the nodes that were heard of instead of saying that there is news: a node not heard of keeps an equal share, so that nodes which are cut off and fall back to it stay within the limit.

The even part of a limit goes from 0.2 to 0.1, since it is what such a workspace loses: with 0.2 and seven nodes it got 0.83 of its limit, short of nearly all. A request counts as demand after the shares are computed; before, a node saw itself above the mean that it reports.

--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -19,17 +19,19 @@
 
 // Limits looks up the limits in force. It is safe for concurrent use and does not block.
 type Limits interface {
-	// Limit returns the limit of a workspace at a priority.
-	Limit(workspace camphorhinge.WorkspaceName, priority camphorhinge.Priority) Limit
+	// Limit returns the limit for requests of a workspace at a priority, and the priority that names its token bucket.
+	// Priorities with the same bucket share its rate.
+	Limit(workspace camphorhinge.WorkspaceName, priority camphorhinge.Priority) (bucket camphorhinge.Priority, limit Limit)
 }
 
-// Peers tells what this node knows of the others.
+// Peers tells what this node knows of the others; *Reports implements it.
 type Peers interface {
-	// Nodes returns the number of live nodes, this one included.
+	// Nodes returns the number of nodes that serve callers, this one included. Nodes that are cut off are among them,
+	// since they may go on serving.
 	Nodes() int
-	// Demand returns the rates that the other nodes lately reported for a workspace and priority. known is false when
-	// there is no recent report.
-	Demand(workspace camphorhinge.WorkspaceName, priority camphorhinge.Priority) (others Limit, known bool)
+	// Demand returns the rates that other nodes lately reported for a bucket, and the number of nodes that lately sent
+	// reports, with or without that bucket.
+	Demand(workspace camphorhinge.WorkspaceName, bucket camphorhinge.Priority) (others Limit, heard int)
 }
 
 // Config holds the dependencies and bounds of an Admission. Zero bounds take the defaults below.
@@ -82,7 +84,7 @@
 // key names a pair of buckets.
 type key struct {
 	workspace camphorhinge.WorkspaceName
-	priority  camphorhinge.Priority
+	bucket    camphorhinge.Priority
 }
 
 // New returns an Admission.
--- a/internal/request/admit/bucket.go
+++ b/internal/request/admit/bucket.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// evenPart is the part of a limit that is shared evenly, so that a node without demand so far can serve at once.
-	evenPart = 0.2
+	// evenPart is the part of a limit that is shared evenly, so that a node without demand so far can serve at once. It is
+	// also the most that a workspace loses whose callers all use one node, so it is small.
+	evenPart = 0.1
 	// demandFor is the time constant in which the demand on this node is averaged. The mix of requests swings within
 	// minutes; a few seconds follow that without following single bursts.
 	demandFor = 5 * time.Second
@@ -20,8 +21,9 @@
 	sweepEvery = time.Minute
 )
 
-// bucket holds the token buckets of a workspace at one priority, and the demand on them.
+// bucket holds the token buckets of one limit of a workspace, and the demand on them.
 type bucket struct {
+	limit Limit
 	// requests and tokens are nil where there is no limit.
 	requests, tokens *rate.Limiter
 	share            Limit
@@ -33,28 +35,37 @@
 // moment maps an Instant to the times that rate.Limiter takes.
 func moment(t camphorhinge.Instant) time.Time { return time.Unix(0, int64(t)) }
 
-// ask adds a request to the demand.
-func (b *bucket) ask(now camphorhinge.Instant, tokens camphorhinge.Tokens) {
-	fade := math.Exp(-now.Sub(b.last).Seconds() / demandFor.Seconds())
-	b.demand.Requests = b.demand.Requests*fade + 1/demandFor.Seconds()
-	b.demand.Tokens = b.demand.Tokens*fade + float64(tokens)/demandFor.Seconds()
+// fade brings the demand to the present.
+func (b *bucket) fade(now camphorhinge.Instant) {
+	part := math.Exp(-now.Sub(b.last).Seconds() / demandFor.Seconds())
+	b.demand.Requests *= part
+	b.demand.Tokens *= part
 	b.last = now
 }
 
-// share returns this node's part of a rate: an even part, and the rest by demand.
-func share(limit, own, others float64, nodes int, known bool) float64 {
-	even := limit / float64(max(nodes, 1))
-	if !known || own+others <= 0 {
+// ask adds a request to the demand.
+func (b *bucket) ask(tokens camphorhinge.Tokens) {
+	b.demand.Requests += 1 / demandFor.Seconds()
+	b.demand.Tokens += float64(tokens) / demandFor.Seconds()
+}
+
+// share returns this node's part of a rate. Nodes that were not heard of keep an equal share, as they would take if they
+// are cut off. Of the rest, which the others share as well, it is an even part and a part by demand.
+func share(limit, own, others float64, nodes, heard int) float64 {
+	sharing := float64(heard + 1)
+	limit *= sharing / max(float64(nodes), sharing)
+	even := limit / sharing
+	if heard == 0 || own+others <= 0 {
 		return even
 	}
-	return evenPart*even + (1-evenPart)*limit*own/(own+others)
+	return evenPart*even + (1-evenPart)*limit*(own/(own+others))
 }
 
 // take takes a request from the buckets of its workspace.
 func (a *Admission) take(now camphorhinge.Instant, req camphorhinge.AdmitRequest) *camphorhinge.Refusal {
-	limit := a.cfg.Limits.Limit(req.Workspace, req.Priority)
+	name, limit := a.cfg.Limits.Limit(req.Workspace, req.Priority)
 	a.sweep(now)
-	k := key{req.Workspace, req.Priority}
+	k := key{req.Workspace, name}
 	if limit == (Limit{}) {
 		delete(a.buckets, k)
 		return nil
@@ -64,13 +75,17 @@
 		b = &bucket{last: now}
 		a.buckets[k] = b
 	}
-	b.ask(now, req.Tokens)
-	others, known := a.cfg.Peers.Demand(req.Workspace, req.Priority)
+	b.limit = limit
+	b.fade(now)
+	others, heard := a.cfg.Peers.Demand(req.Workspace, name)
 	nodes := a.cfg.Peers.Nodes()
+	// The demand without this request is what the other nodes hear of. With it, a node would see itself above its mean
+	// at each request, and the shares of a limit with few requests would exceed the limit.
 	part := Limit{
-		Requests: share(limit.Requests, b.demand.Requests, others.Requests, nodes, known),
-		Tokens:   share(limit.Tokens, b.demand.Tokens, others.Tokens, nodes, known),
+		Requests: share(limit.Requests, b.demand.Requests, others.Requests, nodes, heard),
+		Tokens:   share(limit.Tokens, b.demand.Tokens, others.Tokens, nodes, heard),
 	}
+	b.ask(req.Tokens)
 	if part != b.share {
 		b.requests = adjust(b.requests, now, part.Requests)
 		b.tokens = adjust(b.tokens, now, part.Tokens)
@@ -143,24 +158,3 @@
 		}
 	}
 }
-
-// Demand is the demand on this node for one workspace and priority, for the other nodes.
-type Demand struct {
-	Workspace camphorhinge.WorkspaceName `json:"w"`
-	Priority  camphorhinge.Priority      `json:"p"`
-	Requests  float64                    `json:"r"`
-	Tokens    float64                    `json:"t"`
-}
-
-// Demands returns the demand on this node, for the other nodes' Peers.
-func (a *Admission) Demands() []Demand {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.cfg.Clock.Now()
-	out := make([]Demand, 0, len(a.buckets))
-	for k, b := range a.buckets {
-		fade := math.Exp(-now.Sub(b.last).Seconds() / demandFor.Seconds())
-		out = append(out, Demand{k.workspace, k.priority, b.demand.Requests * fade, b.demand.Tokens * fade})
-	}
-	return out
-}
--- /dev/null
+++ b/internal/request/admit/reports_test.go
@@ -0,0 +1,222 @@
+package admit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"example.org/camphorhinge"
+)
+
+// TestSharesAddUp guards the limit itself: nodes with the same news take all of it and no more, and nodes that are cut
+// off, with the equal share that they fall back to, come on top of nothing.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0.1, 1e6).Draw(t, "limit")
+		demand := rapid.SliceOfN(rapid.Float64Range(0, 1e4), 1, 12).Draw(t, "demand of the nodes that hear one another")
+		cut := rapid.IntRange(0, 5).Draw(t, "nodes cut off")
+		all, sum := 0.0, 0.0
+		for _, d := range demand {
+			all += d
+		}
+		nodes := len(demand) + cut
+		for _, d := range demand {
+			s := share(limit, d, max(0, all-d), nodes, len(demand)-1)
+			require.GreaterOrEqual(t, s, evenPart*limit/float64(nodes)*(1-1e-9))
+			sum += s
+		}
+		for range cut {
+			sum += share(limit, 5, 0, nodes, 0)
+		}
+		require.InEpsilon(t, limit, sum, 1e-9)
+	})
+}
+
+// mesh is a number of nodes with one workspace, whose priorities 0 to 4 share a bucket and 5 to 9 another one.
+type mesh struct {
+	now    camphorhinge.Instant
+	limit  Limit
+	cut    map[int]bool
+	nodes  []*Admission
+	news   []*Reports
+	seq    uint64
+	counts []int
+}
+
+func (m *mesh) Now() camphorhinge.Instant { return m.now }
+
+func (m *mesh) Limit(_ camphorhinge.WorkspaceName, p camphorhinge.Priority) (camphorhinge.Priority, Limit) {
+	return p / 5 * 5, m.limit
+}
+
+func newMesh(nodes int, limit Limit) *mesh {
+	m := &mesh{limit: limit, cut: map[int]bool{}, counts: make([]int, nodes)}
+	for range nodes {
+		r := NewReports(m, func() int { return nodes })
+		m.news = append(m.news, r)
+		m.nodes = append(m.nodes, New(Config{Clock: m, Limits: m, Peers: r, Metrics: metrics.NewSet(), Seed: 1}))
+	}
+	return m
+}
+
+// run lets callers ask each node for a mean rate at random times, and the nodes report each second. It returns the
+// admitted requests per second.
+func (m *mesh) run(rng *rand.Rand, seconds int, perSecond []float64, priority func() camphorhinge.Priority) []float64 {
+	const tick = 10 * time.Millisecond
+	clear(m.counts)
+	for range seconds {
+		for range time.Second / tick {
+			m.now = m.now.Add(tick)
+			for i, rate := range perSecond {
+				if rng.Float64() >= rate*tick.Seconds() {
+					continue
+				}
+				if release, refusal := m.nodes[i].Admit(ask(priority(), 10, 0)); refusal == nil {
+					m.counts[i]++
+					release()
+				}
+			}
+		}
+		m.seq++
+		for i, a := range m.nodes {
+			for j, r := range m.news {
+				if i != j && m.cut[i] == m.cut[j] && !m.cut[i] {
+					r.Learn(Report{Node: camphorhinge.NodeID(fmt.Sprint(i)), Start: 1, Seq: m.seq, Demands: a.Demands()})
+				}
+			}
+		}
+	}
+	out := make([]float64, len(m.counts))
+	for i, n := range m.counts {
+		out[i] = float64(n) / float64(seconds)
+	}
+	return out
+}
+
+func sum(rates []float64) float64 {
+	total := 0.0
+	for _, r := range rates {
+		total += r
+	}
+	return total
+}
+
+// TestMesh guards what a workspace gets over all nodes: nearly its whole limit wherever its callers are, no more than it
+// where priorities share a bucket, and the equal share on a node that is cut off.
+func TestMesh(t *testing.T) {
+	const seed = 11
+	five := func() camphorhinge.Priority { return 5 }
+	// The shares are exact at equal news; reports are up to a second old, which the margin covers.
+	const least, most = 0.9, 1.05
+
+	t.Run("all callers use one node", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		m := newMesh(7, Limit{Requests: 20})
+		demand := []float64{0, 0, 60, 0, 0, 0, 0}
+		m.run(rng, 5, demand, five)
+		got := m.run(rng, 60, demand, five)
+		require.GreaterOrEqual(t, sum(got), least*20, "seed %d", seed)
+		require.LessOrEqual(t, sum(got), most*20, "seed %d", seed)
+	})
+	t.Run("uneven", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		m := newMesh(4, Limit{Requests: 20})
+		demand := []float64{40, 20, 10, 5}
+		m.run(rng, 30, demand, five)
+		got := m.run(rng, 120, demand, five)
+		require.GreaterOrEqual(t, sum(got), least*20, "seed %d: %v", seed, got)
+		require.LessOrEqual(t, sum(got), most*20, "seed %d: %v", seed, got)
+		require.Greater(t, got[0], got[2], "seed %d", seed)
+	})
+	t.Run("priorities share a bucket", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		m := newMesh(2, Limit{Requests: 20})
+		demand := []float64{30, 30}
+		low := func() camphorhinge.Priority { return camphorhinge.Priority(rng.IntN(5)) }
+		m.run(rng, 30, demand, low)
+		require.LessOrEqual(t, sum(m.run(rng, 120, demand, low)), most*20, "seed %d", seed)
+		all := func() camphorhinge.Priority { return camphorhinge.Priority(rng.IntN(10)) }
+		m.run(rng, 30, demand, all)
+		got := sum(m.run(rng, 120, demand, all))
+		require.GreaterOrEqual(t, got, least*2*20, "seed %d", seed)
+		require.LessOrEqual(t, got, most*2*20, "seed %d", seed)
+	})
+	t.Run("a node is cut off", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		m := newMesh(4, Limit{Requests: 20})
+		demand := []float64{60, 0, 0, 0}
+		m.run(rng, 10, demand, five)
+		m.cut[0] = true
+		m.run(rng, int(ReportExpiry/time.Second), demand, five)
+		require.InDelta(t, 20.0/4, sum(m.run(rng, 60, demand, five)), 0.25, "seed %d", seed)
+		m.cut = map[int]bool{}
+		m.run(rng, 5, demand, five)
+		require.GreaterOrEqual(t, sum(m.run(rng, 60, demand, five)), least*20, "seed %d", seed)
+	})
+}
+
+// TestLearn guards which report of a node counts: the latest, by its own number and not by its arrival, and none that is
+// too old or malformed.
+func TestLearn(t *testing.T) {
+	report := func(start, seq uint64, age time.Duration, requests float64) Report {
+		return Report{Node: "b", Start: start, Seq: seq, Age: age, Demands: []Demand{{Workspace: "w", Bucket: 5, Requests: requests}}}
+	}
+	tests := []struct {
+		name    string
+		reports []Report
+		later   time.Duration
+		want    float64
+		heard   int
+	}{
+		{name: "none"},
+		{name: "one", reports: []Report{report(1, 1, 0, 8)}, want: 8, heard: 1},
+		{name: "late", reports: []Report{report(1, 2, 0, 8), report(1, 1, 0, 9)}, want: 8, heard: 1},
+		{name: "restarted", reports: []Report{report(1, 7, 0, 8), report(2, 1, 0, 9)}, want: 9, heard: 1},
+		{name: "expired", reports: []Report{report(1, 1, 0, 8)}, later: ReportExpiry},
+		{name: "expired by its age", reports: []Report{report(1, 1, time.Second, 8)}, later: ReportExpiry - time.Second},
+		{name: "too old on arrival", reports: []Report{report(1, 1, 0, 8), report(1, 2, ReportExpiry, 9)}, want: 8, heard: 1},
+		{name: "negative", reports: []Report{report(1, 1, 0, -8)}, heard: 1},
+		{name: "not a number", reports: []Report{report(1, 1, 0, math.NaN())}, heard: 1},
+		{name: "without the bucket", reports: []Report{{Node: "b", Seq: 1}}, heard: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := &world{now: camphorhinge.Instant(time.Hour)}
+			r := NewReports(w, func() int { return 2 })
+			for _, report := range tt.reports {
+				r.Learn(report)
+			}
+			w.now = w.now.Add(tt.later)
+			others, heard := r.Demand("w", 5)
+			require.Equal(t, Limit{Requests: tt.want}, others)
+			require.Equal(t, tt.heard, heard)
+		})
+	}
+}
+
+// TestDemandsAreBounded guards the size of a report, and that it keeps the limits which are used most.
+func TestDemandsAreBounded(t *testing.T) {
+	w := &world{nodes: 1, limit: Limit{Requests: 100}}
+	a := w.admission(0)
+	for i := range 2 * MaxDemands {
+		for range 1 + i%2 {
+			req := ask(5, 1, 0)
+			req.Workspace = camphorhinge.WorkspaceName(fmt.Sprint(i))
+			_, refusal := a.Admit(req)
+			require.Nil(t, refusal)
+		}
+	}
+	got := a.Demands()
+	require.Len(t, got, MaxDemands)
+	for _, d := range got {
+		require.InDelta(t, 2/demandFor.Seconds(), d.Requests, 1e-9)
+	}
+	w.now = w.now.Add(time.Minute)
+	require.Empty(t, a.Demands(), "faded demand is not worth a report")
+}
