--- /dev/null
+++ b/internal/node/spread/demand.go
@@ -0,0 +1,50 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/request/admit"
+)
+
+// report tells all other nodes the demand on this one. A report without demand is news as well: the others may use what
+// this node does not. One that is lost is not repeated, since the next one replaces it.
+func (s *Spreader) report(ctx context.Context) {
+	taken := time.Now()
+	demands := s.cfg.Demands()
+	s.seq++
+	r := &peerpb.DemandReport{Start: s.start, Seq: s.seq}
+	for _, d := range demands[:min(len(demands), admit.MaxDemands)] {
+		r.Demands = append(r.Demands, &peerpb.Demand{
+			Workspace: string(d.Workspace), Bucket: uint32(d.Bucket), Requests: float32(d.Requests), Tokens: float32(d.Tokens),
+		})
+	}
+	r.Age = uint64(time.Since(taken).Milliseconds())
+	s.tellAll(ctx, &peerpb.AnnounceRequest{Node: string(s.cfg.Node), Demand: r}, func(err error) {
+		if err != nil {
+			s.unreported.Inc()
+			return
+		}
+		s.reported.Inc()
+	})
+}
+
+func decodeReport(node string, r *peerpb.DemandReport) admit.Report {
+	report := admit.Report{
+		Node: camphorhinge.NodeID(node), Start: r.GetStart(), Seq: r.GetSeq(),
+		// The bound keeps a wrong age from overflowing.
+		Age: time.Duration(min(r.GetAge(), uint64(admit.ReportExpiry.Milliseconds()))) * time.Millisecond,
+	}
+	for _, d := range r.GetDemands()[:min(len(r.GetDemands()), admit.MaxDemands)] {
+		if d.GetBucket() > uint32(camphorhinge.MaxPriority) {
+			continue
+		}
+		report.Demands = append(report.Demands, admit.Demand{
+			Workspace: camphorhinge.WorkspaceName(d.GetWorkspace()), Bucket: camphorhinge.Priority(d.GetBucket()),
+			Requests: float64(d.GetRequests()), Tokens: float64(d.GetTokens()),
+		})
+	}
+	return report
+}
--- a/internal/node/spread/spread.go
+++ b/internal/node/spread/spread.go
@@ -15,6 +15,7 @@
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/request/admit"
 )
 
 const (
@@ -45,6 +46,10 @@
 	// Resync takes the full list of prompt prefixes that a target caches; it reports whether the list was recent enough.
 	Resync  func(*camphorhinge.Target) bool
 	Metrics *metrics.Set
+	// Demands returns the demand on this node for the other nodes' limits; *admit.Admission has it. Nil sends none.
+	Demands func() []admit.Demand
+	// Reports keeps the demand on the other nodes; nil ignores it.
+	Reports *admit.Reports
 }
 
 // Spreader passes announcements on between nodes; it implements the Spread service.
@@ -53,8 +58,10 @@
 	client *http.Client
 	// gaps are the targets whose cache events had a gap.
 	gaps chan camphorhinge.Announcement
+	// start and seq number the reports of demand; seq belongs to the goroutine that sends them.
+	start, seq uint64
 
-	sent, failed, polled *metrics.Counter
+	sent, failed, polled, reported, unreported *metrics.Counter
 }
 
 // New returns a Spreader.
@@ -62,16 +69,24 @@
 	return &Spreader{
 		cfg:  cfg,
 		gaps: make(chan camphorhinge.Announcement, gapLimit),
+		// Only two starts of the same node have to differ.
+		start: uint64(time.Now().UnixNano()),
 		// A poll uses a connection of its own, since it also tells whether new connections work.
 		client: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		sent:   cfg.Metrics.NewCounter(`camphorhinge_spread_announcements_total`),
 		failed: cfg.Metrics.NewCounter(`camphorhinge_spread_failures_total`),
 		polled: cfg.Metrics.NewCounter(`camphorhinge_target_polls_total`),
+
+		reported:   cfg.Metrics.NewCounter(`camphorhinge_demand_reports_total{result="sent"}`),
+		unreported: cfg.Metrics.NewCounter(`camphorhinge_demand_reports_total{result="failed"}`),
 	}
 }
 
-// Announce takes announcements that another node received.
+// Announce takes announcements that another node received, and the demand on that node.
 func (s *Spreader) Announce(_ context.Context, req *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	if d := req.GetDemand(); d != nil && s.cfg.Reports != nil {
+		s.cfg.Reports.Learn(decodeReport(req.GetNode(), d))
+	}
 	for _, t := range req.GetTargets() {
 		a, err := registry.Decode(t.GetAnnouncement())
 		if err != nil {
@@ -90,6 +105,9 @@
 	g.Go(func() error { return each(ctx, batchInterval, s.spread) })
 	g.Go(func() error { return each(ctx, pollInterval, s.poll) })
 	g.Go(func() error { return s.resync(ctx) })
+	if s.cfg.Demands != nil {
+		g.Go(func() error { return each(ctx, admit.ReportInterval, s.report) })
+	}
 	return g.Wait()
 }
 
@@ -124,16 +142,24 @@
 		}
 		req.Targets = append(req.Targets, &peerpb.Announced{Announcement: data, Age: uint64(a.Age.Milliseconds())})
 	}
+	s.tellAll(ctx, req, func(err error) {
+		if err != nil {
+			s.failed.Inc() // The target renews within a second; the node polls it otherwise.
+			return
+		}
+		s.sent.Add(len(req.GetTargets()))
+	})
+}
+
+// tellAll sends one request to all other nodes, and calls done with the outcome for each.
+func (s *Spreader) tellAll(ctx context.Context, req *peerpb.AnnounceRequest, done func(error)) {
 	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	defer cancel()
 	var g errgroup.Group
 	for _, address := range s.cfg.Others() {
 		g.Go(func() error {
-			if _, err := s.cfg.Pool.Get(address).Spread.Announce(ctx, req); err != nil {
-				s.failed.Inc() // The target renews within a second; the node polls it otherwise.
-			} else {
-				s.sent.Add(len(req.GetTargets()))
-			}
+			_, err := s.cfg.Pool.Get(address).Spread.Announce(ctx, req)
+			done(err)
 			return nil
 		})
 	}
--- /dev/null
+++ b/internal/node/spread/spread_test.go
@@ -0,0 +1,103 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/registry"
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/request/admit"
+)
+
+type testClock struct{ now camphorhinge.Instant }
+
+func (c *testClock) Now() camphorhinge.Instant { return c.now }
+
+// node is a Spreader behind a peer port of its own.
+type node struct {
+	*Spreader
+	address  string
+	registry *registry.Registry
+	reports  *admit.Reports
+	demands  []admit.Demand
+	others   []string
+}
+
+func start(t *testing.T, clock *testClock, name camphorhinge.NodeID) *node {
+	t.Helper()
+	s, err := peer.NewServer("127.0.0.1:0", nil)
+	require.NoError(t, err)
+	pool, err := peer.NewPool(nil)
+	require.NoError(t, err)
+	n := &node{
+		address: s.Address(), registry: registry.New(registry.Config{Clock: clock, Metrics: metrics.NewSet()}),
+		reports: admit.NewReports(clock, func() int { return 2 }),
+	}
+	n.Spreader = New(Config{
+		Node: name, Registry: n.registry, Pool: pool, Others: func() []string { return n.others }, Metrics: metrics.NewSet(),
+		Demands: func() []admit.Demand { return n.demands }, Reports: n.reports,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return s.Serve(ctx, peer.Services{Spread: n}) })
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, g.Wait())
+	})
+	return n
+}
+
+// Guards against news that does not reach the other node, or reaches it with another meaning: announcements with their
+// age, and the demand also when there is none.
+func TestNewsReachesTheOtherNode(t *testing.T) {
+	clock := &testClock{now: camphorhinge.Instant(time.Hour)}
+	a, b := start(t, clock, "a"), start(t, clock, "b")
+	a.others = []string{b.address}
+
+	_, err := a.registry.Announce(camphorhinge.Announcement{
+		Name: "e1", Service: "s", Address: "127.0.0.1:9", Zone: "z", Incarnation: 1, Seq: 1, Kind: camphorhinge.KindEngine,
+		Role: camphorhinge.RoleMixed, Fencing: camphorhinge.FencingChecked, Orders: camphorhinge.OrdersPlain,
+	}, time.Second, true)
+	require.NoError(t, err)
+	a.spread(t.Context())
+	live := b.registry.Live("s")
+	require.Len(t, live, 1)
+	require.Equal(t, time.Second, clock.now.Sub(live[0].Heard))
+
+	a.demands = []admit.Demand{{Workspace: "w", Bucket: 3, Requests: 2.5, Tokens: 4000}, {Workspace: "w", Bucket: 7, Requests: 1}}
+	a.report(t.Context())
+	others, heard := b.reports.Demand("w", 3)
+	require.Equal(t, admit.Limit{Requests: 2.5, Tokens: 4000}, others)
+	require.Equal(t, 1, heard)
+	a.demands = nil
+	a.report(t.Context())
+	others, heard = b.reports.Demand("w", 3)
+	require.Zero(t, others)
+	require.Equal(t, 1, heard)
+	a.spread(t.Context())
+	_, heard = b.reports.Demand("w", 3)
+	require.Equal(t, 1, heard, "a call without a report changes nothing")
+	_, heard = a.reports.Demand("w", 3)
+	require.Zero(t, heard)
+}
+
+// Guards against a report of a faulty or newer peer that exceeds the bounds or is taken for the wrong bucket.
+func TestDecodeReport(t *testing.T) {
+	r := &peerpb.DemandReport{Age: math.MaxUint64, Demands: []*peerpb.Demand{{Workspace: "w", Bucket: 256}}}
+	got := decodeReport("a", r)
+	require.Empty(t, got.Demands)
+	require.Equal(t, admit.ReportExpiry, got.Age)
+	for i := range 2 * admit.MaxDemands {
+		r.Demands = append(r.Demands, &peerpb.Demand{Workspace: fmt.Sprint(i)})
+	}
+	require.Len(t, decodeReport("a", r).Demands, admit.MaxDemands-1)
+}
