--- a/internal/node/server/configuration.go
+++ b/internal/node/server/configuration.go
@@ -71,15 +71,17 @@
 // limits looks up the limits in force; it implements admit.Limits.
 type limits struct{ mirror *table.Mirror }
 
-// Limit returns the limit of a workspace at a priority.
-func (l limits) Limit(workspace camphorhinge.WorkspaceName, priority camphorhinge.Priority) admit.Limit {
+// Limit returns the limit of a workspace at a priority, and the priority that names its token bucket.
+func (l limits) Limit(
+	workspace camphorhinge.WorkspaceName, priority camphorhinge.Priority,
+) (camphorhinge.Priority, admit.Limit) {
 	r := l.mirror.View().Record(schema.Key{Kind: schema.KindWorkspace, Name: string(workspace)})
 	if r == nil || r.Document == nil || r.Document.Workspace == nil {
-		return admit.Limit{}
+		return priority, admit.Limit{}
 	}
-	_, limit, ok := r.Document.Workspace.LimitOf(priority)
+	bucket, limit, ok := r.Document.Workspace.LimitOf(priority)
 	if !ok {
-		return admit.Limit{}
+		return priority, admit.Limit{}
 	}
-	return admit.Limit{Requests: limit.Requests, Tokens: limit.Tokens}
+	return bucket, admit.Limit{Requests: limit.Requests, Tokens: limit.Tokens}
 }
--- a/internal/node/spread/spread.go
+++ b/internal/node/spread/spread.go
@@ -16,6 +16,7 @@
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/request/admit"
 )
 
 const (
@@ -50,6 +51,10 @@
 	// Resync takes the full list of prompt prefixes that a target caches; it reports whether the list was recent enough.
 	Resync  func(*camphorhinge.Target) bool
 	Metrics *metrics.Set
+	// Demands returns the demand on this node for the other nodes' limits; *admit.Admission has it. Nil sends none.
+	Demands func() []admit.Demand
+	// Reports keeps the demand on the other nodes; nil ignores it.
+	Reports *admit.Reports
 }
 
 // Spreader passes announcements on between nodes; it implements the Spread service.
@@ -59,8 +64,10 @@
 	// gaps are the targets whose cache events had a gap.
 	gaps chan camphorhinge.Announcement
 	warm atomic.Bool
+	// start and seq number the reports of demand; seq belongs to the goroutine that sends them.
+	start, seq uint64
 
-	sent, failed, polled *metrics.Counter
+	sent, failed, polled, reported, unreported *metrics.Counter
 }
 
 // New returns a Spreader.
@@ -68,16 +75,24 @@
 	return &Spreader{
 		cfg:  cfg,
 		gaps: make(chan camphorhinge.Announcement, gapLimit),
+		// Only two starts of the same node have to differ.
+		start: uint64(time.Now().UnixNano()),
 		// A poll uses a connection of its own, since it also tells whether new connections work.
 		client: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		sent:   cfg.Metrics.NewCounter(`camphorhinge_spread_announcements_total`),
 		failed: cfg.Metrics.NewCounter(`camphorhinge_spread_failures_total`),
 		polled: cfg.Metrics.NewCounter(`camphorhinge_target_polls_total`),
+
+		reported:   cfg.Metrics.NewCounter(`camphorhinge_demand_reports_total{result="sent"}`),
+		unreported: cfg.Metrics.NewCounter(`camphorhinge_demand_reports_total{result="failed"}`),
 	}
 }
 
-// Announce takes announcements that another node received.
+// Announce takes announcements that another node received, and the demand on that node.
 func (s *Spreader) Announce(_ context.Context, req *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	if d := req.GetDemand(); d != nil && s.cfg.Reports != nil {
+		s.cfg.Reports.Learn(decodeReport(req.GetNode(), d))
+	}
 	if err := s.take(req); err != nil {
 		return nil, err
 	}
@@ -139,6 +154,9 @@
 	g.Go(func() error { return each(ctx, pollInterval, s.poll) })
 	g.Go(func() error { return s.resync(ctx) })
 	g.Go(func() error { return s.warmUp(ctx) })
+	if s.cfg.Demands != nil {
+		g.Go(func() error { return each(ctx, admit.ReportInterval, s.report) })
+	}
 	return g.Wait()
 }
 
@@ -178,16 +196,24 @@
 
 func (s *Spreader) sendAll(ctx context.Context, batch []registry.Aged) {
 	req := s.encode(batch)
+	s.tellAll(ctx, req, func(err error) {
+		if err != nil {
+			s.failed.Inc() // The target renews within a second; the node polls it otherwise.
+			return
+		}
+		s.sent.Add(len(req.GetTargets()))
+	})
+}
+
+// tellAll sends one request to all other nodes, and calls done with the outcome for each.
+func (s *Spreader) tellAll(ctx context.Context, req *peerpb.AnnounceRequest, done func(error)) {
 	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	defer cancel()
 	var g errgroup.Group
 	for _, address := range s.cfg.Others() {
 		g.Go(func() error {
-			if _, err := s.cfg.Pool.Get(address).Spread.Announce(ctx, req); err != nil {
-				s.failed.Inc() // The target renews within a second; the node polls it otherwise.
-			} else {
-				s.sent.Add(len(req.GetTargets()))
-			}
+			_, err := s.cfg.Pool.Get(address).Spread.Announce(ctx, req)
+			done(err)
 			return nil
 		})
 	}
