Add decisions, orders and the controller that carries them out

Book is the replicated state: one decision per engine, which names role, models and adapters together, and at most one open order; commands of a lower term are refused. Plan is pure. The controller seals an engine before each order (touch or prepare), reads it back until it is idle, and only then sends; an unknown outcome is resolved by a new seal and a read-back.

--- /dev/null
+++ b/internal/fleet/order/change.go
@@ -0,0 +1,281 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"strconv"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/engine"
+)
+
+// change brings one engine to its decision, with one order at a time. The lease is checked before each step and after
+// each wait; when it is lost, the order stays open for the successor.
+type change struct {
+	*Controller
+	term     camphorhinge.Term
+	name     camphorhinge.TargetName
+	service  camphorhinge.ServiceName
+	unfenced bool
+	order    *lifecycle[State, Event]
+}
+
+func (x *change) fire(e Event) {
+	x.order.fire(e)
+	x.setOrder(x.name, x.order.state)
+}
+
+func (x *change) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, x.cfg.Drain+x.cfg.Settle)
+	defer cancel()
+	e, ok := x.cfg.Book.Entry(x.name)
+	if !ok {
+		return nil
+	}
+	if e.Open != nil {
+		x.order = newOrderLifecycle(Recorded)
+		x.fire(EventUnknown)
+		x.event(x.name, EventChange)
+		return x.resolve(ctx, *e.Open)
+	}
+	a, err := x.idle(ctx)
+	if err != nil {
+		return err
+	}
+	if e.Desired.Equal(Observed(&a)) {
+		return x.propose(ctx, command{
+			Op: opDecide, Term: x.term, Engine: x.name, Service: e.Service, Desired: e.Desired,
+		})
+	}
+	if !protected(&a) && !x.unfenced {
+		return &Error{Op: "order", Kind: KindRefused, Err: errors.New(ReasonUnfenced)}
+	}
+	x.order = newOrderLifecycle(Planned)
+	// The sequence below the order's is the one of its seal.
+	o := Order{
+		Engine: x.name, Incarnation: a.Incarnation, Fence: x.term, Seq: e.Seq + 2, Desired: e.Desired,
+	}
+	if err := x.propose(ctx, command{Op: opRecord, Term: x.term, Engine: x.name, Order: &o}); err != nil {
+		return err
+	}
+	x.fire(EventCommitted)
+	x.event(x.name, EventChange)
+	x.fire(EventHeld)
+	if err := x.drain(ctx, o); err != nil {
+		if isKind(err, KindDeposed) || ctx.Err() != nil {
+			return err
+		}
+		// Nothing of this order was sent.
+		x.fire(EventAbandon)
+		return errors.Join(err, x.close(ctx, o, Abandoned))
+	}
+	return x.send(ctx, o)
+}
+
+// drain waits until no request runs on the engine.
+func (x *change) drain(ctx context.Context, o Order) error {
+	limit := x.cfg.Clock.Now().Add(x.cfg.Drain)
+	for !x.cfg.Drains.Drained(x.name) {
+		if x.cfg.Clock.Now() >= limit {
+			return &Error{Op: "drain", Kind: KindTimeout, Err: errDrain}
+		}
+		if err := x.pause(ctx); err != nil {
+			return err
+		}
+		t, err := x.target(x.service, x.name)
+		if err != nil {
+			return err
+		}
+		if t.Incarnation != o.Incarnation {
+			return &Error{Op: "drain", Kind: KindLost, Err: errIncarnation}
+		}
+	}
+	return x.held(x.term)
+}
+
+// send seals the engine, reads it back and sends the order.
+func (x *change) send(ctx context.Context, o Order) error {
+	nonce, err := x.seal(ctx, o.Seq-1)
+	if err != nil {
+		return err
+	}
+	a, err := x.idle(ctx)
+	if err != nil {
+		return err
+	}
+	if o.Desired.Equal(Observed(&a)) {
+		x.fire(EventDone)
+		return x.close(ctx, o, Done)
+	}
+	if a.Incarnation != o.Incarnation {
+		x.fire(EventAbandon)
+		return x.close(ctx, o, Abandoned)
+	}
+	t, err := x.target(x.service, x.name)
+	if err != nil {
+		return err
+	}
+	if err := x.held(x.term); err != nil {
+		return err
+	}
+	x.fire(EventSent)
+	x.event(x.name, EventOrdered)
+	r := x.cfg.Engines.Order(ctx, t.Address, engine.Order{
+		Fence: o.Fence, Seq: o.Seq, Nonce: nonce,
+		Expect: &engine.Expect{Incarnation: a.Incarnation, Revision: a.Revision},
+		Role:   o.Desired.Role, Models: o.Desired.Models, Adapters: o.Desired.Adapters,
+	})
+	x.note("order", string(x.name), string(r.Outcome), map[string]string{
+		"fence": strconv.FormatUint(uint64(o.Fence), 10), "seq": strconv.FormatUint(uint64(o.Seq), 10), "reason": r.Reason,
+	})
+	if err := x.held(x.term); err != nil {
+		return err
+	}
+	switch r.Outcome {
+	case engine.Refused:
+		x.fire(EventRefused)
+		return x.close(ctx, o, Refused)
+	case engine.Done, engine.Changing:
+		a, err := x.idle(ctx)
+		if err != nil {
+			return err
+		}
+		if o.Desired.Equal(Observed(&a)) {
+			x.fire(EventDone)
+			return x.close(ctx, o, Done)
+		}
+	}
+	// No answer, or an engine that came back with half of the change.
+	x.fire(EventUnknown)
+	if err := x.propose(ctx, command{Op: opResolve, Term: x.term, Engine: x.name, Order: with(o, Unknown)}); err != nil {
+		return err
+	}
+	return x.resolve(ctx, o)
+}
+
+// resolve finds out what became of an order with an unknown outcome. After the seal the engine takes no late copy of it,
+// so that the state which is then read is final. The next plan sends what is still missing with a new sequence.
+func (x *change) resolve(ctx context.Context, o Order) error {
+	e, ok := x.cfg.Book.Entry(x.name)
+	if !ok {
+		return nil
+	}
+	if _, err := x.seal(ctx, e.Seq+1); err != nil {
+		return err
+	}
+	a, err := x.idle(ctx)
+	if err != nil {
+		return err
+	}
+	x.fire(EventSealed)
+	switch {
+	case o.Desired.Equal(Observed(&a)):
+		x.fire(EventDone)
+		return x.close(ctx, o, Done)
+	case o.Desired.Equal(e.Desired):
+		x.fire(EventAgain)
+	default:
+		x.fire(EventAbandon)
+	}
+	return x.close(ctx, o, Abandoned)
+}
+
+// close records the outcome of an order.
+func (x *change) close(ctx context.Context, o Order, state State) error {
+	x.event(x.name, EventRead)
+	if err := x.propose(ctx, command{Op: opResolve, Term: x.term, Engine: x.name, Order: with(o, state)}); err != nil {
+		return err
+	}
+	x.event(x.name, EventCompare)
+	return nil
+}
+
+func with(o Order, state State) *Order {
+	o.State = state
+	return &o
+}
+
+// seal voids every frame that was sent to the engine before. It returns the nonce of a two-step engine. It goes on until
+// the engine confirms, because an unanswered seal may not have arrived.
+func (x *change) seal(ctx context.Context, seq camphorhinge.Sequence) (nonce string, err error) {
+	for {
+		a, address, err := x.read(ctx)
+		if err != nil {
+			return "", err
+		}
+		var r engine.Result
+		switch {
+		case !protected(&a):
+			if !x.unfenced {
+				return "", &Error{Op: "seal", Kind: KindRefused, Err: errors.New(ReasonUnfenced)}
+			}
+			return "", nil
+		case a.Fencing != camphorhinge.FencingChecked && a.Orders == camphorhinge.OrdersTwoStep:
+			r = x.cfg.Engines.Prepare(ctx, address, x.term, seq)
+		default:
+			r = x.cfg.Engines.Order(ctx, address, engine.Order{
+				Fence: x.term, Seq: seq, Expect: &engine.Expect{Incarnation: a.Incarnation, Revision: a.Revision},
+			})
+		}
+		if err := x.held(x.term); err != nil {
+			return "", err
+		}
+		if r.Outcome == engine.Done || r.Outcome == engine.Changing {
+			return r.Nonce, nil
+		}
+		// Refused while busy or for a state that has changed meanwhile, or without an answer.
+		if err := x.pause(ctx); err != nil {
+			return "", err
+		}
+	}
+}
+
+// idle reads the engine until it carries out no change.
+func (x *change) idle(ctx context.Context) (camphorhinge.Announcement, error) {
+	limit := x.cfg.Clock.Now().Add(x.cfg.Settle)
+	for {
+		a, _, err := x.read(ctx)
+		if err != nil || !a.Busy {
+			return a, err
+		}
+		if x.cfg.Clock.Now() >= limit {
+			return a, &Error{Op: "read", Kind: KindTimeout, Err: errIdle}
+		}
+		if err := x.pause(ctx); err != nil {
+			return a, err
+		}
+	}
+}
+
+// read reads the engine back, again while it does not answer and is live.
+func (x *change) read(ctx context.Context) (camphorhinge.Announcement, string, error) {
+	for {
+		if err := x.held(x.term); err != nil {
+			return camphorhinge.Announcement{}, "", err
+		}
+		t, err := x.target(x.service, x.name)
+		if err != nil {
+			return camphorhinge.Announcement{}, "", err
+		}
+		asked := x.cfg.Clock.Now()
+		a, err := x.cfg.Engines.Read(ctx, t.Address)
+		if lost := x.held(x.term); lost != nil {
+			return camphorhinge.Announcement{}, "", lost
+		}
+		if err == nil && a.Name == x.name {
+			x.saw(a, asked)
+			return a, t.Address, nil
+		}
+		if err := x.pause(ctx); err != nil {
+			return camphorhinge.Announcement{}, "", err
+		}
+	}
+}
+
+// pause waits for one poll and checks the lease after it.
+func (x *change) pause(ctx context.Context) error {
+	if err := wait(ctx, x.cfg.Poll); err != nil {
+		return err
+	}
+	return x.held(x.term)
+}
--- /dev/null
+++ b/internal/fleet/order/command.go
@@ -0,0 +1,56 @@
+package order
+
+import (
+	"encoding/json"
+
+	"example.org/camphorhinge"
+)
+
+type op string
+
+const (
+	// opBegin raises the highest term; its result tells that the Book holds everything that earlier terms committed.
+	opBegin   op = "begin"
+	opDecide  op = "decide"
+	opRecord  op = "record"
+	opResolve op = "resolve"
+	opForget  op = "forget"
+)
+
+// code is the result of a command.
+type code string
+
+const (
+	codeOK       code = "ok"
+	codeStale    code = "stale"    // the term is below the highest seen
+	codeOpen     code = "open"     // another order of the engine is open
+	codeSequence code = "sequence" // the sequence was used
+	codeDiffers  code = "differs"  // the order does not follow from the decision
+	codeClosed   code = "closed"   // the order is not open
+	codeAbsent   code = "absent"   // the engine has no decision
+	codeFull     code = "full"     // there are too many engines
+	codeCorrupt  code = "corrupt"
+)
+
+type command struct {
+	Op       op                       `json:"op"`
+	Term     camphorhinge.Term        `json:"term"`
+	Engine   camphorhinge.TargetName  `json:"engine,omitempty"`
+	Service  camphorhinge.ServiceName `json:"service,omitempty"`
+	Desired  Desired                  `json:"desired"`
+	Draining bool                     `json:"draining,omitempty"`
+	Order    *Order                   `json:"order,omitempty"`
+}
+
+type result struct {
+	Code code              `json:"code"`
+	Term camphorhinge.Term `json:"term"`
+}
+
+func mustEncode(v any) []byte {
+	out, err := json.Marshal(v)
+	if err != nil {
+		panic("order: plain fields can't be encoded: " + err.Error())
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/order/contract_test.go
@@ -0,0 +1,227 @@
+package order
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/engine"
+)
+
+// Guards, for each order protocol, against an order that is repeated, lost, sent unasked or never brought to its end when
+// a call loses its answer, the engine crashes or vanishes, or an earlier order was left open.
+func TestOneController(t *testing.T) {
+	all := kinds()
+	plain := kind{"plain", camphorhinge.FencingIgnored, camphorhinge.OrdersPlain}
+	both := kind{"checked and twostep", camphorhinge.FencingChecked, camphorhinge.OrdersTwoStep}
+	type world struct {
+		*side
+		service *Service
+	}
+	// once returns a function that is true at the n-th call only.
+	once := func(n int) func() bool {
+		var calls atomic.Int32
+		return func() bool { return calls.Add(1) == int32(n) }
+	}
+	tests := []struct {
+		name  string
+		kinds []kind
+		set   func(*world)
+		// after is called 4 s into the run.
+		after  func(*world)
+		taken  int
+		state  EngineState
+		order  State
+		reason string
+	}{
+		{name: "change", kinds: append(all, both), taken: 1, state: EngineServing, order: Done},
+		{name: "nothing to do", kinds: all, set: func(w *world) { w.service.Models = []camphorhinge.ModelName{"m"} }, state: EngineServing},
+		{name: "crash with half of the change", kinds: all, set: func(w *world) { w.engine.crash = 1 }, taken: 2, state: EngineServing, order: Done},
+		{name: "long change", kinds: all, set: func(w *world) { w.engine.takes = 20 * time.Second }, taken: 1, state: EngineServing, order: Done},
+		{name: "never drained", kinds: all, set: func(w *world) { w.undrain.Store(true) }, state: EngineMatching, order: Abandoned, reason: errDrain.Error()},
+		{
+			name: "vanishes during the change", kinds: all, set: func(w *world) { w.engine.takes = 10 * time.Second },
+			after: func(w *world) { w.gone.Store(true) }, taken: 1, state: EngineLost, order: Sent, reason: errGone.Error(),
+		},
+		{name: "leaving", kinds: all, set: func(w *world) { w.engine.a.Leaving = true }, state: EngineMatching},
+		{
+			name: "lease lost while draining", kinds: all, set: func(w *world) { w.undrain.Store(true); w.until = time.Now().Add(2 * time.Second) },
+			after: func(w *world) { w.undrain.Store(false) }, state: EngineDraining, order: Draining, reason: errLease.Error(),
+		},
+		{name: "plain", kinds: []kind{plain}, state: EngineServing, reason: ReasonUnfenced},
+		{name: "plain and unfenced", kinds: []kind{plain}, set: func(w *world) { w.service.Unfenced = true }, taken: 1, state: EngineServing, order: Done},
+		{name: "open order of a predecessor that took effect", kinds: all, set: func(w *world) {
+			w.engine.a.Models = []camphorhinge.ModelName{"n"}
+			leave(w.cluster, desired(camphorhinge.RoleMixed, "n"))
+		}, state: EngineServing, order: Done},
+		{name: "open order of a predecessor that never arrived", kinds: all, set: func(w *world) {
+			leave(w.cluster, desired(camphorhinge.RoleMixed, "n"))
+		}, taken: 1, state: EngineServing, order: Done},
+		{name: "open order of a predecessor that is carried out", kinds: all, set: func(w *world) {
+			leave(w.cluster, desired(camphorhinge.RoleMixed, "x"))
+			w.engine.a.Busy = true
+			time.AfterFunc(3*time.Second, func() {
+				w.engine.finish(engine.Order{Role: camphorhinge.RoleMixed, Models: []camphorhinge.ModelName{"x"}}, 0)
+			})
+		}, taken: 1, state: EngineServing, order: Done},
+	}
+	// The answer of each call of a change is lost in turn; the order still takes effect once.
+	for n := 1; n <= 12; n++ {
+		tests = append(tests, tests[0])
+		last := &tests[len(tests)-1]
+		last.name = "answer lost at call " + string(rune('a'+n-1))
+		last.set = func(w *world) { w.lost = once(n) }
+	}
+	for _, tt := range tests {
+		for _, k := range tt.kinds {
+			t.Run(tt.name+"/"+k.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e, c := newFakeEngine(k.fencing, k.orders), newCluster()
+					service := Service{Name: testService, Models: []camphorhinge.ModelName{"n"}}
+					w := &world{service: &service, side: &side{
+						term: 5, cluster: c, engine: e, until: time.Now().Add(time.Hour), lag: time.Second,
+						delay: func() { time.Sleep(time.Millisecond) }, late: func() {}, lost: func() bool { return false },
+						services: func() []Service { return []Service{service} },
+					}}
+					if tt.set != nil {
+						tt.set(w)
+					}
+					ctl := w.controller(c.lead(5))
+					ctx, cancel := context.WithCancel(context.Background())
+					defer cancel()
+					var g errgroup.Group
+					g.Go(func() error { return ctl.Run(ctx) })
+					time.Sleep(4 * time.Second)
+					if tt.after != nil {
+						tt.after(w)
+					}
+					time.Sleep(26500 * time.Millisecond)
+					status := ctl.Status()
+					cancel()
+					require.ErrorIs(t, g.Wait(), context.Canceled)
+					require.Empty(t, e.faults)
+					require.Len(t, e.taken, tt.taken)
+					require.Len(t, status, 1)
+					require.Equal(t, tt.state, status[0].State, "%+v", status)
+					if tt.order != "" {
+						require.Equal(t, tt.order, status[0].Order, "%+v", status)
+					}
+					require.Contains(t, status[0].Reason, tt.reason)
+					held := c.book().Holds(&camphorhinge.Target{Announcement: e.read()})
+					require.Equal(t, tt.state != EngineServing, held)
+				})
+			})
+		}
+	}
+}
+
+// leave commits an open order of an earlier term.
+func leave(c *cluster, d Desired) {
+	c.lead(4)
+	s := &side{term: 4, cluster: c, delay: func() {}, lost: func() bool { return false }}
+	for _, cmd := range []command{
+		{Op: opDecide, Term: 4, Engine: testEngine, Service: testService, Desired: d, Draining: true},
+		{Op: opRecord, Term: 4, Engine: testEngine, Order: &Order{Engine: testEngine, Incarnation: 1, Fence: 4, Seq: 2, Desired: d}},
+	} {
+		if _, err := s.Propose(context.Background(), camphorhinge.CommandOrder, mustEncode(cmd)); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// Guards against more loads at a time than the budget allows, and a load that overtakes one with more goodput per byte.
+func TestLoadsAfterMassRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		w := &fleet{side: &side{
+			term: 1, cluster: c, until: time.Now().Add(time.Hour),
+			delay: func() { time.Sleep(time.Millisecond) }, late: func() {}, lost: func() bool { return false },
+		}}
+		for i := range 6 {
+			e := newFakeEngine(camphorhinge.FencingChecked, camphorhinge.OrdersPlain)
+			e.a.Name = camphorhinge.TargetName(rune('a' + i))
+			e.a.Address, e.a.Models, e.takes = string(e.a.Name), nil, 4*time.Second
+			if i >= 4 {
+				e.a.Service = "small"
+			}
+			w.engines = append(w.engines, e)
+		}
+		weights := map[camphorhinge.ModelName]int64{"large": 100, "small": 10}
+		w.services = func() []Service {
+			return []Service{
+				{Name: testService, Models: []camphorhinge.ModelName{"large"}, ModelBytes: weights, Goodput: 100},
+				{Name: "small", Models: []camphorhinge.ModelName{"small"}, ModelBytes: weights, Goodput: 100},
+			}
+		}
+		ctl := New(Config{
+			Authority: w, Proposer: w, Targets: w, Engines: w, Drains: w, Clock: w, Book: c.lead(1), Services: w.services,
+			Budget: NewBudget(2, 1000),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var g errgroup.Group
+		g.Go(func() error { return ctl.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []string{"e", "f"}, w.loading(), "the small models give more goodput per byte")
+		time.Sleep(4 * time.Second)
+		require.Equal(t, []string{"a", "b"}, w.loading())
+		time.Sleep(10 * time.Second)
+		require.Empty(t, w.loading())
+		for _, s := range ctl.Status() {
+			require.Equal(t, EngineServing, s.State)
+		}
+		cancel()
+		require.ErrorIs(t, g.Wait(), context.Canceled)
+	})
+}
+
+// fleet is a side with several engines.
+type fleet struct {
+	*side
+	engines []*fakeEngine
+}
+
+func (f *fleet) loading() []string {
+	var out []string
+	for _, e := range f.engines {
+		if e.read().Busy {
+			out = append(out, e.a.Address)
+		}
+	}
+	return out
+}
+
+func (f *fleet) find(address string) *side {
+	for _, e := range f.engines {
+		if e.a.Address == address {
+			return &side{
+				term: f.term, cluster: f.cluster, until: f.until, engine: e, delay: f.delay, late: f.late, lost: f.lost,
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) Live(service camphorhinge.ServiceName) []*camphorhinge.Target {
+	var out []*camphorhinge.Target
+	for _, e := range f.engines {
+		if a := e.read(); a.Service == service {
+			out = append(out, &camphorhinge.Target{Announcement: a, Heard: f.Now()})
+		}
+	}
+	return out
+}
+
+func (f *fleet) Read(ctx context.Context, address string) (camphorhinge.Announcement, error) {
+	return f.find(address).Read(ctx, address)
+}
+
+func (f *fleet) Order(ctx context.Context, address string, o engine.Order) engine.Result {
+	return f.find(address).Order(ctx, address, o)
+}
--- /dev/null
+++ b/internal/fleet/order/error.go
@@ -0,0 +1,50 @@
+package order
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind classes errors.
+type Kind string
+
+const (
+	// KindDeposed marks work that ended because the lease is lost or another term began.
+	KindDeposed Kind = "deposed"
+	// KindRefused marks a command that the Book refused or an order that the engine refused.
+	KindRefused Kind = "refused"
+	// KindLost marks an engine that is no longer live or started anew.
+	KindLost Kind = "lost"
+	// KindTimeout marks a wait that reached its bound.
+	KindTimeout Kind = "timeout"
+	// KindCorrupt marks an encoded state that can't be decoded.
+	KindCorrupt Kind = "corrupt"
+	// KindProposal marks a command that could not be committed.
+	KindProposal Kind = "proposal"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("order %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+var (
+	errLease       = errors.New("the lease is not held in this term")
+	errGone        = errors.New("the engine is not live")
+	errIncarnation = errors.New("the engine started anew")
+	errIdle        = errors.New("the engine did not become idle in time")
+	errDrain       = errors.New("the engine was not drained in time")
+)
+
+func isKind(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
--- /dev/null
+++ b/internal/fleet/order/lifecycle.go
@@ -0,0 +1,191 @@
+package order
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/qmuntal/stateless"
+)
+
+// EngineState is a state in the lifecycle of an engine, as the controller sees it.
+type EngineState string
+
+// States of an engine.
+const (
+	EngineAnnounced EngineState = "announced"
+	EngineMatching  EngineState = "matching"
+	EngineServing   EngineState = "serving"
+	EngineDraining  EngineState = "draining"
+	EngineChanging  EngineState = "changing"
+	EngineReading   EngineState = "reading"
+	EngineLost      EngineState = "lost"
+)
+
+// EngineEvent moves an engine from one state to another.
+type EngineEvent string
+
+// Events of an engine.
+const (
+	// EventCompare begins the comparison of the observed state with the decision.
+	EventCompare EngineEvent = "compare"
+	EventMatched EngineEvent = "matched"
+	// EventChange begins a change: the engine gets no new work.
+	EventChange EngineEvent = "change"
+	// EventOrdered follows the sending of an order.
+	EventOrdered EngineEvent = "ordered"
+	// EventRead follows the end of a change or the loss of its answer.
+	EventRead    EngineEvent = "read back"
+	EventExpired EngineEvent = "expired"
+	// EventReturned follows an announcement of a lost engine.
+	EventReturned EngineEvent = "returned"
+)
+
+// State is a state in the lifecycle of an order.
+type State string
+
+// States of an order.
+const (
+	Planned   State = "planned"
+	Recorded  State = "recorded"
+	Draining  State = "draining"
+	Sent      State = "sent"
+	Done      State = "done"
+	Refused   State = "refused"
+	Unknown   State = "unknown"
+	ReadBack  State = "read back"
+	Abandoned State = "abandoned"
+)
+
+// Event moves an order from one state to another.
+type Event string
+
+// Events of an order.
+const (
+	EventCommitted Event = "committed"
+	EventHeld      Event = "held"
+	EventSent      Event = "sent"
+	EventDone      Event = "done"
+	EventRefused   Event = "refused"
+	EventUnknown   Event = "no answer"
+	EventSealed    Event = "sealed and read"
+	// EventAgain abandons the sent copy in favour of an order with a new sequence.
+	EventAgain   Event = "send again"
+	EventAbandon Event = "abandon"
+)
+
+type transition[S, E ~string] struct {
+	from  S
+	event E
+	to    S
+}
+
+func engineTransitions() []transition[EngineState, EngineEvent] {
+	return []transition[EngineState, EngineEvent]{
+		{EngineAnnounced, EventCompare, EngineMatching},
+		{EngineAnnounced, EventExpired, EngineLost},
+		{EngineMatching, EventMatched, EngineServing},
+		{EngineMatching, EventChange, EngineDraining},
+		{EngineMatching, EventExpired, EngineLost},
+		{EngineServing, EventCompare, EngineMatching},
+		{EngineServing, EventChange, EngineDraining},
+		{EngineServing, EventExpired, EngineLost},
+		{EngineDraining, EventOrdered, EngineChanging},
+		{EngineDraining, EventRead, EngineReading},
+		{EngineDraining, EventExpired, EngineLost},
+		{EngineChanging, EventRead, EngineReading},
+		{EngineChanging, EventExpired, EngineLost},
+		{EngineReading, EventCompare, EngineMatching},
+		{EngineReading, EventExpired, EngineLost},
+		{EngineLost, EventReturned, EngineAnnounced},
+	}
+}
+
+func orderTransitions() []transition[State, Event] {
+	return []transition[State, Event]{
+		{Planned, EventCommitted, Recorded},
+		{Recorded, EventHeld, Draining},
+		{Recorded, EventUnknown, Unknown},
+		{Draining, EventSent, Sent},
+		{Draining, EventAbandon, Abandoned},
+		{Draining, EventDone, Done},
+		{Draining, EventUnknown, Unknown},
+		{Sent, EventDone, Done},
+		{Sent, EventRefused, Refused},
+		{Sent, EventUnknown, Unknown},
+		{Unknown, EventSealed, ReadBack},
+		{ReadBack, EventDone, Done},
+		{ReadBack, EventAgain, Abandoned},
+		{ReadBack, EventAbandon, Abandoned},
+		{ReadBack, EventUnknown, Unknown},
+	}
+}
+
+// lifecycle is one engine's or order's state with the transitions that it allows.
+type lifecycle[S, E ~string] struct {
+	machine *stateless.StateMachine
+	state   S
+}
+
+func newLifecycle[S, E ~string](start S, table []transition[S, E]) *lifecycle[S, E] {
+	l := &lifecycle[S, E]{machine: stateless.NewStateMachine(start), state: start}
+	for _, t := range table {
+		l.machine.Configure(t.from).Permit(t.event, t.to)
+	}
+	return l
+}
+
+func newEngineLifecycle() *lifecycle[EngineState, EngineEvent] {
+	return newLifecycle(EngineAnnounced, engineTransitions())
+}
+
+func newOrderLifecycle(start State) *lifecycle[State, Event] {
+	return newLifecycle(start, orderTransitions())
+}
+
+// fire takes a transition; one that the table does not allow is a bug of the caller.
+func (l *lifecycle[S, E]) fire(e E) {
+	if err := l.machine.Fire(e); err != nil {
+		panic(fmt.Sprintf("lifecycle: %v", err))
+	}
+	s, ok := l.machine.MustState().(S)
+	if !ok {
+		panic("lifecycle: state of another type")
+	}
+	l.state = s
+}
+
+// try takes a transition if the table allows it.
+func (l *lifecycle[S, E]) try(e E) {
+	if ok, err := l.machine.CanFire(e); ok && err == nil {
+		l.fire(e)
+	}
+}
+
+// WriteTransitions writes the transitions of engines and orders as a Markdown page.
+func WriteTransitions(w io.Writer) error {
+	const head = "# Lifecycles of engines and orders\n\n" +
+		"The tables are written by the tests of `internal/fleet/order`. An engine begins as announced, an order as planned;\n" +
+		"done, refused and abandoned are the ends of an order. What is still missing then is sent as a new order.\n\n"
+	if _, err := io.WriteString(w, head); err != nil {
+		return err
+	}
+	if err := writeTable(w, "engine", engineTransitions()); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(w); err != nil {
+		return err
+	}
+	return writeTable(w, "order", orderTransitions())
+}
+
+func writeTable[S, E ~string](w io.Writer, name string, table []transition[S, E]) error {
+	if _, err := fmt.Fprintf(w, "| %s | event | next |\n| --- | --- | --- |\n", name); err != nil {
+		return err
+	}
+	for _, t := range table {
+		if _, err := fmt.Fprintf(w, "| %s | %s | %s |\n", t.from, t.event, t.to); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/order/plan.go
@@ -0,0 +1,255 @@
+package order
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"example.org/camphorhinge"
+)
+
+// Service is the part of a service's record, and of the role policy's latest decision, that planning needs.
+type Service struct {
+	Name     camphorhinge.ServiceName
+	Models   []camphorhinge.ModelName
+	Adapters []camphorhinge.AdapterName
+	// Floors are the least numbers of engines per role that keep serving during a change.
+	Floors map[camphorhinge.Role]int
+	// Unfenced allows orders to engines that have no protection against late orders.
+	Unfenced bool
+	// Change is the role policy's decision, nil for none.
+	Change *RoleChange
+	// Away is how many serving engines may change at the same time; at least 1.
+	Away int
+	// Bytes are the sizes of weights; a model or adapter without an entry counts as 0 bytes.
+	ModelBytes   map[camphorhinge.ModelName]int64
+	AdapterBytes map[camphorhinge.AdapterName]int64
+	// Goodput is what one engine of this service adds, in tokens per second.
+	Goodput float64
+}
+
+// RoleChange asks for one engine to change its role.
+type RoleChange struct {
+	From, To camphorhinge.Role
+}
+
+// Decision is the next decision for one engine.
+type Decision struct {
+	Engine   camphorhinge.TargetName
+	Service  camphorhinge.ServiceName
+	Desired  Desired
+	Draining bool
+	Reason   string
+}
+
+// Job is an engine whose observed state differs from its decision.
+type Job struct {
+	Target *camphorhinge.Target
+	// Bytes is the size of the weights to load; Goodput is what the engine adds once it serves, in tokens per second.
+	Bytes   int64
+	Goodput float64
+}
+
+// perByte is the goodput gained per byte loaded; a job without a load comes first.
+func (j Job) perByte() float64 {
+	if j.Bytes == 0 {
+		return math.Inf(1)
+	}
+	return j.Goodput / float64(j.Bytes)
+}
+
+// before orders jobs by goodput per byte, highest first.
+func (j Job) before(o Job) int {
+	return cmp.Or(cmp.Compare(o.perByte(), j.perByte()), cmp.Compare(j.Target.Name, o.Target.Name))
+}
+
+// Refusal is an engine that needs an order and must not get one.
+type Refusal struct {
+	Engine camphorhinge.TargetName
+	Reason string
+}
+
+// Reasons of decisions and refusals.
+const (
+	ReasonAdopt    = "serves the service's models as announced"
+	ReasonModels   = "models of the record"
+	ReasonRole     = "role policy"
+	ReasonReturn   = "observed state differs from the decision"
+	ReasonMatched  = "observed state equals the decision"
+	ReasonUnfenced = "the engine has no protection against late orders and the record does not say unfenced"
+)
+
+// Next is what Plan decided. Jobs are in the order in which they shall start.
+type Next struct {
+	Decisions []Decision
+	Jobs      []Job
+	Refused   []Refusal
+}
+
+// Plan returns the next decisions for one service's live engines. Role and models of an engine are one decision, and an
+// engine with an open order gets no other decision, so that they can't conflict. A serving engine is taken out only while
+// the floor of its role holds without it and fewer than Away engines are out.
+func Plan(s Service, live []*camphorhinge.Target, entry func(camphorhinge.TargetName) (Entry, bool)) Next {
+	p := planner{service: s, serving: map[camphorhinge.Role]int{}}
+	for _, t := range live {
+		if t.Kind != camphorhinge.KindEngine || t.Service != s.Name || t.Leaving {
+			continue
+		}
+		e, ok := entry(t.Name)
+		p.engines = append(p.engines, planned{target: t, entry: e, known: ok && e.Service == s.Name})
+	}
+	slices.SortFunc(p.engines, func(a, b planned) int { return cmp.Compare(a.target.Name, b.target.Name) })
+	for i := range p.engines {
+		p.settle(&p.engines[i])
+	}
+	p.changeModels()
+	p.changeRole()
+	slices.SortStableFunc(p.next.Jobs, Job.before)
+	return p.next
+}
+
+type planned struct {
+	target *camphorhinge.Target
+	entry  Entry
+	known  bool
+	// in states that the engine serves and may be chosen for a change.
+	in bool
+}
+
+type planner struct {
+	service Service
+	engines []planned
+	serving map[camphorhinge.Role]int
+	out     int
+	next    Next
+}
+
+// settle decides on an engine by itself: adopt it, bring it back to its decision, or count it as serving.
+func (p *planner) settle(g *planned) {
+	t := g.target
+	observed := Observed(&t.Announcement)
+	ordered := p.service.Unfenced || protected(&t.Announcement)
+	switch {
+	case g.known && g.entry.Open != nil:
+		// The open order is brought to its end before anything new is decided.
+		p.out++
+		p.job(g, g.entry.Open.Desired)
+	case !ordered && !t.Busy:
+		p.decide(g, observed, false, ReasonAdopt)
+		if !observed.Equal(p.wanted(observed.Role)) {
+			p.next.Refused = append(p.next.Refused, Refusal{Engine: t.Name, Reason: ReasonUnfenced})
+		}
+		p.serving[observed.Role]++
+	case t.Busy:
+		p.out++ // it is read again once it is idle
+	case !g.known && p.useful(observed):
+		p.decide(g, observed, false, ReasonAdopt)
+		g.entry.Desired, g.in = observed, true
+		p.serving[observed.Role]++
+	case g.known && g.entry.Desired.Equal(observed):
+		p.decide(g, observed, false, ReasonMatched)
+		g.in = true
+		p.serving[observed.Role]++
+	default:
+		// It serves nothing at present, so that the record's models cost no capacity.
+		role := observed.Role
+		if g.known {
+			role = g.entry.Desired.Role
+		}
+		want := p.wanted(role)
+		p.decide(g, want, true, ReasonReturn)
+		p.job(g, want)
+	}
+}
+
+// wanted is the state of an engine under the record, in a role.
+func (p *planner) wanted(role camphorhinge.Role) Desired {
+	if role == "" {
+		role = camphorhinge.RoleMixed
+	}
+	return Desired{Role: role, Models: p.service.Models, Adapters: p.service.Adapters}.normal()
+}
+
+// useful reports whether an engine serves a model of the record in a known role.
+func (p *planner) useful(d Desired) bool {
+	if d.Role != camphorhinge.RoleMixed && d.Role != camphorhinge.RolePrefill && d.Role != camphorhinge.RoleDecode {
+		return false
+	}
+	return slices.ContainsFunc(d.Models, func(m camphorhinge.ModelName) bool { return slices.Contains(p.service.Models, m) })
+}
+
+// changeModels takes serving engines out whose models are not those of the record.
+func (p *planner) changeModels() {
+	for i := range p.engines {
+		g := &p.engines[i]
+		if want := p.wanted(g.entry.Desired.Role); g.in && !want.Equal(g.entry.Desired) && p.spare(want.Role) {
+			p.take(g, want, ReasonModels)
+		}
+	}
+}
+
+// changeRole takes the engine with the least work out for the role policy's decision. A role changes alone: no other
+// engine of the service may be out.
+func (p *planner) changeRole() {
+	c := p.service.Change
+	if c == nil || c.From == c.To || p.out > 0 || !p.spare(c.From) {
+		return
+	}
+	var best *planned
+	for i := range p.engines {
+		g := &p.engines[i]
+		if g.in && g.entry.Desired.Role == c.From && (best == nil || work(g) < work(best)) {
+			best = g
+		}
+	}
+	if best != nil {
+		p.take(best, p.wanted(c.To), ReasonRole)
+	}
+}
+
+func work(g *planned) int { return g.target.Load.Running + g.target.Load.Waiting }
+
+// spare reports whether one more serving engine of a role may be taken out.
+func (p *planner) spare(role camphorhinge.Role) bool {
+	return p.out < max(1, p.service.Away) && p.serving[role] > p.service.Floors[role]
+}
+
+func (p *planner) take(g *planned, want Desired, reason string) {
+	g.in = false
+	p.out++
+	p.serving[g.entry.Desired.Role]--
+	p.next.Decisions = slices.DeleteFunc(p.next.Decisions, func(d Decision) bool { return d.Engine == g.target.Name })
+	p.decide(g, want, true, reason)
+	p.job(g, want)
+}
+
+// decide notes a decision that differs from the one in the Book.
+func (p *planner) decide(g *planned, want Desired, draining bool, reason string) {
+	if g.known && g.entry.Desired.Equal(want) && g.entry.Draining == draining {
+		return
+	}
+	p.next.Decisions = append(p.next.Decisions, Decision{
+		Engine: g.target.Name, Service: p.service.Name, Desired: want, Draining: draining, Reason: reason,
+	})
+}
+
+func (p *planner) job(g *planned, want Desired) {
+	j := Job{Target: g.target, Goodput: p.service.Goodput}
+	for _, m := range want.Models {
+		if !slices.Contains(g.target.Models, m) {
+			j.Bytes += p.service.ModelBytes[m]
+		}
+	}
+	for _, a := range want.Adapters {
+		if !slices.Contains(g.target.Adapters, a) {
+			j.Bytes += p.service.AdapterBytes[a]
+		}
+	}
+	p.next.Jobs = append(p.next.Jobs, j)
+}
+
+// protected reports whether an engine lets a successor void the orders of a deposed controller.
+func protected(a *camphorhinge.Announcement) bool {
+	return a.Fencing == camphorhinge.FencingChecked || a.Orders == camphorhinge.OrdersTwoStep ||
+		a.Orders == camphorhinge.OrdersConditional
+}
