--- a/internal/request/admit/reports_test.go
+++ b/internal/request/admit/reports_test.go
@@ -134,6 +134,13 @@
 		require.LessOrEqual(t, sum(got), most*20, "seed %d: %v", seed, got)
 		require.Greater(t, got[0], got[2], "seed %d", seed)
 	})
+	t.Run("few requests", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		m := newMesh(7, Limit{Requests: 0.2})
+		demand := []float64{0.15, 0.15, 0.14, 0.14, 0.14, 0.14, 0.14}
+		m.run(rng, 30, demand, five)
+		require.LessOrEqual(t, sum(m.run(rng, 1000, demand, five)), most*0.2, "seed %d", seed)
+	})
 	t.Run("priorities share a bucket", func(t *testing.T) {
 		rng := rand.New(rand.NewPCG(seed, 0))
 		m := newMesh(2, Limit{Requests: 20})
