Carry out each role change once and forget engines that are gone

A role change that stays in the input would have moved one engine after the other. An engine whose order failed counts as out, so that a change of models stops at the first engine that can't take it. A refused decision of one engine no longer holds up the others.

--- a/internal/fleet/order/change.go
+++ b/internal/fleet/order/change.go
@@ -206,10 +206,7 @@
 		var r engine.Result
 		switch {
 		case !protected(&a):
-			if !x.unfenced {
-				return "", &Error{Op: "seal", Kind: KindRefused, Err: errors.New(ReasonUnfenced)}
-			}
-			return "", nil
+			return "", nil // nothing can void a late frame; run sends such an engine no order unless the record allows it
 		case a.Fencing != camphorhinge.FencingChecked && a.Orders == camphorhinge.OrdersTwoStep:
 			r = x.cfg.Engines.Prepare(ctx, address, x.term, seq)
 		default:
--- a/internal/fleet/order/contract_test.go
+++ b/internal/fleet/order/contract_test.go
@@ -49,6 +49,10 @@
 			name: "vanishes during the change", kinds: all, set: func(w *world) { w.engine.takes = 10 * time.Second },
 			after: func(w *world) { w.gone.Store(true) }, taken: 1, state: EngineLost, order: Sent, reason: errGone.Error(),
 		},
+		{name: "an engine that left its role by itself", kinds: all, set: func(w *world) {
+			w.service.Models = []camphorhinge.ModelName{"m"}
+			w.service.Change = &RoleChange{ID: 1, From: camphorhinge.RoleMixed, To: camphorhinge.RoleDecode}
+		}, after: func(w *world) { w.engine.setRole(camphorhinge.RoleMixed) }, taken: 2, state: EngineServing, order: Done},
 		{name: "leaving", kinds: all, set: func(w *world) { w.engine.a.Leaving = true }, state: EngineMatching},
 		{
 			name: "lease lost while draining", kinds: all, set: func(w *world) { w.undrain.Store(true); w.until = time.Now().Add(2 * time.Second) },
@@ -181,6 +185,48 @@
 	})
 }
 
+// Guards against a role change that is carried out on more than one engine, and against entries of engines that have gone
+// for good.
+func TestRoleChangeOnceAndForget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		w := &fleet{side: &side{
+			term: 1, cluster: c, until: time.Now().Add(100 * time.Hour), delay: func() {}, late: func() {}, lost: func() bool { return false },
+		}}
+		for i := range 3 {
+			e := newFakeEngine(camphorhinge.FencingChecked, camphorhinge.OrdersPlain)
+			e.a.Name = camphorhinge.TargetName(rune('a' + i))
+			e.a.Address = string(e.a.Name)
+			w.engines = append(w.engines, e)
+		}
+		change := &RoleChange{ID: 3, From: camphorhinge.RoleMixed, To: camphorhinge.RoleDecode}
+		w.services = func() []Service {
+			return []Service{{Name: testService, Models: []camphorhinge.ModelName{"m"}, Change: change}}
+		}
+		book := c.lead(1)
+		ctl := New(Config{
+			Authority: w, Proposer: w, Targets: w, Engines: w, Drains: w, Clock: w, Book: book, Services: w.services,
+			Interval: time.Minute,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var g errgroup.Group
+		g.Go(func() error { return ctl.Run(ctx) })
+		time.Sleep(time.Hour)
+		require.Equal(t, camphorhinge.RoleDecode, w.engines[0].read().Role)
+		require.Equal(t, camphorhinge.RoleMixed, w.engines[1].read().Role)
+		require.Equal(t, camphorhinge.RoleMixed, w.engines[2].read().Role)
+		w.gone.Store(true)
+		time.Sleep(23 * time.Hour)
+		require.Len(t, book.Entries(), 3)
+		time.Sleep(2 * time.Hour)
+		require.Empty(t, book.Entries())
+		require.Empty(t, ctl.Status())
+		cancel()
+		require.ErrorIs(t, g.Wait(), context.Canceled)
+	})
+}
+
 // fleet is a side with several engines.
 type fleet struct {
 	*side
@@ -211,6 +257,9 @@
 func (f *fleet) Live(service camphorhinge.ServiceName) []*camphorhinge.Target {
 	var out []*camphorhinge.Target
 	for _, e := range f.engines {
+		if f.gone.Load() {
+			return nil
+		}
 		if a := e.read(); a.Service == service {
 			out = append(out, &camphorhinge.Target{Announcement: a, Heard: f.Now()})
 		}
--- a/internal/fleet/order/controller.go
+++ b/internal/fleet/order/controller.go
@@ -83,6 +83,9 @@
 	begun  camphorhinge.Term
 	active map[camphorhinge.TargetName]bool
 	states map[camphorhinge.TargetName]*tracked
+
+	// changed holds the ID of the latest role change that was carried out; only step uses it.
+	changed map[camphorhinge.ServiceName]uint64
 }
 
 type tracked struct {
@@ -95,6 +98,8 @@
 	// failures counts attempts since the last success; the next attempt waits until the time in rest.
 	failures int
 	rest     camphorhinge.Instant
+	// live is when the engine was last live, or first missed.
+	live camphorhinge.Instant
 }
 
 const (
@@ -102,6 +107,8 @@
 	// log with orders.
 	restMin = time.Second
 	restMax = time.Minute
+	// forgetAfter is above any outage after which an engine is expected back with its decision.
+	forgetAfter = 24 * time.Hour
 )
 
 // New returns a Controller; Run starts it.
@@ -115,6 +122,7 @@
 	}
 	return &Controller{
 		cfg: cfg, active: map[camphorhinge.TargetName]bool{}, states: map[camphorhinge.TargetName]*tracked{},
+		changed: map[camphorhinge.ServiceName]uint64{},
 	}
 }
 
@@ -152,6 +160,9 @@
 	var jobs []Job
 	unfenced := map[camphorhinge.TargetName]bool{}
 	for _, s := range c.cfg.Services() {
+		if s.Change != nil && s.Change.ID == c.changed[s.Name] {
+			s.Change = nil
+		}
 		next := Plan(s, c.live(s.Name), c.cfg.Book.Entry)
 		for _, r := range next.Refused {
 			c.refuse(r)
@@ -164,7 +175,14 @@
 				Op: opDecide, Term: term, Engine: d.Engine, Service: d.Service, Desired: d.Desired, Draining: d.Draining,
 			}
 			if err := c.propose(ctx, cmd); err != nil {
-				return
+				if isKind(err, KindDeposed) || ctx.Err() != nil {
+					return
+				}
+				c.refuse(Refusal{Engine: d.Engine, Reason: err.Error()})
+				continue
+			}
+			if d.Reason == ReasonRole {
+				c.changed[s.Name] = s.Change.ID
 			}
 			c.note("role", string(d.Engine), d.Reason, map[string]string{"role": string(d.Desired.Role)})
 		}
@@ -173,6 +191,7 @@
 			jobs = append(jobs, j)
 		}
 	}
+	c.forget(ctx, term)
 	slices.SortStableFunc(jobs, Job.before)
 	full := false
 	for _, j := range jobs {
@@ -198,6 +217,25 @@
 	}
 }
 
+// forget drops engines that have not been live for a long time. One with an open order is kept, since nobody knows what
+// became of it.
+func (c *Controller) forget(ctx context.Context, term camphorhinge.Term) {
+	now := c.cfg.Clock.Now()
+	for _, e := range c.cfg.Book.Entries() {
+		c.mu.Lock()
+		s := c.track(e.Engine)
+		s.live = cmp.Or(s.live, now)
+		gone := now.Sub(s.live) >= forgetAfter && !c.active[e.Engine] && e.Open == nil
+		c.mu.Unlock()
+		if !gone || c.propose(ctx, command{Op: opForget, Term: term, Engine: e.Engine}) != nil {
+			continue
+		}
+		c.mu.Lock()
+		delete(c.states, e.Engine)
+		c.mu.Unlock()
+	}
+}
+
 // begin commits a command of the term before anything else, so that the Book holds all that earlier terms committed.
 func (c *Controller) begin(ctx context.Context, term camphorhinge.Term) bool {
 	c.mu.Lock()
@@ -265,6 +303,7 @@
 			continue
 		}
 		s := c.track(t.Name)
+		s.live = c.cfg.Clock.Now()
 		if s.read != nil && s.at >= t.Heard && s.read.Incarnation >= t.Incarnation {
 			fresh := *t
 			fresh.Announcement = *s.read
--- a/internal/fleet/order/doc.go
+++ b/internal/fleet/order/doc.go
@@ -9,6 +9,9 @@
 // reads the engine back until it is idle. What the engine took before the seal is seen by the read-back, and it takes
 // nothing from before the seal later. model/orders.pml checks this.
 //
+// A checked engine must keep its highest fence over a restart, or refuse an order that names another incarnation. One that
+// does neither could take a late order after a crash.
+//
 // Invariants: an engine has one decision and at most one open order; an order is committed before it is sent; a command
 // of a lower term than the highest seen changes nothing; an order with an unknown outcome stays open until a seal and a
 // read-back told what became of it.
--- a/internal/fleet/order/fake_test.go
+++ b/internal/fleet/order/fake_test.go
@@ -61,6 +61,12 @@
 	return f.a
 }
 
+func (f *fakeEngine) setRole(r camphorhinge.Role) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.a.Role = r
+}
+
 func (f *fakeEngine) refused(reason string) engine.Result {
 	return engine.Result{Outcome: engine.Refused, Reason: reason, Incarnation: f.a.Incarnation, Revision: f.a.Revision}
 }
--- a/internal/fleet/order/lifecycle.go
+++ b/internal/fleet/order/lifecycle.go
@@ -108,7 +108,6 @@
 		{Draining, EventSent, Sent},
 		{Draining, EventAbandon, Abandoned},
 		{Draining, EventDone, Done},
-		{Draining, EventUnknown, Unknown},
 		{Sent, EventDone, Done},
 		{Sent, EventRefused, Refused},
 		{Sent, EventUnknown, Unknown},
@@ -116,7 +115,6 @@
 		{ReadBack, EventDone, Done},
 		{ReadBack, EventAgain, Abandoned},
 		{ReadBack, EventAbandon, Abandoned},
-		{ReadBack, EventUnknown, Unknown},
 	}
 }
 
--- a/internal/fleet/order/plan.go
+++ b/internal/fleet/order/plan.go
@@ -30,6 +30,8 @@
 
 // RoleChange asks for one engine to change its role.
 type RoleChange struct {
+	// ID numbers the role policy's decisions of one service, from 1. The controller carries each out once.
+	ID       uint64
 	From, To camphorhinge.Role
 }
 
@@ -153,6 +155,9 @@
 	default:
 		// It serves nothing at present, so that the record's models cost no capacity.
 		role := observed.Role
+		if g.known && g.entry.Draining {
+			p.out++ // it was taken out and its order is not recorded yet, or failed
+		}
 		if g.known {
 			role = g.entry.Desired.Role
 		}
