--- a/internal/node/control/server.go
+++ b/internal/node/control/server.go
@@ -16,22 +16,23 @@
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 )
 
-// ServerConfig holds what a Server needs. Replica, Records, Holds and Joiner are nil on a node without a replica.
+// ServerConfig holds what a Server needs. Replica, Records, Holds, Scores, Queries and Members are nil on a node without
+// a replica.
 type ServerConfig struct {
 	Self    *peerpb.Node
 	Replica Replica
 	Records Records
 	Holds   Holds
 	// Scores returns the crash counts by request fingerprint, encoded; nil when there are none.
-	Scores  func() []byte
+	Scores func() []byte
+	// Mix takes a node's report on the token mix, which may be one that it took before; nil ignores reports.
+	Mix     func(report []byte) error
 	Members *member.Table
 	Leases  *config.Leases
 	// Queries are the linearizable reads by name.
 	Queries map[string]Query
 	// Revision returns the revision in a result of a record command, or 0 when nothing was accepted.
 	Revision func(result []byte) camphorhinge.Revision
-	// Join adds a replica as a learner and, when the group needs it, makes it a voter.
-	Join func(ctx context.Context, node member.Node) error
 	// Cluster returns the id of the cluster that the data folder belongs to.
 	Cluster func() camphorhinge.ClusterID
 	// Status returns the node's status as JSON.
@@ -48,7 +49,7 @@
 	mu   sync.Mutex
 	wake chan struct{}
 
-	renewals, redirects *metrics.Counter
+	renewals, redirects, mixFailures *metrics.Counter
 }
 
 // NewServer returns a Server.
@@ -58,6 +59,8 @@
 		wake:      make(chan struct{}),
 		renewals:  cfg.Metrics.NewCounter(`camphorhinge_renewals_total`),
 		redirects: cfg.Metrics.NewCounter(`camphorhinge_redirects_total`),
+
+		mixFailures: cfg.Metrics.NewCounter(`camphorhinge_mix_report_failures_total`),
 	}
 }
 
@@ -152,6 +155,9 @@
 	if err := s.cfg.Leases.Renew(name, position); err != nil {
 		return s.notLeader(), nil
 	}
+	if report := req.GetMix(); len(report) > 0 && s.cfg.Mix != nil && s.cfg.Mix(report) != nil {
+		s.mixFailures.Inc() // The demand is then taken for a little lower; the lease does not depend on it.
+	}
 	if !req.GetFull() {
 		s.await(ctx, position)
 	}
@@ -235,7 +241,7 @@
 	return resp
 }
 
-// Join adds the caller as an entry node and its replica as a learner.
+// Join lists the caller as an entry node with its replica; the leader's upkeep makes the replica a member.
 func (s *Server) Join(ctx context.Context, req *peerpb.JoinRequest) (*peerpb.JoinResponse, error) {
 	if _, ok := s.leads(); !ok {
 		return &peerpb.JoinResponse{Outcome: OutcomeRedirect, Leader: s.redirect()}, nil
@@ -248,9 +254,6 @@
 	if err := s.put(ctx, n); err != nil {
 		return &peerpb.JoinResponse{Outcome: OutcomeUncertain, Message: err.Error()}, nil
 	}
-	if err := s.cfg.Join(ctx, n); err != nil {
-		return &peerpb.JoinResponse{Outcome: OutcomeUncertain, Cluster: cluster, Message: err.Error()}, nil
-	}
 	return &peerpb.JoinResponse{Outcome: OutcomeDone, Cluster: cluster}, nil
 }
 
--- a/internal/node/server/configuration.go
+++ b/internal/node/server/configuration.go
@@ -14,13 +14,15 @@
 
 // configuration is what the frontend sees of the records in force; it implements frontend.Configuration.
 type configuration struct {
-	mirror   *table.Mirror
-	holder   *config.Holder
+	mirror *table.Mirror
+	holder *config.Holder
+	// warm reports whether the node knows the targets.
+	warm     func() bool
 	stopping atomic.Bool
 }
 
-// Ready reports whether the node has a valid configuration lease and is not stopping.
-func (c *configuration) Ready() bool { return !c.stopping.Load() && c.holder.Ready() }
+// Ready reports whether the node has a valid configuration lease, knows the targets, and is not stopping.
+func (c *configuration) Ready() bool { return !c.stopping.Load() && c.holder.Ready() && c.warm() }
 
 // MayServe reports whether the configuration is recent enough for new requests.
 func (c *configuration) MayServe() bool { return c.holder.MayServe() }
@@ -69,15 +71,17 @@
 // limits looks up the limits in force; it implements admit.Limits.
 type limits struct{ mirror *table.Mirror }
 
-// Limit returns the limit of a workspace at a priority.
-func (l limits) Limit(workspace camphorhinge.WorkspaceName, priority camphorhinge.Priority) admit.Limit {
+// Limit returns the limit of a workspace at a priority, and the priority that names its token bucket.
+func (l limits) Limit(
+	workspace camphorhinge.WorkspaceName, priority camphorhinge.Priority,
+) (camphorhinge.Priority, admit.Limit) {
 	r := l.mirror.View().Record(schema.Key{Kind: schema.KindWorkspace, Name: string(workspace)})
 	if r == nil || r.Document == nil || r.Document.Workspace == nil {
-		return admit.Limit{}
+		return priority, admit.Limit{}
 	}
-	_, limit, ok := r.Document.Workspace.LimitOf(priority)
+	bucket, limit, ok := r.Document.Workspace.LimitOf(priority)
 	if !ok {
-		return admit.Limit{}
+		return priority, admit.Limit{}
 	}
-	return admit.Limit{Requests: limit.Requests, Tokens: limit.Tokens}
+	return bucket, admit.Limit{Requests: limit.Requests, Tokens: limit.Tokens}
 }
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"time"
@@ -13,7 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/mix"
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/clock"
 	"example.org/camphorhinge/internal/node/config"
@@ -95,6 +96,8 @@
 	renewer  *control.Renewer
 	registry *registry.Registry
 	spreader *spread.Spreader
+	meter    *mix.Meter
+	reports  *admit.Reports
 	durable  *durable
 
 	settings   *configuration
@@ -180,22 +183,26 @@
 }
 
 func (s *Server) buildFleet() error {
+	s.meter = mix.NewMeter(s.cfg.Node, rand.Uint64(), s.clock) //nolint:gosec // The number only tells starts apart.
+	s.reports = admit.NewReports(s.clock, s.nodeCount)
 	s.renewer = control.NewRenewer(control.RenewerConfig{
 		Self: s.self, Client: s.client, Mirror: s.mirror, Holder: s.holder, Clock: s.clock, Log: s.log,
 		Changed: func() { s.registry.Changed() },
-		Scores:  func(scores []byte) { s.learnScores(scores) },
+		Scores:  s.learnScores, Mix: s.meter.Take,
 	})
 	s.registry = registry.New(registry.Config{
 		Clock: s.clock, Held: s.renewer.Held, Observe: s.observe, Metrics: s.metrics,
 	})
 	s.spreader = spread.New(spread.Config{
 		Node: s.cfg.Node, Registry: s.registry, Pool: s.pool, Others: s.others, Metrics: s.metrics, Resync: s.resync,
+		Demands: func() []admit.Demand { return s.admission.Demands() }, Reports: s.reports,
 	})
 	return nil
 }
 
 func (s *Server) buildRequests() error {
 	var err error
+	s.buildControl()
 	s.router, err = route.New(route.Config{
 		Targets: s.registry, Clock: s.clock, Zone: s.cfg.Zone, Seed: s.seed(), Nodes: s.nodeCount,
 	})
@@ -203,18 +210,19 @@
 		return err
 	}
 	s.admission = admit.New(admit.Config{
-		Clock: s.clock, Limits: limits{s.mirror}, Peers: s, Metrics: s.metrics, Seed: s.seed(),
+		Clock: s.clock, Limits: limits{s.mirror}, Peers: s.reports, Metrics: s.metrics, Seed: s.seed(),
 	})
 	s.exchange = exchange.New(exchange.Config{Metrics: s.metrics, Tracer: s.traces.Tracer("exchange")})
 	s.quarantine = quarantine.New(quarantine.Config{
 		Proposer: s.client, Node: s.cfg.Node, Clock: s.clock, Decisions: s.ring, Metrics: s.metrics,
 	})
 	claims := claim.New(claim.Config{Proposer: s.client, Node: s.cfg.Node, Metrics: s.metrics, Keep: s.cfg.ClaimRetention})
-	s.settings = &configuration{mirror: s.mirror, holder: s.holder}
+	s.settings = &configuration{mirror: s.mirror, holder: s.holder, warm: s.spreader.Warm}
 	s.frontend = frontend.New(frontend.Config{
-		Router: s.router, Admission: s.admission, Targets: s.registry, Decisions: s.ring, Configuration: s.settings,
+		Router: mix.Wrap(s.router, s.meter), Admission: mix.WrapAdmission(s.admission, s.meter), Targets: s.registry, Decisions: s.ring, Configuration: s.settings,
 		Exchange: s.exchange, Claims: claims, Quarantine: s.quarantine, Metrics: s.metrics,
-		Tracer: s.traces.Tracer("frontend"),
+		Tracer:   s.traces.Tracer("frontend"),
+		Prefixes: prefixes,
 	})
 	return nil
 }
@@ -280,14 +288,6 @@
 
 func (s *Server) nodeCount() int { return max(1, len(s.renewer.Nodes())) }
 
-// Nodes implements admit.Peers.
-func (s *Server) Nodes() int { return s.nodeCount() }
-
-// Demand implements admit.Peers. Nodes don't report their demand yet, so each has an equal share of a limit.
-func (s *Server) Demand(camphorhinge.WorkspaceName, camphorhinge.Priority) (admit.Limit, bool) {
-	return admit.Limit{}, false
-}
-
 // Addresses returns the addresses of the ports.
 func (s *Server) Addresses() Addresses {
 	return Addresses{
@@ -314,7 +314,7 @@
 	g, work := errgroup.WithContext(base)
 	callers, closeCallers := context.WithCancel(work)
 	defer closeCallers()
-	g.Go(func() error { return s.peers.Serve(work) })
+	g.Go(func() error { return s.peers.Serve(work, s.services()) })
 	g.Go(func() error { return s.spreader.Run(work) })
 	g.Go(func() error { return s.renewer.Run(work) })
 	g.Go(func() error { return s.targets.Serve(work, controlGrace) })
--- a/internal/node/spread/spread.go
+++ b/internal/node/spread/spread.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,6 +16,7 @@
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/request/admit"
 )
 
 const (
@@ -28,6 +30,10 @@
 	pollInterval = 250 * time.Millisecond
 	// pollLimit bounds the polls of one round; a dead zone must not cost a node more.
 	pollLimit = 64
+	// warmTime is longer than targets wait between two renewals, with the time that a batch takes to come.
+	warmTime = camphorhinge.AnnounceInterval + 2*batchInterval
+	// warmPause is the time between two rounds of questions to the other nodes.
+	warmPause = 50 * time.Millisecond
 	// gapLimit bounds the targets that wait for a full list of their prefixes; further gaps are found again with the next
 	// event.
 	gapLimit = 256
@@ -45,6 +51,10 @@
 	// Resync takes the full list of prompt prefixes that a target caches; it reports whether the list was recent enough.
 	Resync  func(*camphorhinge.Target) bool
 	Metrics *metrics.Set
+	// Demands returns the demand on this node for the other nodes' limits; *admit.Admission has it. Nil sends none.
+	Demands func() []admit.Demand
+	// Reports keeps the demand on the other nodes; nil ignores it.
+	Reports *admit.Reports
 }
 
 // Spreader passes announcements on between nodes; it implements the Spread service.
@@ -53,8 +63,11 @@
 	client *http.Client
 	// gaps are the targets whose cache events had a gap.
 	gaps chan camphorhinge.Announcement
+	warm atomic.Bool
+	// start and seq number the reports of demand; seq belongs to the goroutine that sends them.
+	start, seq uint64
 
-	sent, failed, polled *metrics.Counter
+	sent, failed, polled, reported, unreported *metrics.Counter
 }
 
 // New returns a Spreader.
@@ -62,26 +75,76 @@
 	return &Spreader{
 		cfg:  cfg,
 		gaps: make(chan camphorhinge.Announcement, gapLimit),
+		// Only two starts of the same node have to differ.
+		start: uint64(time.Now().UnixNano()),
 		// A poll uses a connection of its own, since it also tells whether new connections work.
 		client: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		sent:   cfg.Metrics.NewCounter(`camphorhinge_spread_announcements_total`),
 		failed: cfg.Metrics.NewCounter(`camphorhinge_spread_failures_total`),
 		polled: cfg.Metrics.NewCounter(`camphorhinge_target_polls_total`),
+
+		reported:   cfg.Metrics.NewCounter(`camphorhinge_demand_reports_total{result="sent"}`),
+		unreported: cfg.Metrics.NewCounter(`camphorhinge_demand_reports_total{result="failed"}`),
 	}
 }
 
-// Announce takes announcements that another node received.
+// Announce takes announcements that another node received, and the demand on that node.
 func (s *Spreader) Announce(_ context.Context, req *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	if d := req.GetDemand(); d != nil && s.cfg.Reports != nil {
+		s.cfg.Reports.Learn(decodeReport(req.GetNode(), d))
+	}
+	if err := s.take(req); err != nil {
+		return nil, err
+	}
+	return &peerpb.AnnounceResponse{}, nil
+}
+
+// Known returns what this node knows of the targets.
+func (s *Spreader) Known(context.Context, *peerpb.KnownRequest) (*peerpb.AnnounceRequest, error) {
+	return s.encode(s.cfg.Registry.Known()), nil
+}
+
+// Warm reports whether this node knows the targets that other nodes know: it has asked one of them, or has waited for
+// longer than targets wait between two renewals. Before that it would refuse requests that other nodes can serve.
+func (s *Spreader) Warm() bool { return s.warm.Load() }
+
+// warmUp asks the other nodes for the targets that they know, until one answers or each target must have renewed.
+func (s *Spreader) warmUp(ctx context.Context) error {
+	defer s.warm.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, warmTime)
+	defer cancel()
+	for {
+		for _, address := range s.cfg.Others() {
+			if s.pull(ctx, address) {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(warmPause):
+		}
+	}
+}
+
+func (s *Spreader) pull(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
+	defer cancel()
+	known, err := s.cfg.Pool.Get(address).Spread.Known(ctx, &peerpb.KnownRequest{})
+	return err == nil && s.take(known) == nil
+}
+
+func (s *Spreader) take(req *peerpb.AnnounceRequest) error {
 	for _, t := range req.GetTargets() {
 		a, err := registry.Decode(t.GetAnnouncement())
 		if err != nil {
 			continue // The sender checked it; a newer sender may know more.
 		}
 		if _, err := s.cfg.Registry.Announce(a, time.Duration(t.GetAge())*time.Millisecond, false); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return &peerpb.AnnounceResponse{}, nil
+	return nil
 }
 
 // Run passes announcements on and polls silent targets until ctx ends.
@@ -90,6 +153,10 @@
 	g.Go(func() error { return each(ctx, batchInterval, s.spread) })
 	g.Go(func() error { return each(ctx, pollInterval, s.poll) })
 	g.Go(func() error { return s.resync(ctx) })
+	g.Go(func() error { return s.warmUp(ctx) })
+	if s.cfg.Demands != nil {
+		g.Go(func() error { return each(ctx, admit.ReportInterval, s.report) })
+	}
 	return g.Wait()
 }
 
@@ -115,25 +182,38 @@
 	}
 }
 
-func (s *Spreader) sendAll(ctx context.Context, batch []registry.Aged) {
+func (s *Spreader) encode(batch []registry.Aged) *peerpb.AnnounceRequest {
 	req := &peerpb.AnnounceRequest{Node: string(s.cfg.Node)}
 	for _, a := range batch {
 		data, err := json.Marshal(a.Announcement)
 		if err != nil {
 			continue // A decoded announcement can always be encoded.
 		}
-		req.Targets = append(req.Targets, &peerpb.Announced{Announcement: data, Age: uint64(a.Age.Milliseconds())})
+		req.Targets = append(req.Targets, &peerpb.Announced{Announcement: data, Age: uint64(max(a.Age, 0).Milliseconds())})
 	}
+	return req
+}
+
+func (s *Spreader) sendAll(ctx context.Context, batch []registry.Aged) {
+	req := s.encode(batch)
+	s.tellAll(ctx, req, func(err error) {
+		if err != nil {
+			s.failed.Inc() // The target renews within a second; the node polls it otherwise.
+			return
+		}
+		s.sent.Add(len(req.GetTargets()))
+	})
+}
+
+// tellAll sends one request to all other nodes, and calls done with the outcome for each.
+func (s *Spreader) tellAll(ctx context.Context, req *peerpb.AnnounceRequest, done func(error)) {
 	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	defer cancel()
 	var g errgroup.Group
 	for _, address := range s.cfg.Others() {
 		g.Go(func() error {
-			if _, err := s.cfg.Pool.Get(address).Spread.Announce(ctx, req); err != nil {
-				s.failed.Inc() // The target renews within a second; the node polls it otherwise.
-			} else {
-				s.sent.Add(len(req.GetTargets()))
-			}
+			_, err := s.cfg.Pool.Get(address).Spread.Announce(ctx, req)
+			done(err)
 			return nil
 		})
 	}
