Carry out decisions on engines from the serve process

The leader runs the controller of orders and the role policy; nodes take the decisions with their lease renewals and hold new work back from engines that change or do not match.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -28,7 +28,7 @@
 type Config struct {
 	Clock camphorhinge.Clock
 	// Held reports whether the replicated decisions keep new work away from a target; nil means never.
-	Held func(camphorhinge.TargetName) bool
+	Held func(*camphorhinge.Target) bool
 	// Observe is called for each accepted announcement; nil means no observer. Calls for one target may come out of order.
 	Observe func(*camphorhinge.Target)
 	Metrics *metrics.Set
@@ -229,7 +229,7 @@
 		}
 		s.expires = min(s.expires, ends)
 		t := *e.target
-		t.Serving = !t.Leaving && !t.Busy && (r.cfg.Held == nil || !r.cfg.Held(t.Name))
+		t.Serving = !t.Leaving && !t.Busy && (r.cfg.Held == nil || !r.cfg.Held(&t))
 		live = append(live, &t)
 	}
 	slices.SortFunc(live, func(a, b *camphorhinge.Target) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-func newRegistry(held func(camphorhinge.TargetName) bool) (*registry.Registry, *manualClock) {
+func newRegistry(held func(*camphorhinge.Target) bool) (*registry.Registry, *manualClock) {
 	clock := &manualClock{now: camphorhinge.Instant(time.Hour)}
 	return registry.New(registry.Config{Clock: clock, Held: held, Metrics: metrics.NewSet()}), clock
 }
@@ -66,7 +66,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			r, clock := newRegistry(func(camphorhinge.TargetName) bool { return tt.held })
+			r, clock := newRegistry(func(*camphorhinge.Target) bool { return tt.held })
 			for _, s := range tt.steps {
 				_, err := r.Announce(s.announce, s.age, true)
 				require.NoError(t, err)
--- a/internal/node/control/renewer.go
+++ b/internal/node/control/renewer.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"example.org/camphorhinge"
@@ -27,8 +26,8 @@
 	Mirror *table.Mirror
 	Holder *config.Holder
 	Clock  camphorhinge.Clock
-	// Changed is called after the engine holds have changed.
-	Changed func()
+	// Engines puts the decisions on engines in force.
+	Engines func([]byte) error
 	// Scores takes the crash counts by request fingerprint, encoded.
 	Scores func([]byte)
 	// Mix takes the next report on the token mix for the leader; nil sends none.
@@ -38,8 +37,7 @@
 
 // Renewer keeps a node's configuration lease and its copy of the configuration current.
 type Renewer struct {
-	cfg  RenewerConfig
-	held atomic.Pointer[map[camphorhinge.TargetName]bool]
+	cfg RenewerConfig
 
 	mu    sync.Mutex
 	term  uint64
@@ -54,14 +52,9 @@
 
 // NewRenewer returns a Renewer that has no configuration yet.
 func NewRenewer(cfg RenewerConfig) *Renewer {
-	r := &Renewer{cfg: cfg}
-	r.held.Store(&map[camphorhinge.TargetName]bool{})
-	return r
+	return &Renewer{cfg: cfg}
 }
 
-// Held reports whether the engine must get no new work from this node.
-func (r *Renewer) Held(t camphorhinge.TargetName) bool { return (*r.held.Load())[t] }
-
 // Nodes returns all entry nodes as of the last renewal.
 func (r *Renewer) Nodes() []member.Node {
 	r.mu.Lock()
@@ -145,13 +138,10 @@
 	if err != nil {
 		return &Error{Op: "renew", Kind: KindMalformed, Err: err}
 	}
-	if resp.GetHolds() != r.holds {
-		held := make(map[camphorhinge.TargetName]bool, len(resp.GetHeld()))
-		for _, name := range resp.GetHeld() {
-			held[camphorhinge.TargetName(name)] = true
+	if len(resp.GetEngines()) > 0 {
+		if err := r.cfg.Engines(resp.GetEngines()); err != nil {
+			return &Error{Op: "renew", Kind: KindMalformed, Err: err}
 		}
-		r.held.Store(&held)
-		r.cfg.Changed()
 	}
 	r.term, r.holds = resp.GetTerm(), resp.GetHolds()
 	r.nodes = r.nodes[:0]
--- a/internal/node/control/renewer_test.go
+++ b/internal/node/control/renewer_test.go
@@ -66,7 +66,7 @@
 	r := NewRenewer(RenewerConfig{
 		Self: &peerpb.Node{Name: "a"}, Client: NewClient(pool, func() []string { return []string{s.Address()} }),
 		Mirror: table.NewMirror(), Holder: config.NewHolder(fixedClock{}, time.Second), Clock: fixedClock{},
-		Changed: func() {}, Scores: func([]byte) {}, Log: slog.New(slog.DiscardHandler),
+		Engines: func([]byte) error { return nil }, Scores: func([]byte) {}, Log: slog.New(slog.DiscardHandler),
 		Mix: func() []byte {
 			taken++
 			return []byte(strconv.Itoa(taken))
--- a/internal/node/control/server.go
+++ b/internal/node/control/server.go
@@ -212,7 +212,7 @@
 	defer timer.Stop()
 	for {
 		wake := s.changed()
-		if _, version := s.cfg.Holds.Held(); version != p.Holds || s.cfg.Records.Revision() != p.Revision {
+		if s.cfg.Holds.Revision() != p.Holds || s.cfg.Records.Revision() != p.Revision {
 			return
 		}
 		select {
@@ -230,10 +230,10 @@
 	resp := &peerpb.RenewResponse{
 		Changes: changes.Changes, Full: changes.Full, Revision: uint64(changes.Revision), Scores: s.cfg.Scores(),
 	}
-	held, version := s.cfg.Holds.Held()
+	engines, version := s.cfg.Holds.Encode()
 	resp.Holds = version
 	if full || version != p.Holds {
-		resp.Held = held
+		resp.Engines = engines
 	}
 	for _, n := range s.cfg.Members.Nodes() {
 		resp.Nodes = append(resp.Nodes, encodeNode(n))
--- a/internal/node/control/types.go
+++ b/internal/node/control/types.go
@@ -71,10 +71,12 @@
 	Since(after camphorhinge.Revision, full bool) table.Changes
 }
 
-// Holds is the leader's view of the engines that must get no new work.
+// Holds is the leader's view of the decisions on engines, for distribution.
 type Holds interface {
-	// Held returns the names of the engines and the version of the list; the version rises with each change.
-	Held() (names []string, version uint64)
+	// Encode returns the decisions and their version, which rises with each change.
+	Encode() (engines []byte, version uint64)
+	// Revision returns the version alone.
+	Revision() uint64
 }
 
 // Query answers one kind of linearizable read on the leader.
--- a/internal/node/server/control.go
+++ b/internal/node/server/control.go
@@ -23,7 +23,8 @@
 	}
 	if d := s.durable; d != nil {
 		cfg.Replica, cfg.Records, cfg.Members = d.replica, distributed{d.records}, d.members
-		cfg.Holds = noHolds{}
+		cfg.Holds = d.book
+		cfg.Mix = d.mix.Add
 		cfg.Scores = d.scores
 		cfg.Queries = s.queries(d.records)
 		cfg.Cluster = func() camphorhinge.ClusterID { return d.cluster }
@@ -95,9 +96,3 @@
 
 // Revision returns the latest applied revision.
 func (t distributed) Revision() camphorhinge.Revision { return t.View().Revision() }
-
-// noHolds holds no engine back.
-type noHolds struct{}
-
-// Held implements control.Holds.
-func (noHolds) Held() ([]string, uint64) { return nil, 0 }
--- a/internal/node/server/durable.go
+++ b/internal/node/server/durable.go
@@ -10,6 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/mix"
+	"example.org/camphorhinge/internal/fleet/order"
 	"example.org/camphorhinge/internal/node/config"
 	"example.org/camphorhinge/internal/node/control"
 	"example.org/camphorhinge/internal/node/member"
@@ -52,6 +54,9 @@
 	members   *member.Table
 	claims    *claim.Machine
 	crashes   *quarantine.Machine
+	book      *order.Book
+	// mix collects the nodes' reports while this replica leads.
+	mix *mix.Collector
 	// leads receives the terms of leaderships that began; 0 tells that one has ended.
 	leads chan camphorhinge.Term
 }
@@ -81,6 +86,7 @@
 		log: s.log, clock: s.clock, self: s.self, client: s.client, leases: s.leases, folder: folder,
 		cluster: log.Identity().Cluster, id: log.Identity().Replica,
 		records: table.New(), members: member.New(), claims: claim.NewMachine(), crashes: quarantine.NewMachine(),
+		book: order.NewBook(), mix: mix.NewCollector(s.clock),
 		leads: make(chan camphorhinge.Term, 16),
 	}
 	s.self.Replica = uint64(d.id)
@@ -95,6 +101,7 @@
 		Machines: map[camphorhinge.CommandKind]camphorhinge.Machine{
 			camphorhinge.CommandRecord: notifying{d.records, s.applied}, camphorhinge.CommandMember: notifying{d.members, s.applied},
 			camphorhinge.CommandClaim: d.claims, camphorhinge.CommandCrash: d.crashes,
+			camphorhinge.CommandOrder: notifying{d.book, s.applied},
 		},
 		Seed: s.seed(), Log: s.log,
 		OnLeader:   func(t camphorhinge.Term) { d.leads <- t },
--- a/internal/node/server/lead.go
+++ b/internal/node/server/lead.go
@@ -43,6 +43,7 @@
 func (d *durable) changed(term camphorhinge.Term) {
 	if term == 0 {
 		d.leases.Follow()
+		d.mix.Follow()
 		return
 	}
 	var names []camphorhinge.NodeID
@@ -50,6 +51,7 @@
 		names = append(names, n.Name)
 	}
 	d.leases.Lead(names)
+	d.mix.Lead()
 }
 
 // upkeep brings the membership closer to the list of nodes by at most one change: a listed replica becomes a learner, a
--- /dev/null
+++ b/internal/node/server/orders.go
@@ -0,0 +1,219 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/engine"
+	"example.org/camphorhinge/internal/fleet/order"
+	"example.org/camphorhinge/internal/fleet/role"
+	"example.org/camphorhinge/internal/fleet/steer"
+	"example.org/camphorhinge/internal/node/config"
+	"example.org/camphorhinge/internal/record/schema"
+)
+
+const (
+	// drainMargin is the least age of a hold before a load report counts as empty: a request that was routed just before may
+	// still be connecting, which the exchange bounds to 1.5 s.
+	drainMargin = 2 * time.Second
+	// recentChanges is how long role changes are remembered for the policy.
+	recentChanges = 30 * time.Minute
+	// recentSpan is the time that mix.Collector.Recent covers.
+	recentSpan = time.Minute
+)
+
+// orders runs the controller and the role policy on the leader. It implements order.Drains, steer.Source and
+// steer.Planner.
+type orders struct {
+	server     *Server
+	durable    *durable
+	controller *order.Controller
+	steerer    *steer.Steerer
+
+	mu sync.Mutex
+	// heldSince tells since when all nodes enforce the hold on an engine.
+	heldSince map[camphorhinge.TargetName]camphorhinge.Instant
+	changes   map[camphorhinge.ServiceName]*order.RoleChange
+	lastID    uint64
+	recent    map[camphorhinge.ServiceName][]role.Change
+}
+
+func (s *Server) newOrders() (*orders, error) {
+	engines, err := engine.New(engine.Config{})
+	if err != nil {
+		return nil, err
+	}
+	o := &orders{
+		server: s, durable: s.durable,
+		heldSince: map[camphorhinge.TargetName]camphorhinge.Instant{},
+		changes:   map[camphorhinge.ServiceName]*order.RoleChange{},
+		recent:    map[camphorhinge.ServiceName][]role.Change{},
+	}
+	o.controller = order.New(order.Config{
+		Authority: s.durable.replica, Proposer: s.durable.replica, Targets: s.registry, Engines: engines, Drains: o,
+		Clock: s.clock, Book: s.durable.book, Services: o.planned,
+		Budget: order.NewBudget(s.cfg.WeightLoads, s.cfg.WeightRate), Decisions: s.ring, Drain: schema.MaxDeadline,
+	})
+	o.steerer = steer.New(steer.Config{Source: o, Planner: o, Clock: s.clock, Decisions: s.ring, Metrics: s.metrics})
+	return o, nil
+}
+
+func (o *orders) run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := o.controller.Run(ctx); ctx.Err() == nil {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error { return o.steerer.Run(ctx) })
+	return g.Wait()
+}
+
+// Drained implements order.Drains: each node holds new work back, and a load report taken after that says that nothing
+// runs on the target.
+func (o *orders) Drained(name camphorhinge.TargetName) bool {
+	now := o.server.clock.Now()
+	inForce := o.durable.leases.InForce(config.Position{Holds: o.durable.book.Revision()})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	since, held := o.heldSince[name]
+	if !held && inForce {
+		o.heldSince[name] = now
+	}
+	if !held || now.Sub(since) < drainMargin {
+		return false
+	}
+	t := o.server.target(name)
+	if t == nil {
+		return false
+	}
+	taken := t.Heard.Add(-time.Duration(t.Load.Age) * time.Millisecond)
+	if taken < since.Add(drainMargin) || t.Load.Running > 0 || t.Load.Waiting > 0 {
+		return false
+	}
+	delete(o.heldSince, name)
+	return true
+}
+
+// target returns a live target by name, or nil.
+func (s *Server) target(name camphorhinge.TargetName) *camphorhinge.Target {
+	for _, t := range s.registry.All() {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// planned returns what planning needs of the model services in force.
+func (o *orders) planned() []order.Service {
+	view := o.durable.records.View()
+	var out []order.Service
+	for _, svc := range view.Services() {
+		if svc.Type != schema.TypeModel {
+			continue
+		}
+		p := order.Service{
+			Name: svc.Name, Models: svc.Models, Unfenced: svc.Unfenced, Away: 1,
+			Floors: map[camphorhinge.Role]int{
+				camphorhinge.RolePrefill: svc.Floors.Prefill, camphorhinge.RoleDecode: svc.Floors.Decode,
+				camphorhinge.RoleMixed: svc.Floors.Mixed,
+			},
+			ModelBytes: map[camphorhinge.ModelName]int64{}, AdapterBytes: map[camphorhinge.AdapterName]int64{},
+			Change: o.change(svc.Name), Goodput: o.goodput(svc.Name),
+		}
+		for _, name := range svc.Models {
+			m := view.Model(name)
+			if m == nil {
+				continue
+			}
+			p.ModelBytes[name] = m.Weights.Bytes
+			for _, adapter := range m.Adapters {
+				if a := view.Adapter(adapter); a != nil {
+					p.Adapters = append(p.Adapters, adapter)
+					p.AdapterBytes[adapter] = a.Weights.Bytes
+				}
+			}
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// goodput returns what one engine of a service lately added, in tokens per second.
+func (o *orders) goodput(service camphorhinge.ServiceName) float64 {
+	engines := max(1, len(o.server.registry.Live(service)))
+	return float64(o.durable.mix.Recent(service).Output) / recentSpan.Seconds() / float64(engines)
+}
+
+func (o *orders) change(service camphorhinge.ServiceName) *order.RoleChange {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.changes[service]
+}
+
+// Leads implements steer.Source.
+func (o *orders) Leads() bool {
+	_, ok := o.durable.replica.Authority()
+	return ok
+}
+
+// Services implements steer.Source.
+func (o *orders) Services() []*schema.Service { return o.durable.records.View().Services() }
+
+// Engines implements steer.Source.
+func (o *orders) Engines(svc *schema.Service) []steer.Engine {
+	var out []steer.Engine
+	live := map[camphorhinge.TargetName]bool{}
+	for _, t := range o.server.registry.Live(svc.Name) {
+		if t.Kind != camphorhinge.KindEngine || t.Leaving {
+			continue
+		}
+		live[t.Name] = true
+		serving := !o.durable.book.Holds(t)
+		out = append(out, steer.Engine{
+			Name: t.Name, Role: t.Role, Serving: serving, Changing: !serving,
+			Changeable: steer.Changeable(&t.Announcement, svc.Unfenced),
+		})
+	}
+	for _, e := range o.durable.book.Entries() {
+		if e.Service == svc.Name && e.Open != nil && !live[e.Engine] {
+			out = append(out, steer.Engine{Name: e.Engine, Role: e.Desired.Role, Changing: true, Changeable: true})
+		}
+	}
+	return out
+}
+
+// Recent implements steer.Source.
+func (o *orders) Recent(service camphorhinge.ServiceName) []role.Change {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]role.Change{}, o.recent[service]...)
+}
+
+// History implements steer.Source.
+func (o *orders) History(service camphorhinge.ServiceName) role.History {
+	return o.durable.mix.History(service)
+}
+
+// Change implements steer.Planner: the controller's next plan chooses the engine and commits the decision.
+func (o *orders) Change(_ context.Context, service camphorhinge.ServiceName, from, to camphorhinge.Role) error {
+	now := o.server.clock.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lastID++
+	o.changes[service] = &order.RoleChange{ID: o.lastID, From: from, To: to}
+	kept := o.recent[service][:0]
+	for _, c := range o.recent[service] {
+		if now.Sub(c.At) < recentChanges {
+			kept = append(kept, c)
+		}
+	}
+	o.recent[service] = append(kept, role.Change{At: now, From: from, To: to})
+	return nil
+}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge/internal/fleet/mix"
+	"example.org/camphorhinge/internal/fleet/order"
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/clock"
 	"example.org/camphorhinge/internal/node/config"
@@ -99,6 +100,9 @@
 	meter    *mix.Meter
 	reports  *admit.Reports
 	durable  *durable
+	orders   *orders
+	// engines is this node's copy of the decisions on engines.
+	engines *order.Mirror
 
 	settings   *configuration
 	router     *route.Router
@@ -183,21 +187,27 @@
 }
 
 func (s *Server) buildFleet() error {
+	s.engines = order.NewMirror()
 	s.meter = mix.NewMeter(s.cfg.Node, rand.Uint64(), s.clock) //nolint:gosec // The number only tells starts apart.
 	s.reports = admit.NewReports(s.clock, s.nodeCount)
 	s.renewer = control.NewRenewer(control.RenewerConfig{
 		Self: s.self, Client: s.client, Mirror: s.mirror, Holder: s.holder, Clock: s.clock, Log: s.log,
-		Changed: func() { s.registry.Changed() },
+		Engines: s.learnEngines,
 		Scores:  s.learnScores, Mix: s.meter.Take,
 	})
 	s.registry = registry.New(registry.Config{
-		Clock: s.clock, Held: s.renewer.Held, Observe: s.observe, Metrics: s.metrics,
+		Clock: s.clock, Held: s.engines.Holds, Observe: s.observe, Metrics: s.metrics,
 	})
 	s.spreader = spread.New(spread.Config{
 		Node: s.cfg.Node, Registry: s.registry, Pool: s.pool, Others: s.others, Metrics: s.metrics, Resync: s.resync,
 		Demands: func() []admit.Demand { return s.admission.Demands() }, Reports: s.reports,
 	})
-	return nil
+	if s.durable == nil {
+		return nil
+	}
+	var err error
+	s.orders, err = s.newOrders()
+	return err
 }
 
 func (s *Server) buildRequests() error {
@@ -316,11 +326,14 @@
 	defer closeCallers()
 	g.Go(func() error { return s.peers.Serve(work, s.services()) })
 	g.Go(func() error { return s.spreader.Run(work) })
-	g.Go(func() error { return s.renewer.Run(work) })
+	renewing, stopRenewing := context.WithCancel(work)
+	defer stopRenewing()
+	g.Go(func() error { return s.renewer.Run(renewing) })
 	g.Go(func() error { return s.targets.Serve(work, controlGrace) })
 	g.Go(func() error { return s.operators.Serve(work, controlGrace) })
 	if s.durable != nil {
 		g.Go(func() error { return s.durable.run(work) })
+		g.Go(func() error { return s.orders.run(work) })
 	}
 	g.Go(func() error {
 		select {
@@ -333,6 +346,8 @@
 	})
 	g.Go(func() error {
 		err := s.callers.Serve(callers, s.cfg.StopLimit)
+		// A renewal after the farewell would make acceptances wait for a node that is gone.
+		stopRenewing()
 		s.leave(work)
 		halt(nil)
 		return err
--- a/internal/node/server/targets.go
+++ b/internal/node/server/targets.go
@@ -18,6 +18,15 @@
 
 func (s *Server) resync(t *camphorhinge.Target) bool { return s.router.Resync(t) }
 
+// learnEngines puts the leader's decisions on engines in force.
+func (s *Server) learnEngines(encoded []byte) error {
+	if err := s.engines.Load(encoded); err != nil {
+		return err
+	}
+	s.registry.Changed()
+	return nil
+}
+
 // learnScores takes the crash counts that the leader sent.
 func (s *Server) learnScores(encoded []byte) {
 	var scores []quarantine.Score
