Take the next engine out only when the last one serves on all nodes

Cause: the leader counted an engine as serving as soon as its own view matched the decision. Nodes that had not heard the engine's new announcement still held it back, and took the next engine's hold at once, so that for a moment no engine of two served: 1 of 800 requests was refused with 'no target' while a model was added. Ruled out: the drain, since no stream was cut, and the breaker, since no attempt had failed. A matched engine now counts as out for 2 s, and the last serving engine stays while the service has another one.

--- a/internal/fleet/order/controller.go
+++ b/internal/fleet/order/controller.go
@@ -98,6 +98,9 @@
 	// failures counts attempts since the last success; the next attempt waits until the time in rest.
 	failures int
 	rest     camphorhinge.Instant
+	// matches states that the engine matched its decision when it was last looked at, which it has done since matched.
+	matches bool
+	matched camphorhinge.Instant
 	// live is when the engine was last live, or first missed.
 	live camphorhinge.Instant
 }
@@ -107,6 +110,9 @@
 	// log with orders.
 	restMin = time.Second
 	restMax = time.Minute
+	// settleTime is above the time in which all nodes learn that an engine matches its decision: an announcement interval
+	// of 1 s, a batch between nodes of 250 ms, and a renewal of the decisions.
+	settleTime = 2 * time.Second
 	// forgetAfter is above any outage after which an engine is expected back with its decision.
 	forgetAfter = 24 * time.Hour
 )
@@ -163,6 +169,7 @@
 		if s.Change != nil && s.Change.ID == c.changed[s.Name] {
 			s.Change = nil
 		}
+		s.Settling = c.settling
 		next := Plan(s, c.live(s.Name), c.cfg.Book.Entry)
 		for _, r := range next.Refused {
 			c.refuse(r)
@@ -310,19 +317,33 @@
 			fresh.Service, fresh.Address, fresh.Leaving = t.Service, t.Address, t.Leaving
 			t = &fresh
 		}
+		matches := false
 		if !c.active[t.Name] {
 			s.engine.try(EventReturned)
 			s.engine.try(EventCompare)
 			if e, ok := c.cfg.Book.Entry(t.Name); ok && !e.holds(t) {
 				s.engine.try(EventMatched)
 				s.reason = ""
+				matches = true
 			}
 		}
+		if matches && !s.matches {
+			s.matched = c.cfg.Clock.Now()
+		}
+		s.matches = matches
 		out = append(out, t)
 	}
 	return out
 }
 
+// settling reports whether an engine matched its decision within settleTime.
+func (c *Controller) settling(name camphorhinge.TargetName) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.track(name)
+	return s.matches && c.cfg.Clock.Now().Sub(s.matched) < settleTime
+}
+
 // target returns a live engine by name.
 func (c *Controller) target(service camphorhinge.ServiceName, name camphorhinge.TargetName) (*camphorhinge.Target, error) {
 	for _, t := range c.cfg.Targets.Live(service) {
--- a/internal/fleet/order/plan.go
+++ b/internal/fleet/order/plan.go
@@ -19,6 +19,9 @@
 	Unfenced bool
 	// Change is the role policy's decision, nil for none.
 	Change *RoleChange
+	// Settling reports whether an engine matched its decision so lately that some nodes may not send it work yet. It counts
+	// as out, so that the next engine is not taken out before this one serves everywhere. Nil means never.
+	Settling func(camphorhinge.TargetName) bool
 	// Away is how many serving engines may change at the same time; at least 1.
 	Away int
 	// Bytes are the sizes of weights; a model or adapter without an entry counts as 0 bytes.
@@ -150,6 +153,10 @@
 		p.serving[observed.Role]++
 	case g.known && g.entry.Desired.Equal(observed):
 		p.decide(g, observed, false, ReasonMatched)
+		if p.service.Settling != nil && p.service.Settling(t.Name) {
+			p.out++
+			return
+		}
 		g.in = true
 		p.serving[observed.Role]++
 	default:
@@ -214,9 +221,14 @@
 
 func work(g *planned) int { return g.target.Load.Running + g.target.Load.Waiting }
 
-// spare reports whether one more serving engine of a role may be taken out.
+// spare reports whether one more serving engine of a role may be taken out. The last one that serves is taken out only
+// when the service has no other engine, since its requests would be refused meanwhile.
 func (p *planner) spare(role camphorhinge.Role) bool {
-	return p.out < max(1, p.service.Away) && p.serving[role] > p.service.Floors[role]
+	total := 0
+	for _, n := range p.serving {
+		total += n
+	}
+	return p.out < max(1, p.service.Away) && p.serving[role] > p.service.Floors[role] && (total > 1 || len(p.engines) == 1)
 }
 
 func (p *planner) take(g *planned, want Desired, reason string) {
--- a/internal/fleet/order/plan_test.go
+++ b/internal/fleet/order/plan_test.go
@@ -59,6 +59,28 @@
 			[]string{"0", "1"},
 			0,
 		},
+		{
+			"no engine leaves while another one is not known to serve everywhere", func(s *Service) {
+				s.Models, s.Away = []camphorhinge.ModelName{"n"}, 1
+				s.Settling = func(name camphorhinge.TargetName) bool { return name == "0" }
+			},
+			[]eng{{role: mixed, models: "n", decided: d(mixed, "n")}, {role: mixed, models: "m", decided: d(mixed, "m")}},
+			nil, nil, 0,
+		},
+		{
+			"the last serving engine stays while another one is being loaded", func(s *Service) { s.Models = []camphorhinge.ModelName{"n"} },
+			[]eng{{role: mixed}, {role: mixed, models: "m", decided: d(mixed, "m")}},
+			[]string{"0 mixed [n] true"},
+			[]string{"0"},
+			0,
+		},
+		{
+			"the only engine is changed all the same", func(s *Service) { s.Models = []camphorhinge.ModelName{"n"} },
+			[]eng{{role: mixed, models: "m", decided: d(mixed, "m")}},
+			[]string{"0 mixed [n] true"},
+			[]string{"0"},
+			0,
+		},
 		{
 			"new models stop at the floor", func(s *Service) {
 				s.Models = []camphorhinge.ModelName{"n"}
