Count one crash of an incarnation once, and end refusals in an idle system

Cause: a node that reported a dead target's reset twice, as it does when it tries to resume a stream there, made two crashes of one. Reports on one incarnation within 5 s, the time until a dead target has expired, are one crash now, whichever nodes send them.

A second fault found beside it: the time left of a refusal was counted from the last command on crashes, so that it never ended while none followed. The leader now counts from the cluster's time.

--- a/internal/node/server/control.go
+++ b/internal/node/server/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/node/control"
@@ -80,7 +81,7 @@
 
 // scores returns the crash counts for the nodes.
 func (d *durable) scores() []byte {
-	scores := d.crashes.Scores()
+	scores := d.crashes.Scores(time.Now().UnixMilli())
 	if len(scores) == 0 {
 		return nil
 	}
--- a/internal/node/server/orders.go
+++ b/internal/node/server/orders.go
@@ -35,11 +35,17 @@
 	steerer    *steer.Steerer
 
 	mu sync.Mutex
-	// heldSince tells since when all nodes enforce the hold on an engine.
-	heldSince map[camphorhinge.TargetName]camphorhinge.Instant
-	changes   map[camphorhinge.ServiceName]*order.RoleChange
-	lastID    uint64
-	recent    map[camphorhinge.ServiceName][]role.Change
+	// held tells since when all nodes enforce the hold on an engine.
+	held    map[camphorhinge.TargetName]hold
+	changes map[camphorhinge.ServiceName]*order.RoleChange
+	lastID  uint64
+	recent  map[camphorhinge.ServiceName][]role.Change
+}
+
+// hold is the hold of one decision on an engine.
+type hold struct {
+	revision uint64
+	since    camphorhinge.Instant
 }
 
 func (s *Server) newOrders() (*orders, error) {
@@ -49,9 +55,9 @@
 	}
 	o := &orders{
 		server: s, durable: s.durable,
-		heldSince: map[camphorhinge.TargetName]camphorhinge.Instant{},
-		changes:   map[camphorhinge.ServiceName]*order.RoleChange{},
-		recent:    map[camphorhinge.ServiceName][]role.Change{},
+		held:    map[camphorhinge.TargetName]hold{},
+		changes: map[camphorhinge.ServiceName]*order.RoleChange{},
+		recent:  map[camphorhinge.ServiceName][]role.Change{},
 	}
 	o.controller = order.New(order.Config{
 		Authority: s.durable.replica, Proposer: s.durable.replica, Targets: s.registry, Engines: engines, Drains: o,
@@ -77,27 +83,23 @@
 // Drained implements order.Drains: each node holds new work back, and a load report taken after that says that nothing
 // runs on the target.
 func (o *orders) Drained(name camphorhinge.TargetName) bool {
+	entry, ok := o.durable.book.Entry(name)
+	if !ok || !o.durable.leases.InForce(config.Position{Holds: entry.Revision}) {
+		return false
+	}
 	now := o.server.clock.Now()
-	inForce := o.durable.leases.InForce(config.Position{Holds: o.durable.book.Revision()})
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	since, held := o.heldSince[name]
-	if !held && inForce {
-		o.heldSince[name] = now
-	}
-	if !held || now.Sub(since) < drainMargin {
-		return false
+	if o.held[name].revision != entry.Revision {
+		o.held[name] = hold{revision: entry.Revision, since: now}
 	}
+	full := o.held[name].since.Add(drainMargin)
 	t := o.server.target(name)
 	if t == nil {
 		return false
 	}
 	taken := t.Heard.Add(-time.Duration(t.Load.Age) * time.Millisecond)
-	if taken < since.Add(drainMargin) || t.Load.Running > 0 || t.Load.Waiting > 0 {
-		return false
-	}
-	delete(o.heldSince, name)
-	return true
+	return taken >= full && t.Load.Running == 0 && t.Load.Waiting == 0
 }
 
 // target returns a live target by name, or nil.
--- a/internal/request/quarantine/client.go
+++ b/internal/request/quarantine/client.go
@@ -161,6 +161,9 @@
 		}
 	}
 	c.crashes.Inc()
+	c.cfg.Decisions.Note("quarantine", string(target), "crash reported", map[string]string{
+		"incarnation": strconv.FormatUint(uint64(incarnation), 10), "inFlight": strconv.Itoa(len(cmd.Prints)),
+	})
 	c.report(cmd)
 }
 
--- a/internal/request/quarantine/machine.go
+++ b/internal/request/quarantine/machine.go
@@ -21,9 +21,10 @@
 	threshold = unit + unit/2
 	// Window is how long a crash counts, and how long a fingerprint is refused.
 	Window = 10 * time.Minute
-	// merge is the time in which reports of several nodes on one target count as one crash. Connections of one crash end
-	// within round trips; an engine that restarts is gone for seconds.
-	merge = 2 * time.Second
+	// merge is the time in which reports on one incarnation of a target count as one crash. A target that died may still
+	// reset new connections, such as that of a resumed stream, until it expires 2.5 s after its last announcement; a target
+	// that restarts has another incarnation.
+	merge = 5 * time.Second
 	// maxCrashes bounds the crashes that are kept; the oldest is dropped first.
 	maxCrashes = 4096
 	// maxPrints bounds the fingerprints of one crash. With more, each would count less than 1/1000.
@@ -76,7 +77,6 @@
 	Stamp       int64                    `json:"at"`
 	Target      camphorhinge.TargetName  `json:"t"`
 	Incarnation camphorhinge.Incarnation `json:"i"`
-	Nodes       []camphorhinge.NodeID    `json:"n"`
 	// Prints are the fingerprints in flight, sorted; Cleared are those which succeeded later.
 	Prints  []camphorhinge.Fingerprint `json:"f"`
 	Cleared []camphorhinge.Fingerprint `json:"c,omitempty"`
@@ -121,7 +121,7 @@
 	}
 	scores := make([]Score, 0, len(c.Prints))
 	for _, p := range c.Prints {
-		scores = append(scores, m.score(p))
+		scores = append(scores, m.score(p, m.stamp))
 	}
 	out, err := json.Marshal(scores)
 	if err != nil {
@@ -137,8 +137,7 @@
 		if m.stamp-k.Stamp > merge.Milliseconds() {
 			break
 		}
-		// A node reports each attempt once, so a second report of one node is about another crash.
-		if k.Target == c.Target && k.Incarnation == c.Incarnation && !slices.Contains(k.Nodes, c.Node) {
+		if k.Target == c.Target && k.Incarnation == c.Incarnation {
 			at = k
 			break
 		}
@@ -150,7 +149,6 @@
 		}
 		m.crashes = append(m.crashes, at)
 	}
-	at.Nodes = append(at.Nodes, c.Node)
 	for _, p := range c.Prints {
 		if i, found := slices.BinarySearch(at.Prints, p); !found && len(at.Prints) < maxPrints {
 			at.Prints = slices.Insert(at.Prints, i, p)
@@ -158,17 +156,19 @@
 		}
 	}
 	for _, p := range at.Prints {
-		if m.sum(p) >= threshold {
+		if m.sum(p, m.stamp) >= threshold {
 			m.refused[p] = m.stamp + Window.Milliseconds()
 		}
 	}
 }
 
 // sum adds up the shares of a fingerprint in the crashes that count.
-func (m *Machine) sum(p camphorhinge.Fingerprint) int {
+func (m *Machine) sum(p camphorhinge.Fingerprint, now int64) int {
 	total := 0
 	for _, k := range m.index[p] {
-		total += unit / len(k.Prints)
+		if now-k.Stamp < Window.Milliseconds() {
+			total += unit / len(k.Prints)
+		}
 	}
 	return total
 }
@@ -186,8 +186,8 @@
 	m.crashes = slices.Delete(m.crashes, 0, n)
 }
 
-func (m *Machine) score(p camphorhinge.Fingerprint) Score {
-	return Score{Print: p, Count: float64(m.sum(p)) / unit, Left: max(m.refused[p]-m.stamp, 0)}
+func (m *Machine) score(p camphorhinge.Fingerprint, now int64) Score {
+	return Score{Print: p, Count: float64(m.sum(p, now)) / unit, Left: max(m.refused[p]-now, 0)}
 }
 
 // clear resets the counts of fingerprints that succeeded. The shares of others in the same crashes stay.
@@ -214,10 +214,12 @@
 	}
 }
 
-// Scores returns the counts above 0, sorted by fingerprint, for Client.Learn on other nodes.
-func (m *Machine) Scores() []Score {
+// Scores returns the counts above 0, sorted by fingerprint, for Client.Learn on other nodes. Now is the cluster's time in
+// milliseconds: without commands the stamp stands still, and a refusal has to end all the same.
+func (m *Machine) Scores(now int64) []Score {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now = max(now, m.stamp)
 	seen := make(map[camphorhinge.Fingerprint]struct{}, len(m.refused))
 	for p := range m.refused {
 		seen[p] = struct{}{}
@@ -227,7 +229,9 @@
 	}
 	out := make([]Score, 0, len(seen))
 	for p := range seen {
-		out = append(out, m.score(p))
+		if s := m.score(p, now); s.Count > 0 || s.Left > 0 {
+			out = append(out, s)
+		}
 	}
 	slices.SortFunc(out, func(a, b Score) int { return cmp.Compare(a.Print, b.Print) })
 	return out
