--- a/internal/state/consensus/core.go
+++ b/internal/state/consensus/core.go
@@ -25,6 +25,8 @@
 	everHeard bool
 	// deadline is when a follower or candidate starts the next election.
 	deadline camphorhinge.Instant
+	// asked is when pre-votes were asked for last.
+	asked camphorhinge.Instant
 
 	log     memoryLog
 	commit  camphorhinge.Index
@@ -165,6 +167,12 @@
 	c.deadline = c.now.Add(d)
 }
 
+// resetRetry sets when to ask for votes again. That is sooner than the first time: no leader is waited for, only the
+// answers of the voters.
+func (c *Core) resetRetry() {
+	c.deadline = c.now.Add(c.timing.ElectionMin/4 + time.Duration(c.random.Int64N(int64(c.timing.ElectionMin/2))))
+}
+
 func (c *Core) setHard(term camphorhinge.Term, vote camphorhinge.ReplicaID) {
 	if h := (HardState{Term: term, Vote: vote}); h != c.hard {
 		c.hard = h
--- a/internal/state/consensus/election.go
+++ b/internal/state/consensus/election.go
@@ -11,6 +11,8 @@
 	}
 	c.role = PreCandidate
 	c.leader = 0
+	c.asked = c.now
+	c.resetRetry()
 	c.votes = map[camphorhinge.ReplicaID]bool{c.id: true}
 	if c.won() {
 		c.campaign(false)
@@ -25,7 +27,7 @@
 	c.leader = 0
 	c.votes = make(map[camphorhinge.ReplicaID]bool)
 	c.setHard(c.hard.Term+1, c.id)
-	c.resetDeadline()
+	c.resetRetry()
 	c.sendAfterAll(Message{Type: MessageVoteReply, To: c.id})
 	c.requestVotes(Message{Type: MessageVote, Force: force})
 }
@@ -62,8 +64,15 @@
 	return t > own || t == own && i >= c.log.last()
 }
 
+// yields reports whether a pre-vote may be granted while this replica asks for them itself. When two replicas ask at the
+// same time, the one with the lower id yields, since both would split the votes otherwise and lose an election timeout.
+// The rule ends soon, so that a replica whose requests are lost doesn't hold up the others, and it needs equal logs.
+func (c *Core) yields(m Message) bool {
+	return m.Index > c.log.last() || m.LogTerm > c.log.lastTerm() || c.role != PreCandidate || c.id < m.From || c.now.Sub(c.asked) >= c.timing.ElectionMin/4
+}
+
 func (c *Core) stepPreVote(m Message) {
-	if m.Term > c.hard.Term && !c.leaderRecent() && c.upToDate(m.Index, m.LogTerm) {
+	if m.Term > c.hard.Term && !c.leaderRecent() && c.upToDate(m.Index, m.LogTerm) && c.yields(m) {
 		c.sendAfterTerm(Message{Type: MessagePreVoteReply, To: m.From, Term: m.Term})
 		return
 	}
--- a/internal/state/replica/harness_test.go
+++ b/internal/state/replica/harness_test.go
@@ -170,7 +170,7 @@
 	log, err := Open(v.disk, wal.Config{}, start)
 	require.NoError(l.t, err)
 	v.log, v.id, v.machine = log, log.Identity().Replica, &journal{}
-	v.r, err = New(Config{
+	r, err := New(Config{
 		Storage: log, Transport: link{l, v.id}, Clock: l.clock, Wall: func() int64 { return time.Now().UnixMilli() },
 		Machines: map[camphorhinge.CommandKind]camphorhinge.Machine{testKind: v.machine},
 		Seed:     uint64(len(l.vms)), Log: slog.New(slog.DiscardHandler), SnapshotEntries: l.snapshotEntries,
@@ -187,11 +187,10 @@
 	})
 	require.NoError(l.t, err)
 	l.mu.Lock()
-	l.vms[v.id] = v
+	l.vms[v.id], v.r = v, r
 	l.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel, v.group = cancel, new(errgroup.Group)
-	r := v.r
 	v.group.Go(func() error { return r.Run(ctx) })
 }
 
@@ -244,18 +243,28 @@
 // leader waits for a replica with a valid lease that answers a barrier.
 func (l *lab) leader() *vm {
 	l.t.Helper()
-	for range 1000 {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		for _, v := range l.all() {
-			if _, ok := v.r.Authority(); ok && v.r.Barrier(context.Background()) == nil {
+			if l.answers(v) {
 				return v
 			}
 		}
-		time.Sleep(10 * time.Millisecond)
+	}
+	for _, v := range l.all() {
+		l.t.Logf("replica %d: %+v", v.id, v.r.Status())
 	}
 	l.t.Fatal("no leader within 10 s")
 	return nil
 }
 
+// answers reports whether v answers a barrier as the leader.
+func (l *lab) answers(v *vm) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, ok := v.r.Authority()
+	return ok && v.r.Barrier(ctx) == nil
+}
+
 // eventually calls f each 20 ms of virtual time until it returns nil.
 func (l *lab) eventually(f func() error) {
 	l.t.Helper()
--- /dev/null
+++ b/internal/state/replica/random_test.go
@@ -0,0 +1,138 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/disk"
+)
+
+// ledger holds what callers were told of their commands.
+type ledger struct {
+	mu        sync.Mutex
+	done      map[string]bool
+	uncertain map[string]bool
+}
+
+// call proposes one command on a random replica and notes the answer.
+func (x *ledger) call(t *testing.T, l *lab, random *rand.Rand, command string) {
+	vms := l.all()
+	if len(vms) == 0 {
+		return
+	}
+	l.mu.Lock()
+	r := vms[random.IntN(len(vms))].r
+	l.mu.Unlock()
+	if r == nil {
+		return
+	}
+	_, err := r.Propose(t.Context(), testKind, []byte(command))
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case err == nil:
+		x.done[command] = true
+	case errors.Is(err, camphorhinge.ErrUncertain):
+		x.uncertain[command] = true
+	}
+}
+
+// check compares the answers with the commands that took effect.
+func (x *ledger) check(t *testing.T, lines []string) {
+	t.Helper()
+	seen := make(map[string]bool)
+	for _, line := range lines {
+		require.False(t, seen[line], "%s took effect twice", line)
+		require.True(t, x.done[line] || x.uncertain[line], "%s took effect although it was refused", line)
+		seen[line] = true
+	}
+	for line := range x.done {
+		require.True(t, seen[line], "%s was acknowledged and is lost", line)
+	}
+}
+
+// crash stops a VM at a random file operation, which may leave a part of its unsynced writes.
+func (v *vm) crash(random *rand.Rand) {
+	v.disk.SetFaults(disk.Faults{CrashAt: 1 + random.IntN(30)})
+	time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+	v.cancel()
+	v.err = v.group.Wait()
+	v.l.mu.Lock()
+	v.r = nil
+	v.l.mu.Unlock()
+	_ = v.log.Close() // The log may have failed before.
+	v.disk.Crash(random)
+}
+
+// TestRandomCrashes guards the answers of Propose over crashes of one to three VMs at any file operation: done means
+// once, an error other than ErrUncertain means never. CAMPHORHINGE_SEEDS sets the number of seeds.
+func TestRandomCrashes(t *testing.T) {
+	t.Parallel()
+	count := uint64(8)
+	if s := os.Getenv("CAMPHORHINGE_SEEDS"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		require.NoError(t, err)
+		count = n
+	}
+	for seed := uint64(1); seed <= count; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			inBubble(t, func(t *testing.T, l *lab) { randomCrashes(t, l, seed) })
+		})
+	}
+}
+
+func randomCrashes(t *testing.T, l *lab, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	l.snapshotEntries = 60
+	l.three()
+	x := &ledger{done: make(map[string]bool), uncertain: make(map[string]bool)}
+	end := time.Now().Add(20 * time.Second)
+	g := new(errgroup.Group)
+	for i := range 4 {
+		own := rand.New(rand.NewPCG(seed, uint64(10+i)))
+		g.Go(func() error {
+			for k := 0; time.Now().Before(end); k++ {
+				x.call(t, l, own, fmt.Sprintf("%d.%d", i, k))
+				time.Sleep(time.Duration(own.IntN(40)) * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	vms := l.all()
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		random.Shuffle(len(vms), func(i, k int) { vms[i], vms[k] = vms[k], vms[i] })
+		down := vms[:1+random.IntN(len(vms))]
+		crashes := new(errgroup.Group)
+		for _, v := range down {
+			own := rand.New(rand.NewPCG(random.Uint64(), 3))
+			crashes.Go(func() error {
+				v.crash(own)
+				return nil
+			})
+		}
+		require.NoError(t, crashes.Wait())
+		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+		for _, v := range down {
+			v.restart()
+		}
+	}
+	require.NoError(t, g.Wait())
+	l.propose("last")
+	x.done["last"] = true
+	lines := l.leader().machine.read()
+	x.check(t, lines)
+	l.requireEqual(lines)
+	t.Logf("seed %d: %d done, %d uncertain, %d in effect", seed, len(x.done), len(x.uncertain), len(lines))
+}
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -241,6 +241,7 @@
 // return, so that a lease given up is never seen as valid later than by other replicas.
 func (r *Replica) drain(ctx context.Context) error {
 	for {
+		r.releaseReads()
 		ready := r.core.Ready()
 		r.publish()
 		if ready.Empty() {
@@ -265,7 +266,6 @@
 		for _, s := range ready.Reads {
 			r.confirmRead(s)
 		}
-		r.releaseReads()
 		for _, s := range ready.SendSnapshots {
 			r.sendSnapshot(ctx, s)
 		}
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -98,6 +98,21 @@
 	})
 }
 
+// TestLeaseReadWithoutTraffic guards against a read that waits for the next message: nothing else may wake the loop.
+func TestLeaseReadWithoutTraffic(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.create(Start{Bootstrap: true})
+		r := l.leader().r
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		c := newCall("barrier")
+		require.NoError(t, r.act(c, func(now camphorhinge.Instant) { r.startRead(now, c) }))
+		_, err := c.wait(ctx, true)
+		require.NoError(t, err)
+	})
+}
+
 // TestPlannedTransfer guards against a handover that waits for an election timeout or loses a command.
 func TestPlannedTransfer(t *testing.T) {
 	t.Parallel()
--- a/internal/state/replica/snapshot.go
+++ b/internal/state/replica/snapshot.go
@@ -76,21 +76,23 @@
 	return nil
 }
 
-// sendSnapshot sends the latest stored snapshot in the background.
+// sendSnapshot sends the latest stored snapshot in the background. A request that can't be met now, since an earlier
+// sending to that replica still runs, is answered after a pause; an answer at once would be followed by the next request.
 func (r *Replica) sendSnapshot(ctx context.Context, req consensus.SnapshotRequest) {
 	s := r.snapshot
-	if r.sending[req.To] || s.meta.Index < req.Index {
-		r.inform(func(now camphorhinge.Instant) { r.core.SnapshotSent(now, req, s.meta.Index, false) })
-		return
+	possible := !r.sending[req.To] && s.meta.Index >= req.Index
+	if possible {
+		r.sending[req.To] = true
 	}
-	r.sending[req.To] = true
 	r.tasks.Go(func() error {
-		ok := r.sendChunks(ctx, req, s)
+		ok := possible && r.sendChunks(ctx, req, s)
 		if !ok {
 			pause(ctx, snapshotPause)
 		}
 		r.inform(func(now camphorhinge.Instant) {
-			delete(r.sending, req.To)
+			if possible {
+				delete(r.sending, req.To)
+			}
 			r.core.SnapshotSent(now, req, s.meta.Index, ok)
 		})
 		return nil
