--- a/internal/node/status/status.go
+++ b/internal/node/status/status.go
@@ -1,4 +1,3 @@
-// Package status declares what a node says of itself and of the cluster to the operator.
 package status
 
 import "example.org/camphorhinge"
