Keep the listed replica in a put that names none

Cause: a renewal from a new address read the listed node and put it back with the replica that it had read. When a node came back with an empty disk and a new address, its Join could be committed in between, and the put then listed the lost replica again; Join is not repeated, so the new replica was not made a member, or was removed again. A put without a replica now keeps what is listed when it is applied, and one without a name or an address is refused.

--- a/internal/node/member/table.go
+++ b/internal/node/member/table.go
@@ -25,7 +25,8 @@
 type Action string
 
 const (
-	// ActionPut adds or replaces a node.
+	// ActionPut adds or replaces a node. Without a replica it keeps the one that is listed, so that a node which tells only
+	// its new address does not undo the change of its replica.
 	ActionPut Action = "put"
 	// ActionRemove removes a node.
 	ActionRemove Action = "remove"
@@ -62,9 +63,16 @@
 	defer t.mu.Unlock()
 	switch c.Action {
 	case ActionPut:
-		if _, ok := t.nodes[c.Node.Name]; !ok && len(t.nodes) >= maxNodes {
+		held, ok := t.nodes[c.Node.Name]
+		switch {
+		case c.Node.Name == "" || c.Node.Address == "":
+			return encode(Result{Refused: "expected a node with a name and an address"})
+		case !ok && len(t.nodes) >= maxNodes:
 			return encode(Result{Refused: "too many nodes"})
 		}
+		if c.Node.Replica == 0 {
+			c.Node.Replica = held.Replica
+		}
 		t.nodes[c.Node.Name] = c.Node
 	case ActionRemove:
 		delete(t.nodes, c.Node.Name)
