Take an answer without an outcome for uncertain

Cause: the client took every outcome that it did not know for a redirect, which promises that nothing was done, and proposed the command again. An empty body decodes to such an answer. Only a redirect is now followed; its message is kept in the error.

Also, a read whose caller set no deadline went on for ever while its answers were lost, since only each search for the leader was bounded.

Ruled out: a refused connection stays the one error after which a proposal is sent again; a cut, malformed or error answer was already uncertain.

Before: TestClientProposals fails at 'empty answer' and 'unknown outcome', and TestReadWithoutDeadlineEnds does not end within 30 s. After: both pass.

--- a/internal/node/control/client.go
+++ b/internal/node/control/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -88,11 +89,8 @@
 
 // lead calls each candidate until one answers as the leader. Call returns an error only when no answer came.
 func (c *Client) lead(ctx context.Context, op string, call func(context.Context, *peer.Conn) (verdict, error)) error {
-	if _, ok := ctx.Deadline(); !ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, defaultTimeout)
-		defer cancel()
-	}
+	ctx, cancel := bounded(ctx)
+	defer cancel()
 	last := errors.New("no leader known")
 	for ctx.Err() == nil {
 		address := c.target()
@@ -117,9 +115,16 @@
 			return &Error{Op: op, Kind: KindUncertain, Err: errors.New(v.message)}
 		case v.outcome == OutcomeRefused:
 			return &Error{Op: op, Kind: KindRefused, Err: errors.New(v.message)}
-		default:
+		case v.outcome == OutcomeRedirect:
 			last = errors.New("not the leader: " + address)
+			if v.message != "" {
+				last = fmt.Errorf("%w: %s", last, v.message)
+			}
 			c.moved(address, v.hint)
+		default:
+			// Only a redirect promises that nothing was done; an empty body decodes to an answer without an outcome.
+			c.moved(address, "")
+			return &Error{Op: op, Kind: KindUncertain, Err: fmt.Errorf("%s answered with the outcome %q", address, v.outcome)}
 		}
 		if !pause(ctx) {
 			break
@@ -128,6 +133,14 @@
 	return &Error{Op: op, Kind: KindUnavailable, Err: last}
 }
 
+// bounded returns ctx with a deadline.
+func bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, defaultTimeout)
+}
+
 // pause waits a random time and reports whether ctx still runs.
 func pause(ctx context.Context) bool {
 	timer := time.NewTimer(retryPause/2 + time.Duration(rand.Int64N(int64(retryPause)))) //nolint:gosec // Jitter needs no secrecy.
@@ -168,6 +181,8 @@
 
 // Read answers a linearizable query. A read has no effect, so an answer that was lost is asked for again.
 func (c *Client) Read(ctx context.Context, query string, args []byte) ([]byte, error) {
+	ctx, cancel := bounded(ctx)
+	defer cancel()
 	for {
 		var result []byte
 		err := c.lead(ctx, "read", func(ctx context.Context, conn *peer.Conn) (verdict, error) {
