--- a/internal/cli/command/standin.go
+++ b/internal/cli/command/standin.go
@@ -10,6 +10,7 @@
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/standin/engine"
+	"example.org/camphorhinge/internal/standin/fleet"
 	"example.org/camphorhinge/internal/standin/load"
 	"example.org/camphorhinge/internal/standin/service"
 )
@@ -79,6 +80,23 @@
 	}
 }
 
+func (a *app) standinFleet(cmd *kingpin.CmdClause) func(context.Context) error {
+	var cfg fleet.Config
+	cmd.Flag("service", "Service that the engines belong to.").Required().StringVar((*string)(&cfg.Service))
+	cmd.Flag("model", "Model that they announce.").Required().StringVar((*string)(&cfg.Model))
+	cmd.Flag("zones", "Availability zones that they are spread over.").Default("zone-a").StringsVar(&cfg.Zones)
+	cmd.Flag("announce", "Base URL of a node's target port; may be repeated, each engine announces to one.").Required().StringsVar(&cfg.Announce)
+	cmd.Flag("targets", "Number of engines.").Default("10").IntVar(&cfg.Targets)
+	return func(ctx context.Context) error {
+		f, err := fleet.New(cfg)
+		if err != nil {
+			return &Error{Op: "standin fleet", Kind: KindUsage, Err: err}
+		}
+		fmt.Fprintf(a.out, "fleet of %d engines announces\n", cfg.Targets)
+		return f.Run(ctx)
+	}
+}
+
 func (a *app) load(cmd *kingpin.CmdClause) func(context.Context) error {
 	var cfg load.Config
 	output := outputFlag(cmd)
@@ -90,6 +108,8 @@
 	cmd.Flag("words", "Words of each prompt.").Default("64").IntVar(&cfg.Words)
 	cmd.Flag("tokens", "Output tokens of each completion.").Default("32").IntVar(&cfg.Output)
 	cmd.Flag("deposit", "Path of non-idempotent requests.").StringVar(&cfg.Deposit)
+	cmd.Flag("get", "Path of idempotent requests of a plain service, in place of completions.").StringVar(&cfg.Get)
+	cmd.Flag("direct", "Base URL of a target to which every second pair of requests goes without a node.").StringVar(&cfg.Direct)
 	cmd.Flag("key", "API key.").StringVar(&cfg.Key)
 	cmd.Flag("counters", "Base URL of a stand-in service to compare with; may be repeated.").StringsVar(&cfg.Counters)
 	cmd.Flag("allow-cuts", "Don't fail on cut connections, for runs in which nodes are killed.").BoolVar(&cfg.AllowCuts)
@@ -97,8 +117,11 @@
 	cmd.Flag("settle", "Time for which a caller resends a deposit of unknown outcome.").Default("30s").DurationVar(&cfg.Settle)
 	cmd.Flag("seed", "Seed of prompts and keys.").Default("1").Uint64Var(&cfg.Seed)
 	return func(ctx context.Context) error {
-		if cfg.Model == "" && cfg.Deposit == "" {
-			return &Error{Op: "load", Kind: KindUsage, Err: fmt.Errorf("expected --model or --deposit")}
+		if cfg.Model == "" && cfg.Deposit == "" && cfg.Get == "" {
+			return &Error{Op: "load", Kind: KindUsage, Err: fmt.Errorf("expected --model, --deposit or --get")}
+		}
+		if cfg.Model != "" && cfg.Get != "" {
+			return &Error{Op: "load", Kind: KindUsage, Err: fmt.Errorf("--get: contradicts --model")}
 		}
 		started := time.Now()
 		report, err := load.Run(ctx, cfg)
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	// turns is the number of groups in which the engines announce themselves within one interval, spread evenly as those of
+	// engines that started at different times are.
+	turns = 50
+	// posts bounds the announcements under way at once to one node.
+	posts = 8
+	// postTimeout is that of the stand-in engine.
+	postTimeout = 400 * time.Millisecond
+)
+
+// Config describes the engines.
+type Config struct {
+	Service camphorhinge.ServiceName
+	Model   camphorhinge.ModelName
+	// Zones are taken in turn.
+	Zones []string
+	// Announce lists base URLs of target ports. Each engine announces to one of them, as behind a balancer.
+	Announce []string
+	// Targets is the number of engines.
+	Targets int
+}
+
+// Fleet announces the engines.
+type Fleet struct {
+	cfg         Config
+	client      *http.Client
+	incarnation camphorhinge.Incarnation
+}
+
+// Kind classifies an Error.
+type Kind string
+
+// KindConfig marks a Config that can't be used.
+const KindConfig Kind = "config"
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("fleet: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// New returns a Fleet that announces once Run is called.
+func New(cfg Config) (*Fleet, error) {
+	if cfg.Targets < 1 || len(cfg.Announce) == 0 || len(cfg.Zones) == 0 {
+		return nil, &Error{Op: "new", Kind: KindConfig, Err: fmt.Errorf("%d targets, %d nodes, %d zones; expected at least 1 of each",
+			cfg.Targets, len(cfg.Announce), len(cfg.Zones))}
+	}
+	return &Fleet{
+		cfg:         cfg,
+		client:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: posts}, Timeout: postTimeout},
+		incarnation: camphorhinge.Incarnation(time.Now().UnixMilli()),
+	}, nil
+}
+
+// Run announces each engine once in each AnnounceInterval until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	defer f.client.CloseIdleConnections()
+	ticker := time.NewTicker(camphorhinge.AnnounceInterval / turns)
+	defer ticker.Stop()
+	for turn := 0; ; turn++ {
+		f.announce(ctx, turn)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// announce posts the announcements of one turn.
+func (f *Fleet) announce(ctx context.Context, turn int) {
+	var g errgroup.Group
+	g.SetLimit(posts * len(f.cfg.Announce))
+	for i := turn % turns; i < f.cfg.Targets; i += turns {
+		g.Go(func() error {
+			f.post(ctx, i, camphorhinge.Sequence(turn/turns+1))
+			return nil
+		})
+	}
+	_ = g.Wait() // The functions return no error.
+}
+
+// post sends one announcement. A node that can't be reached misses it, as it would a real target's.
+func (f *Fleet) post(ctx context.Context, i int, seq camphorhinge.Sequence) {
+	body, err := json.Marshal(f.announcement(i, seq))
+	if err != nil {
+		panic("encode announcement: " + err.Error()) // An announcement has only marshalable fields.
+	}
+	url := strings.TrimSuffix(f.cfg.Announce[i%len(f.cfg.Announce)], "/") + "/v1/announce"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+}
+
+// announcement returns the state of a busy engine, which differs from one announcement to the next.
+func (f *Fleet) announcement(i int, seq camphorhinge.Sequence) camphorhinge.Announcement {
+	const (
+		// Ports from 1 to 1,024 have no listener here, so that a poll fails at once.
+		ports  = 1024
+		batch  = 32
+		blocks = 256
+	)
+	running := (i + int(seq)) % batch
+	return camphorhinge.Announcement{
+		Name:    camphorhinge.TargetName(fmt.Sprintf("engine-%05d", i)),
+		Service: f.cfg.Service, Address: fmt.Sprintf("127.0.0.1:%d", i%ports+1), Zone: camphorhinge.Zone(f.cfg.Zones[i%len(f.cfg.Zones)]),
+		Incarnation: f.incarnation, Seq: seq, Kind: camphorhinge.KindEngine, Role: camphorhinge.RoleMixed,
+		Models: []camphorhinge.ModelName{f.cfg.Model}, Fencing: camphorhinge.FencingIgnored, Orders: camphorhinge.OrdersPlain,
+		Load: camphorhinge.Load{
+			Running: running, Waiting: running / 2, Tokens: camphorhinge.Tokens(1000 * running), Blocks: blocks,
+			FreeBlocks: camphorhinge.Blocks(blocks - 4*running), Age: 100,
+		},
+	}
+}
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -27,6 +27,11 @@
 	Words, Output int
 	// Deposit is the path for non-idempotent requests; empty sends none. With both, every second request is a deposit.
 	Deposit string
+	// Get is the path for idempotent requests of a plain service; they replace completions.
+	Get string
+	// Direct is the base URL of a target, or empty. Every second pair of requests then goes straight to it, so that one run
+	// measures a node and its target under the same conditions.
+	Direct string
 	// Key is the API key, or empty.
 	Key string
 	// Counters are base URLs of stand-in services whose counters are compared with what callers were told.
@@ -65,6 +70,11 @@
 	// First and Whole are latencies to the first piece and to the end.
 	First Latency `json:"first"`
 	Whole Latency `json:"whole"`
+	// DirectFirst and DirectWhole are those of the requests that went straight to the target, which First and Whole leave out.
+	DirectFirst Latency `json:"directFirst,omitzero"`
+	DirectWhole Latency `json:"directWhole,omitzero"`
+	// Direct counts whole answers of requests that went straight to the target; Complete counts them too.
+	Direct int `json:"direct,omitempty"`
 	// Examples are the first few faults, in words.
 	Examples []string `json:"examples,omitempty"`
 }
@@ -93,17 +103,25 @@
 
 	mu       sync.Mutex
 	report   Report
-	first    *hdrhistogram.Histogram
-	whole    *hdrhistogram.Histogram
+	nodes    histograms
+	direct   histograms
 	deposits map[string]ending
 }
 
+// histograms are in microseconds.
+type histograms struct{ first, whole *hdrhistogram.Histogram }
+
+func newHistograms() histograms {
+	const digits = 3
+	return histograms{first: hdrhistogram.New(1, maxLatency, digits), whole: hdrhistogram.New(1, maxLatency, digits)}
+}
+
 // Run sends the requests of cfg and checks their answers.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
 	r := &runner{
 		cfg: cfg, balancer: newBalancer(cfg.Nodes), deposits: map[string]ending{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Workers, DisableCompression: true}},
-		first:  hdrhistogram.New(1, maxLatency, 3), whole: hdrhistogram.New(1, maxLatency, 3),
+		nodes:  newHistograms(), direct: newHistograms(),
 	}
 	defer r.client.CloseIdleConnections()
 	watch, stop := context.WithCancel(ctx)
@@ -120,7 +138,8 @@
 		return nil, err
 	}
 	r.report.Duration = time.Since(started)
-	r.report.First, r.report.Whole = summary(r.first), summary(r.whole)
+	r.report.First, r.report.Whole = summary(r.nodes.first), summary(r.nodes.whole)
+	r.report.DirectFirst, r.report.DirectWhole = summary(r.direct.first), summary(r.direct.whole)
 	if err := r.compare(ctx); err != nil {
 		return nil, err
 	}
@@ -151,29 +170,38 @@
 }
 
 func (r *runner) one(ctx context.Context, i int) {
-	deposit := r.cfg.Deposit != "" && (r.cfg.Model == "" || i%2 == 1)
+	deposit := r.cfg.Deposit != "" && (r.cfg.Model == "" && r.cfg.Get == "" || i%2 == 1)
+	direct := r.cfg.Direct != "" && i/2%2 == 1
 	var e ending
-	if deposit {
-		e = r.deposit(ctx, i)
-	} else {
-		e = r.complete(ctx, i)
+	switch {
+	case deposit:
+		e = r.deposit(ctx, i, direct)
+	case r.cfg.Get != "":
+		e = r.get(ctx, direct)
+	default:
+		e = r.complete(ctx, i, direct)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Requests++
 	r.report.Resent += e.resent
-	r.count(e)
+	r.count(e, direct)
 	if deposit {
 		r.deposits[e.key] = e
 	}
 }
 
-func (r *runner) count(e ending) {
+func (r *runner) count(e ending, direct bool) {
 	switch e.kind {
 	case endComplete:
 		r.report.Complete++
-		record(r.first, e.first)
-		record(r.whole, e.whole)
+		h := r.nodes
+		if direct {
+			r.report.Direct++
+			h = r.direct
+		}
+		record(h.first, e.first)
+		record(h.whole, e.whole)
 		return
 	case endWrong:
 		r.report.Wrong++
@@ -227,6 +255,12 @@
 	fmt.Fprintf(w, "first piece p50 %v p99 %v max %v; whole p50 %v p99 %v max %v; %.0f complete/s over %v\n",
 		r.First.P50, r.First.P99, r.First.Max, r.Whole.P50, r.Whole.P99, r.Whole.Max,
 		float64(r.Complete)/r.Duration.Seconds(), r.Duration.Round(time.Millisecond))
+	if r.Direct > 0 {
+		fmt.Fprintf(w, "straight to the target: first piece p50 %v p99 %v max %v; whole p50 %v p99 %v max %v\n",
+			r.DirectFirst.P50, r.DirectFirst.P99, r.DirectFirst.Max, r.DirectWhole.P50, r.DirectWhole.P99, r.DirectWhole.Max)
+		fmt.Fprintf(w, "added by the node: first piece p50 %v p99 %v; whole p50 %v p99 %v\n",
+			r.First.P50-r.DirectFirst.P50, r.First.P99-r.DirectFirst.P99, r.Whole.P50-r.DirectWhole.P50, r.Whole.P99-r.DirectWhole.P99)
+	}
 	for _, e := range r.Examples {
 		fmt.Fprintf(w, "  %s\n", e)
 	}
--- a/internal/standin/load/request.go
+++ b/internal/standin/load/request.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/standin/engine"
 	"example.org/camphorhinge/internal/standin/service"
@@ -54,8 +56,11 @@
 	return ending{kind: endCut, detail: err.Error(), refused: errors.As(err, &op) && op.Op == "dial"}
 }
 
-// balanced calls try on ready nodes until a connection opens.
-func (r *runner) balanced(ctx context.Context, try func(node string) ending) ending {
+// balanced calls try on ready nodes until a connection opens, or once on the target.
+func (r *runner) balanced(ctx context.Context, direct bool, try func(base string) ending) ending {
+	if direct {
+		return try(r.cfg.Direct)
+	}
 	var e ending
 	for range connectTries {
 		e = try(r.balancer.pick())
@@ -72,12 +77,16 @@
 	return e
 }
 
-func (r *runner) post(ctx context.Context, url, key string, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+func (r *runner) post(ctx context.Context, base, path, key string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if base == r.cfg.Direct {
+		// Engines refuse a request without an attempt id.
+		req.Header.Set(camphorhinge.HeaderAttempt, uuid.NewString())
+	}
 	if r.cfg.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+r.cfg.Key)
 	}
@@ -108,7 +117,7 @@
 }
 
 // complete streams one completion and compares it with the stand-in's answer.
-func (r *runner) complete(ctx context.Context, i int) ending {
+func (r *runner) complete(ctx context.Context, i int, direct bool) ending {
 	prompt := fmt.Sprintf("run %d request %d ", r.cfg.Seed, i) + strings.Repeat("sand board ", r.cfg.Words/2)
 	body, err := json.Marshal(engine.Request{
 		Model: camphorhinge.ModelName(r.cfg.Model), Prompt: prompt, MaxTokens: r.cfg.Output, Stream: true,
@@ -116,9 +125,9 @@
 	if err != nil {
 		return ending{kind: endWrong, detail: err.Error()}
 	}
-	return r.balanced(ctx, func(node string) ending {
+	return r.balanced(ctx, direct, func(base string) ending {
 		started := time.Now()
-		resp, err := r.post(ctx, node+"/v1/completions", "", body)
+		resp, err := r.post(ctx, base, "/v1/completions", "", body)
 		if err != nil {
 			return failed(err)
 		}
@@ -180,14 +189,45 @@
 	return ending{kind: endCut, detail: "stream ended without its end mark"}
 }
 
+// get sends one idempotent request without a body.
+func (r *runner) get(ctx context.Context, direct bool) ending {
+	return r.balanced(ctx, direct, func(base string) ending {
+		started := time.Now()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+r.cfg.Get, http.NoBody)
+		if err != nil {
+			return ending{kind: endWrong, detail: err.Error()}
+		}
+		if r.cfg.Key != "" {
+			req.Header.Set("Authorization", "Bearer "+r.cfg.Key)
+		}
+		resp, err := r.client.Do(req)
+		if err != nil {
+			return failed(err)
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return refusal(resp)
+		}
+		var a service.Answer
+		if err := json.NewDecoder(io.LimitReader(resp.Body, answerLimit)).Decode(&a); err != nil {
+			return failed(err)
+		}
+		if a.Path != r.cfg.Get || a.Body != "" {
+			return ending{kind: endWrong, detail: fmt.Sprintf("answer for path %s", a.Path)}
+		}
+		took := time.Since(started)
+		return ending{kind: endComplete, first: took, whole: took}
+	})
+}
+
 // deposit sends one non-idempotent request and resends it under its key until the outcome is known.
-func (r *runner) deposit(ctx context.Context, i int) ending {
+func (r *runner) deposit(ctx context.Context, i int, direct bool) ending {
 	key := fmt.Sprintf("deposit-%d-%d", r.cfg.Seed, i)
 	body := []byte(fmt.Sprintf(`{"board":%d,"amount":"12.50"}`, i))
 	deadline := time.Now().Add(r.cfg.Settle)
 	resent := 0
 	for {
-		e := r.balanced(ctx, func(node string) ending { return r.depositOnce(ctx, node, key, body) })
+		e := r.balanced(ctx, direct, func(base string) ending { return r.depositOnce(ctx, base, key, body) })
 		e.key, e.resent = key, resent
 		settled := e.kind == endComplete || e.kind == endWrong || e.kind == endRun
 		if settled || ctx.Err() != nil || time.Now().After(deadline) {
@@ -198,9 +238,9 @@
 	}
 }
 
-func (r *runner) depositOnce(ctx context.Context, node, key string, body []byte) ending {
+func (r *runner) depositOnce(ctx context.Context, base, key string, body []byte) ending {
 	started := time.Now()
-	resp, err := r.post(ctx, node+r.cfg.Deposit, key, body)
+	resp, err := r.post(ctx, base, r.cfg.Deposit, key, body)
 	if err != nil {
 		return failed(err)
 	}
