--- a/internal/node/server/bench_test.go
+++ b/internal/node/server/bench_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -21,17 +20,12 @@
 	"example.org/camphorhinge/internal/standin/service"
 )
 
-const benchRecords = `schema: 2
-kind: service
-name: pedidos-app
-version: 1
-spec: {type: plain, paths: [/pedidos]}
-`
-
 // BenchmarkPlain sends GET requests through a node to a stand-in service; callers and the service run in the same process.
 // Run it with -cpuprofile to see what a request costs.
 func BenchmarkPlain(b *testing.B) {
 	dir := b.TempDir()
+	records, err := os.ReadFile("../../../scripts/endtoend.yaml")
+	require.NoError(b, err)
 	token := filepath.Join(dir, "token")
 	require.NoError(b, os.WriteFile(token, []byte("operator-token-of-the-benchmark"), 0o600))
 	ctx, stop := context.WithCancel(context.Background())
@@ -58,7 +52,12 @@
 	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	defer h.CloseIdleConnections()
 	get := func() int {
-		resp, err := h.Get("http://" + s.Addresses().Caller + "/pedidos")
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Addresses().Caller+"/pedidos", http.NoBody)
+		if err != nil {
+			return 0
+		}
+		req.Header.Set("Authorization", "Bearer guias-demo")
+		resp, err := h.Do(req)
 		if err != nil {
 			return 0
 		}
@@ -67,9 +66,9 @@
 		return resp.StatusCode
 	}
 	require.Eventually(b, func() bool {
-		_, err := c.Apply(ctx, []byte(benchRecords), false)
+		_, err := c.Apply(ctx, records, false)
 		return err == nil && get() == http.StatusOK
-	}, 20*time.Second, 50*time.Millisecond, strings.TrimSpace(benchRecords))
+	}, 20*time.Second, 50*time.Millisecond)
 
 	b.SetParallelism(4)
 	b.ReportAllocs()
