Size the buffer of a plain answer by its length

Cause: each answer of a plain service, and each body of unknown length, got a buffer of 256 KiB. It was 88 % of what a node allocated for such a request. Ruled out: a pool of such buffers, since a claimed answer keeps its body.

--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -82,18 +82,39 @@
 	if in.body == nil {
 		return nil
 	}
-	head := make([]byte, keepBody)
-	n, err := io.ReadFull(in.body, head)
-	c.head = head[:n]
+	var err error
+	c.head, err = readHead(in.body, in.length)
 	switch {
 	case err == nil:
-		c.rest = &capped{r: in.body, left: limit - int64(n)}
+		c.rest = &capped{r: in.body, left: limit - int64(len(c.head))}
 	case !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
 		return refuse(KindInvalid, http.StatusBadRequest, "the body could not be read: %w", err)
 	}
 	return nil
 }
 
+// firstPart is the first size of the buffer for a body of unknown length.
+const firstPart = 4 << 10
+
+// readHead reads a body up to its end or to keepBody bytes. The error is nil when keepBody bytes were read, and io.EOF or
+// io.ErrUnexpectedEOF at the end of the body. Length is the body's size in bytes, or -1 when it is not known. The buffer
+// follows the size: one of keepBody bytes for each call was nine tenths of all that a node allocated.
+func readHead(r io.Reader, length int64) ([]byte, error) {
+	size := int64(firstPart)
+	if length >= 0 {
+		size = length + 1 // The end of the body is seen only by reading past it.
+	}
+	head := make([]byte, 0, min(size, keepBody))
+	for {
+		n, err := io.ReadFull(r, head[len(head):cap(head)])
+		head = head[:len(head)+n]
+		if err != nil || len(head) == keepBody {
+			return head, err
+		}
+		head = append(make([]byte, 0, min(2*len(head), keepBody)), head...)
+	}
+}
+
 // capped fails a body of unknown length that exceeds the limit.
 type capped struct {
 	r    io.Reader
@@ -161,9 +182,7 @@
 // answer passes the target's answer on. An answer of up to 256 KiB is received as a whole before the caller gets any of
 // it; an error of a longer one wraps errWritten. told is set when the caller left.
 func (c *call) answer(a *exchange.Answer) (told *Error, err error) {
-	head := make([]byte, keepBody)
-	n, err := io.ReadFull(a, head)
-	head = head[:n]
+	head, err := readHead(a, a.Length)
 	whole := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && a.Whole()
 	if err != nil && !whole {
 		return nil, err
--- /dev/null
+++ b/internal/request/frontend/plain_test.go
@@ -0,0 +1,30 @@
+package frontend
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a body that is cut, or taken for whole, where it ends on a bound of the growing buffer.
+func TestReadHead(t *testing.T) {
+	for _, size := range []int{0, 1, firstPart - 1, firstPart, firstPart + 1, keepBody - 1, keepBody, keepBody + 1} {
+		body := bytes.Repeat([]byte("x"), size)
+		for _, length := range []int64{-1, int64(size)} {
+			for _, r := range []io.Reader{bytes.NewReader(body), iotest.DataErrReader(iotest.HalfReader(bytes.NewReader(body)))} {
+				head, err := readHead(r, length)
+				require.Equal(t, body[:min(size, keepBody)], head, "size %d, length %d", size, length)
+				if size >= keepBody {
+					require.NoError(t, err, "size %d, length %d", size, length)
+					continue
+				}
+				require.ErrorContains(t, err, "EOF", "size %d, length %d", size, length)
+			}
+		}
+	}
+	_, err := readHead(iotest.ErrReader(io.ErrNoProgress), 10)
+	require.ErrorIs(t, err, io.ErrNoProgress)
+}
