Keep a target's load correction as running sums

Cause: each choice walked all flights of a target since its last load report. Now the sums are updated as attempts begin and end, and the flights are walked once for each new report.

--- a/internal/request/route/cost.go
+++ b/internal/request/route/cost.go
@@ -17,6 +17,7 @@
 	// speed is the learned ratio of real to estimated durations.
 	speed    float64
 	flights  []*flight
+	sums     sums
 	cacheSeq camphorhinge.Sequence
 	prefixes map[uint64]struct{}
 	// held is the number of leading blocks held of the prompt of the pick numbered marked.
@@ -26,10 +27,40 @@
 
 // flight is one attempt of this node; it is kept until a load report is newer than its end.
 type flight struct {
-	sent, done camphorhinge.Instant
-	ended      bool
-	tokens     camphorhinge.Tokens
-	blocks     camphorhinge.Blocks
+	incarnation camphorhinge.Incarnation
+	sent, done  camphorhinge.Instant
+	ended       bool
+	tokens      camphorhinge.Tokens
+	blocks      camphorhinge.Blocks
+}
+
+// sums correct the load report that was taken at a time. They are kept up to date with each attempt that begins or ends:
+// a busy target has thousands of flights between two reports, too many to look at for each request.
+type sums struct {
+	taken camphorhinge.Instant
+	// running, tokens and blocks are those of attempts that began after the report and still run.
+	running int
+	tokens  camphorhinge.Tokens
+	blocks  camphorhinge.Blocks
+	// ended, left and freed are those of attempts that the report has as running and that ended since.
+	ended int
+	left  float64
+	freed camphorhinge.Blocks
+}
+
+// count adds a flight, or with a sign of -1 takes it away.
+func (s *sums) count(f *flight, sign int) {
+	switch {
+	case f.sent > s.taken && !f.ended:
+		s.running += sign
+		s.tokens += f.tokens * camphorhinge.Tokens(sign)
+		s.blocks += f.blocks * camphorhinge.Blocks(sign)
+	case f.sent <= s.taken && f.ended && f.done > s.taken:
+		// What was left of it when the report was taken, if it went on evenly.
+		s.ended += sign
+		s.left += float64(f.tokens) * float64(f.done-s.taken) / float64(f.done-f.sent) * float64(sign)
+		s.freed += f.blocks * camphorhinge.Blocks(sign)
+	}
 }
 
 // work is the estimated load of a target now.
@@ -43,28 +74,48 @@
 // for all nodes, since the others see the same report and choose alike.
 func (t *targetState) work(load camphorhinge.Load, taken camphorhinge.Instant, nodes float64) work {
 	w := work{running: float64(load.Running + load.Waiting), tokens: float64(load.Tokens), free: load.FreeBlocks}
+	if taken != t.sums.taken {
+		t.recount(taken)
+	}
+	w.running += float64(t.sums.running)*nodes - float64(t.sums.ended)
+	w.tokens += float64(t.sums.tokens)*nodes - t.sums.left
+	w.free += t.sums.freed - camphorhinge.Blocks(float64(t.sums.blocks)*nodes)
+	w.running, w.tokens = max(0, w.running), max(0, w.tokens)
+	return w
+}
+
+// recount drops the flights that a report taken at the given time knows to have ended, and sums up the others.
+func (t *targetState) recount(taken camphorhinge.Instant) {
+	t.sums = sums{taken: taken}
 	keep := t.flights[:0]
 	for _, f := range t.flights {
 		if f.ended && f.done <= taken {
-			continue // the report knows it
+			continue
 		}
 		keep = append(keep, f)
-		switch {
-		case f.sent > taken && !f.ended:
-			w.running += nodes
-			w.tokens += float64(f.tokens) * nodes
-			w.free -= camphorhinge.Blocks(float64(f.blocks) * nodes)
-		case f.sent <= taken && f.ended:
-			// What was left of it when the report was taken, if it went on evenly.
-			w.running--
-			w.tokens -= float64(f.tokens) * float64(f.done-taken) / float64(f.done-f.sent)
-			w.free += f.blocks
-		}
+		t.sums.count(f, 1)
 	}
 	clear(t.flights[len(keep):])
 	t.flights = keep
-	w.running, w.tokens = max(0, w.running), max(0, w.tokens)
-	return w
+}
+
+// begin notes a flight of the present incarnation.
+func (t *targetState) begin(f *flight) {
+	f.incarnation = t.incarnation
+	t.flights = append(t.flights, f)
+	t.sums.count(f, 1)
+}
+
+// end notes the end of a flight, which may be one of an earlier incarnation.
+func (t *targetState) end(f *flight, now camphorhinge.Instant) {
+	known := f.incarnation == t.incarnation
+	if known {
+		t.sums.count(f, -1)
+	}
+	f.ended, f.done = true, now
+	if known {
+		t.sums.count(f, 1)
+	}
 }
 
 // share is the part of its full work that a target may get, by its slow start.
--- a/internal/request/route/router.go
+++ b/internal/request/route/router.go
@@ -397,7 +397,7 @@
 		f.tokens += max(0, prompt-camphorhinge.Tokens(held)*camphorhinge.BlockTokens)
 		est = r.cfg.engine(t, s, w, prompt, output, held)
 	}
-	s.flights = append(s.flights, f)
+	s.begin(f)
 	s.breaker.sent()
 	return func(res camphorhinge.AttemptResult) { r.ended(req, s, f, est, res) }
 }
@@ -409,7 +409,7 @@
 	if f.ended {
 		return
 	}
-	f.ended, f.done = true, now
+	s.end(f, now)
 	if s.breaker.ended(res.Failed, now) {
 		s.since = now
 	}
@@ -451,7 +451,8 @@
 	s.seen = now
 	if t.Incarnation > s.incarnation {
 		r.index.drop(s)
-		s.incarnation, s.since, s.cacheSeq, s.flights = t.Incarnation, now, 0, nil
+		s.incarnation, s.since, s.cacheSeq = t.Incarnation, now, 0
+		s.flights, s.sums = nil, sums{}
 	}
 	return s
 }
