--- a/internal/cli/command/standin.go
+++ b/internal/cli/command/standin.go
@@ -109,7 +109,7 @@
 	cmd.Flag("tokens", "Output tokens of each completion.").Default("32").IntVar(&cfg.Output)
 	cmd.Flag("deposit", "Path of non-idempotent requests.").StringVar(&cfg.Deposit)
 	cmd.Flag("get", "Path of idempotent requests of a plain service, in place of completions.").StringVar(&cfg.Get)
-	cmd.Flag("direct", "Base URL of a target to which every second pair of requests goes without a node.").StringVar(&cfg.Direct)
+	cmd.Flag("direct", "Base URL of a target to which one request in eight goes without a node.").StringVar(&cfg.Direct)
 	cmd.Flag("key", "API key.").StringVar(&cfg.Key)
 	cmd.Flag("counters", "Base URL of a stand-in service to compare with; may be repeated.").StringsVar(&cfg.Counters)
 	cmd.Flag("allow-cuts", "Don't fail on cut connections, for runs in which nodes are killed.").BoolVar(&cfg.AllowCuts)
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -29,7 +29,7 @@
 	Deposit string
 	// Get is the path for idempotent requests of a plain service; they replace completions.
 	Get string
-	// Direct is the base URL of a target, or empty. Every second pair of requests then goes straight to it, so that one run
+	// Direct is the base URL of a target, or empty. One request in directShare then goes straight to it, so that one run
 	// measures a node and its target under the same conditions.
 	Direct string
 	// Key is the API key, or empty.
@@ -89,6 +89,8 @@
 const (
 	// maxLatency is the longest latency told apart, in microseconds.
 	maxLatency = int64(10 * time.Minute / time.Microsecond)
+	// directShare keeps the load of the direct requests on the machine low against that of the others.
+	directShare = 8
 	// maxExamples bounds Report.Examples.
 	maxExamples = 8
 	// answerLimit bounds an answer, in bytes.
@@ -171,7 +173,7 @@
 
 func (r *runner) one(ctx context.Context, i int) {
 	deposit := r.cfg.Deposit != "" && (r.cfg.Model == "" && r.cfg.Get == "" || i%2 == 1)
-	direct := r.cfg.Direct != "" && i/2%2 == 1
+	direct := r.cfg.Direct != "" && i/2%directShare == 0
 	var e ending
 	switch {
 	case deposit:
