Report the output of whole and of moved answers

Cause: a whole answer was reported without output, so that the role policy and the router learned nothing from callers that don't stream; a stream that moved between engines was reported as two answers, which halved the mean output. A whole answer now counts the tokens that its usage states, and no first byte, since its time per token is not known; a moved leg counts as no answer of its own.

--- a/interfaces.go
+++ b/interfaces.go
@@ -133,7 +133,7 @@
 	Class RunClass
 	// Failed is true when the target or the connection failed.
 	Failed bool
-	// FirstByte is the time to the first byte, or 0 when none came.
+	// FirstByte is the time to the first byte of an answer that comes in pieces, or 0.
 	FirstByte time.Duration
 	// Output is the number of output tokens received.
 	Output Tokens
--- a/internal/request/frontend/job.go
+++ b/internal/request/frontend/job.go
@@ -195,11 +195,16 @@
 }
 
 // end reports the attempt's end; err is nil for a complete answer. Later calls have no effect.
-func (l *leg) end(err error) {
+func (l *leg) end(err error) { l.finish(err, false) }
+
+// moveOn reports that another leg goes on with the answer.
+func (l *leg) moveOn() { l.finish(nil, true) }
+
+func (l *leg) finish(err error, moved bool) {
 	if l.sent == nil {
 		return
 	}
-	r := camphorhinge.AttemptResult{Class: camphorhinge.Run, FirstByte: l.first, Output: l.pieces}
+	r := camphorhinge.AttemptResult{Class: camphorhinge.Run, FirstByte: l.first, Output: l.pieces, Moved: moved}
 	crashed := false
 	if err != nil {
 		e := attemptError(err)
--- a/internal/request/frontend/model.go
+++ b/internal/request/frontend/model.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -113,7 +114,6 @@
 		return nil, nil, err
 	}
 	defer a.Close()
-	l.first = a.FirstByte()
 	answer, err := io.ReadAll(io.LimitReader(a, j.f.cfg.Answer+1))
 	switch {
 	case err != nil:
@@ -129,5 +129,19 @@
 			Body: answer, Err: fmt.Errorf("target answered with status %d", a.Status),
 		}
 	}
+	l.pieces = outputTokens(answer)
 	return a, answer, nil
 }
+
+// outputTokens returns the number of output tokens that a whole answer states, or 0.
+func outputTokens(answer []byte) camphorhinge.Tokens {
+	var a struct {
+		Usage struct {
+			Completion camphorhinge.Tokens `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if json.Unmarshal(answer, &a) != nil {
+		return 0
+	}
+	return max(a.Usage.Completion, 0)
+}
--- a/internal/request/frontend/relay.go
+++ b/internal/request/frontend/relay.go
@@ -126,7 +126,7 @@
 		if r.leaves(l) {
 			if next, nl := r.move(ctx, l, s.Offset()); next != nil {
 				s.Close()
-				l.end(nil)
+				l.moveOn()
 				r.cancel(l)
 				s, l, r.moved = next, nl, false
 			}
--- a/internal/request/route/router.go
+++ b/internal/request/route/router.go
@@ -427,7 +427,7 @@
 		ratio := min(4, max(0.25, float64(took)/float64(expected)))
 		s.speed = min(8, max(0.1, s.speed*(1+speedWeight*(ratio-1))))
 	}
-	if res.Output > 0 {
+	if res.Output > 0 && !res.Moved {
 		h := r.history[req.Service]
 		if h == nil {
 			h = &history{}
