--- a/internal/state/replica/harness_test.go
+++ b/internal/state/replica/harness_test.go
@@ -75,6 +75,8 @@
 	// err is what Run returned last.
 	err   error
 	hooks []string
+	// seen is the number of lines in the machine when OnLeader was called last.
+	seen int
 }
 
 // lab is a group of replicas in one synctest bubble, over a network with a delay of 1.5 ms.
@@ -177,7 +179,7 @@
 		OnLeader: func(camphorhinge.Term) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			v.hooks = append(v.hooks, "leader")
+			v.hooks, v.seen = append(v.hooks, "leader"), len(v.machine.read())
 		},
 		OnFollower: func(camphorhinge.Term) {
 			l.mu.Lock()
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -23,8 +24,8 @@
 	require.Equal(t, kind, e.Kind, "%v", err)
 }
 
-// TestLeaderKilled guards against acknowledged commands that are lost with the leader, and against a takeover that takes
-// longer than 2 s plus the votes.
+// TestLeaderKilled guards against acknowledged commands that are lost with the leader, against a takeover that takes
+// longer than 2 s, and against a new leader that starts its work on incomplete state.
 func TestLeaderKilled(t *testing.T) {
 	t.Parallel()
 	inBubble(t, func(t *testing.T, l *lab) {
@@ -41,6 +42,10 @@
 			next := l.leader()
 			require.NotEqual(t, old.id, next.id)
 			require.Less(t, time.Since(begin), 2*time.Second)
+			synctest.Wait()
+			l.mu.Lock()
+			require.Equal(t, len(want), next.seen, "OnLeader came before the state was complete")
+			l.mu.Unlock()
 			l.propose("after")
 			want = append(want, "after")
 			old.restart()
@@ -113,6 +118,83 @@
 	})
 }
 
+// TestAuthorityOfStalledLoop guards against a lease that looks valid because nothing updates what is known of it.
+func TestAuthorityOfStalledLoop(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.three()
+		r := l.leader().r
+		c := newCall("stall")
+		require.NoError(t, r.act(c, func(camphorhinge.Instant) {
+			time.Sleep(time.Second)
+			c.finish(nil, nil)
+		}))
+		time.Sleep(700 * time.Millisecond)
+		_, ok := r.Authority()
+		require.False(t, ok)
+		_, err := c.wait(t.Context(), true)
+		require.NoError(t, err)
+	})
+}
+
+// TestRepairedNeedsAllVoters guards against a repair that is reported while a voter misses the membership, so that the
+// loss of a second VM could lose committed state.
+func TestRepairedNeedsAllVoters(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(t *testing.T, l *lab) {
+		l.three()
+		v := l.leader()
+		require.NoError(t, v.r.Repaired(t.Context()))
+		var behind *vm
+		for _, x := range l.all() {
+			if x != v {
+				behind = x
+			}
+		}
+		behind.kill()
+		require.NoError(t, v.r.AddLearner(t.Context(), 4, ""))
+		require.NoError(t, v.r.Remove(t.Context(), 4))
+		requireKind(t, v.r.Repaired(t.Context()), KindUnrepaired)
+		behind.restart()
+		l.repaired()
+	})
+}
+
+// TestAssembler guards against a snapshot put together from parts that don't belong together.
+func TestAssembler(t *testing.T) {
+	t.Parallel()
+	part := func(term camphorhinge.Term, i camphorhinge.Index, offset uint64, data string, last bool) Chunk {
+		return Chunk{From: 1, Term: term, Index: i, Offset: offset, Data: []byte(data), Last: last}
+	}
+	tests := []struct {
+		name  string
+		parts []Chunk
+		// want is the data after the last part; it is empty when that part is refused.
+		want string
+	}{
+		{"whole", []Chunk{part(1, 5, 0, "ab", false), part(1, 5, 2, "c", true)}, "abc"},
+		{"one part", []Chunk{part(1, 5, 0, "abc", true)}, "abc"},
+		{"started again", []Chunk{part(1, 5, 0, "x", false), part(1, 5, 0, "ab", false), part(1, 5, 2, "c", true)}, "abc"},
+		{"gap", []Chunk{part(1, 5, 0, "a", false), part(1, 5, 2, "c", true)}, ""},
+		{"repeated part", []Chunk{part(1, 5, 0, "a", false), part(1, 5, 1, "b", false), part(1, 5, 1, "b", true)}, ""},
+		{"other snapshot", []Chunk{part(1, 5, 0, "a", false), part(1, 6, 1, "b", true)}, ""},
+		{"other term", []Chunk{part(1, 5, 0, "a", false), part(2, 5, 1, "b", true)}, ""},
+		{"no start", []Chunk{part(1, 5, 3, "a", true)}, ""},
+	}
+	for _, test := range tests {
+		var a assembler
+		for i, c := range test.parts {
+			data, err := a.add(c)
+			if i < len(test.parts)-1 {
+				require.NoError(t, err, test.name)
+				continue
+			}
+			require.Equal(t, test.want, string(data), test.name)
+			require.Equal(t, test.want == "", err != nil, test.name)
+		}
+	}
+}
+
 // TestPlannedTransfer guards against a handover that waits for an election timeout or loses a command.
 func TestPlannedTransfer(t *testing.T) {
 	t.Parallel()
@@ -188,6 +270,7 @@
 		}
 		for _, x := range l.vms {
 			x.restart()
+			require.Greater(t, x.r.Status().Applied, camphorhinge.Index(800), "the snapshot doesn't count as applied")
 		}
 		l.propose("tail")
 		l.requireEqual(append(want, "tail"))
