replica: make the batching test independent of scheduling

Syncs now take 5 ms of virtual time, and the bound of a quarter of the commands is stricter than before.

--- a/internal/state/replica/harness_test.go
+++ b/internal/state/replica/harness_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,6 +91,21 @@
 	chunks int
 	// snapshotEntries is passed to New.
 	snapshotEntries int
+	// syncTime is how long each sync takes; syncs counts those of all replicas.
+	syncTime time.Duration
+	syncs    atomic.Int64
+}
+
+// slowLog takes virtual time for each sync.
+type slowLog struct {
+	*wal.Log
+	l *lab
+}
+
+func (s slowLog) Sync() error {
+	s.l.syncs.Add(1)
+	time.Sleep(s.l.syncTime)
+	return s.Log.Sync()
 }
 
 func newLab(t *testing.T) *lab {
@@ -111,6 +127,13 @@
 	return v.r
 }
 
+// observed returns the number of delivered parts of snapshots, and what OnLeader of v saw last.
+func (l *lab) observed(v *vm) (chunks, seen int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chunks, v.seen
+}
+
 func (l *lab) setCut(id camphorhinge.ReplicaID, cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -173,7 +196,7 @@
 	require.NoError(l.t, err)
 	v.log, v.id, v.machine = log, log.Identity().Replica, &journal{}
 	r, err := New(Config{
-		Storage: log, Transport: link{l, v.id}, Clock: l.clock, Wall: func() int64 { return time.Now().UnixMilli() },
+		Storage: slowLog{log, l}, Transport: link{l, v.id}, Clock: l.clock, Wall: func() int64 { return time.Now().UnixMilli() },
 		Machines: map[camphorhinge.CommandKind]camphorhinge.Machine{testKind: v.machine},
 		Seed:     uint64(len(l.vms)), Log: slog.New(slog.DiscardHandler), SnapshotEntries: l.snapshotEntries,
 		OnLeader: func(camphorhinge.Term) {
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -43,9 +43,8 @@
 			require.NotEqual(t, old.id, next.id)
 			require.Less(t, time.Since(begin), 2*time.Second)
 			synctest.Wait()
-			l.mu.Lock()
-			require.Equal(t, len(want), next.seen, "OnLeader came before the state was complete")
-			l.mu.Unlock()
+			_, seen := l.observed(next)
+			require.Equal(t, len(want), seen, "OnLeader came before the state was complete")
 			l.propose("after")
 			want = append(want, "after")
 			old.restart()
@@ -213,13 +212,14 @@
 	})
 }
 
-// TestBatches guards against one sync per command: commands that wait together share syncs.
+// TestBatches guards against one sync per command: commands that wait during a sync share the next one.
 func TestBatches(t *testing.T) {
 	t.Parallel()
 	inBubble(t, func(t *testing.T, l *lab) {
+		l.syncTime = 5 * time.Millisecond
 		l.three()
 		v := l.leader()
-		v.disk.SetFaults(disk.Faults{})
+		before := l.syncs.Load()
 		const callers, each = 50, 20
 		g := new(errgroup.Group)
 		for i := range callers {
@@ -234,7 +234,7 @@
 		}
 		require.NoError(t, g.Wait())
 		require.Len(t, v.machine.read(), callers*each)
-		require.Less(t, v.disk.Operations(), callers*each)
+		require.Less(t, l.syncs.Load()-before, int64(callers*each/4))
 	})
 }
 
@@ -262,9 +262,8 @@
 		require.Greater(t, v.r.Status().First, camphorhinge.Index(100), "the log was not shortened")
 		late.restart()
 		l.requireEqual(want)
-		l.mu.Lock()
-		require.Greater(t, l.chunks, 2)
-		l.mu.Unlock()
+		chunks, _ := l.observed(late)
+		require.Greater(t, chunks, 2)
 		for _, x := range l.all() {
 			x.kill()
 		}
