Count each lease under the leader and list that grant it

Tables of the Control service and of the membership's steps, and fixes of what the review of them found:

- The removal of a node that stayed away could be committed while the node renewed: it then held a lease that the leader had released, and that a later leader did not know of.
Server.Forget refuses leases while a removal is under way and has the node listed anew after it, also when the outcome of the removal is uncertain.
- A replica that led, lost and regained leadership answered by its authority before the leases of the new term were counted; those of its earlier term could stand in.
It now answers once they are.
A wait that began in the earlier term is safe: all later leaders distribute the change.
- A node that gave its lease back and did not return stayed on the list while that leader led, and kept its share of each limit.
A farewell no longer lists an unlisted node.
- A learner that is listed but never catches up kept every other learner from being promoted, since only the first step was tried.
All steps that are needed are tried in turn, still one change at a time.
- A refused join was repeated without a pause and logged at debug level.
Only an empty folder asks now, and a stop ends the search.
- A renewal that was given up at a planned stop could reach the leader after the farewell.

Ruled out: a renewal with an earlier revision that arrives late only takes a confirmation back, which delays an acceptance.

--- a/internal/node/control/renewer.go
+++ b/internal/node/control/renewer.go
@@ -62,10 +62,11 @@
 	return slices.Clone(r.nodes)
 }
 
-// Run renews until ctx ends.
+// Run renews until ctx ends. A renewal under way then runs to its end, within renewTimeout: a request that is given up may
+// still reach the leader, even after a later Leave.
 func (r *Renewer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := r.renew(ctx, false)
+		err := r.renew(context.WithoutCancel(ctx), false)
 		r.noteState(err)
 		if err != nil && !pause(ctx) {
 			break
@@ -95,17 +96,7 @@
 func (r *Renewer) renew(ctx context.Context, leaving bool) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	r.mu.Lock()
-	if r.cfg.Mix != nil && r.mix == nil {
-		r.mix = r.cfg.Mix()
-	}
-	req := &peerpb.RenewRequest{
-		Node: r.cfg.Self.GetName(), Address: r.cfg.Self.GetAddress(), Zone: r.cfg.Self.GetZone(),
-		Revision: uint64(r.cfg.Mirror.View().Revision()), Term: r.term, Holds: r.holds, Leaving: leaving,
-		Full: r.gap || !r.cfg.Mirror.Known(), Mix: r.mix,
-	}
-	r.mu.Unlock()
-
+	req := r.request(leaving)
 	var sent camphorhinge.Instant
 	var resp *peerpb.RenewResponse
 	err := r.cfg.Client.lead(ctx, "renew", func(ctx context.Context, conn *peer.Conn) (verdict, error) {
@@ -123,6 +114,20 @@
 	return r.accept(sent, resp)
 }
 
+// request returns the next renewal.
+func (r *Renewer) request(leaving bool) *peerpb.RenewRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cfg.Mix != nil && r.mix == nil {
+		r.mix = r.cfg.Mix()
+	}
+	return &peerpb.RenewRequest{
+		Node: r.cfg.Self.GetName(), Address: r.cfg.Self.GetAddress(), Zone: r.cfg.Self.GetZone(),
+		Revision: uint64(r.cfg.Mirror.View().Revision()), Term: r.term, Holds: r.holds, Leaving: leaving,
+		Full: r.gap || !r.cfg.Mirror.Known(), Mix: r.mix,
+	}
+}
+
 // accept puts an answer in force and then counts its lease.
 func (r *Renewer) accept(sent camphorhinge.Instant, resp *peerpb.RenewResponse) error {
 	r.mu.Lock()
--- a/internal/node/control/renewer_test.go
+++ b/internal/node/control/renewer_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -15,6 +17,7 @@
 	"example.org/camphorhinge/internal/node/config"
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/record/schema"
 	"example.org/camphorhinge/internal/record/table"
 )
 
@@ -79,3 +82,95 @@
 	require.NoError(t, r.renew(t.Context(), false))
 	require.Equal(t, []string{"1", "2", "2", "2", "2", "3"}, l.reports)
 }
+
+// Guards against a configuration that goes back, a lease for changes that are not in force, and a lease that is counted
+// from the arrival of the answer.
+func TestRenewerAccept(t *testing.T) {
+	change := func(rev camphorhinge.Revision) []byte {
+		data, err := json.Marshal(table.Change{Key: schema.Key{Kind: schema.KindWorkspace, Name: "w"}, Write: table.Write{Revision: rev, Version: camphorhinge.Version(rev), Withdraw: true}})
+		require.NoError(t, err)
+		return data
+	}
+	full := func(term uint64, rev camphorhinge.Revision) *peerpb.RenewResponse {
+		return &peerpb.RenewResponse{Term: term, Full: true, Revision: uint64(rev), Changes: [][]byte{change(rev)}, Engines: []byte("e"), Holds: 4}
+	}
+	next := func(term uint64, rev camphorhinge.Revision) *peerpb.RenewResponse {
+		return &peerpb.RenewResponse{Term: term, Revision: uint64(rev), Changes: [][]byte{change(rev)}, Holds: 4}
+	}
+	for _, tt := range []struct {
+		name    string
+		answers []*peerpb.RenewResponse
+		// failed is the index of the answer that is refused, with its kind; the others are accepted.
+		failed int
+		kind   Kind
+		// want is what the next request says.
+		revision, holds, term uint64
+		full                  bool
+		// engines counts the decisions put in force, leases the renewals of the lease.
+		engines, leases int
+	}{
+		{name: "first", answers: []*peerpb.RenewResponse{full(2, 5)}, failed: -1, revision: 5, holds: 4, term: 2, engines: 1, leases: 1},
+		{
+			name: "deposed leader after its successor", answers: []*peerpb.RenewResponse{full(3, 5), full(2, 6)}, failed: 1, kind: KindRefused,
+			revision: 5, holds: 4, term: 3, engines: 1, leases: 1,
+		},
+		{
+			name: "gap, then all records", answers: []*peerpb.RenewResponse{full(2, 5), next(2, 7)}, failed: 1, kind: KindMalformed,
+			revision: 5, holds: 4, term: 2, full: true, engines: 1, leases: 1,
+		},
+		{
+			name: "repaired gap", answers: []*peerpb.RenewResponse{full(2, 5), next(2, 7), full(2, 7)}, failed: 1, kind: KindMalformed,
+			revision: 7, holds: 4, term: 2, engines: 2, leases: 2,
+		},
+		{name: "next change", answers: []*peerpb.RenewResponse{full(2, 5), next(2, 6)}, failed: -1, revision: 6, holds: 4, term: 2, engines: 1, leases: 2},
+		{
+			name: "holds that can't be decoded", failed: 0, kind: KindMalformed, revision: 5,
+			answers: []*peerpb.RenewResponse{{Term: 2, Full: true, Revision: 5, Changes: [][]byte{change(5)}, Engines: []byte("bad"), Holds: 4}},
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock, engines := bubbleClock{time.Now()}, 0
+				holder := config.NewHolder(clock, 0)
+				r := NewRenewer(RenewerConfig{
+					Mirror: table.NewMirror(), Holder: holder, Clock: clock, Scores: func([]byte) {}, Self: &peerpb.Node{},
+					Engines: func(e []byte) error {
+						if string(e) == "bad" {
+							return errLost
+						}
+						engines++
+						return nil
+					},
+				})
+				leases := 0
+				for i, resp := range tt.answers {
+					resp.Lease = uint64(config.LeaseTime.Milliseconds())
+					sent := clock.Now()
+					time.Sleep(500 * time.Millisecond)
+					err := r.accept(sent, resp)
+					if i == tt.failed {
+						var e *Error
+						require.ErrorAs(t, err, &e)
+						require.Equal(t, tt.kind, e.Kind)
+						continue
+					}
+					require.NoError(t, err)
+					leases++
+					// A lease of 2 s that was asked for 500 ms ago ends in 1.5 s.
+					time.Sleep(1500*time.Millisecond - 1)
+					require.Equal(t, config.StateFresh, holder.State())
+					time.Sleep(1 * time.Nanosecond)
+					require.Equal(t, config.StateExpired, holder.State())
+				}
+				require.Equal(t, tt.engines, engines)
+				require.Equal(t, tt.leases, leases)
+				require.Equal(t, tt.leases > 0, holder.State() != config.StateEmpty)
+				req := r.request(false)
+				require.Equal(t, tt.revision, req.GetRevision())
+				require.Equal(t, tt.holds, req.GetHolds())
+				require.Equal(t, tt.term, req.GetTerm())
+				require.Equal(t, tt.full, req.GetFull())
+			})
+		})
+	}
+}
--- a/internal/node/control/server.go
+++ b/internal/node/control/server.go
@@ -48,6 +48,8 @@
 
 	mu   sync.Mutex
 	wake chan struct{}
+	// unlisted holds the nodes that this replica took off the list, or tried to, and that were not listed again.
+	unlisted map[camphorhinge.NodeID]*removal
 
 	renewals, redirects, mixFailures *metrics.Counter
 }
@@ -57,6 +59,7 @@
 	return &Server{
 		cfg:       cfg,
 		wake:      make(chan struct{}),
+		unlisted:  map[camphorhinge.NodeID]*removal{},
 		renewals:  cfg.Metrics.NewCounter(`camphorhinge_renewals_total`),
 		redirects: cfg.Metrics.NewCounter(`camphorhinge_redirects_total`),
 
@@ -143,18 +146,20 @@
 	if !ok || term < camphorhinge.Term(req.GetTerm()) {
 		return s.notLeader(), nil
 	}
-	if err := s.ensureMember(ctx, req); err != nil {
-		return s.notLeader(), nil
-	}
 	name := camphorhinge.NodeID(req.GetNode())
 	if req.GetLeaving() {
 		s.cfg.Leases.Release(name)
 		return &peerpb.RenewResponse{Outcome: OutcomeDone, Term: uint64(term)}, nil
 	}
+	before, err := s.ensureMember(ctx, req)
+	if err != nil {
+		return s.notLeader(), nil
+	}
 	position := config.Position{Revision: camphorhinge.Revision(req.GetRevision()), Holds: req.GetHolds()}
 	if err := s.cfg.Leases.Renew(name, position); err != nil {
 		return s.notLeader(), nil
 	}
+	s.relisted(name, before)
 	if report := req.GetMix(); len(report) > 0 && s.cfg.Mix != nil && s.cfg.Mix(report) != nil {
 		s.mixFailures.Inc() // The demand is then taken for a little lower; the lease does not depend on it.
 	}
@@ -166,6 +171,9 @@
 	if now, ok := s.leads(); !ok || now != term {
 		return s.notLeader(), nil
 	}
+	if r, _ := s.removed(name); r != nil {
+		return s.notLeader(), nil // The removal began while this renewal was held.
+	}
 	s.renewals.Inc()
 	resp.Outcome, resp.Term = OutcomeDone, uint64(term)
 	resp.Lease = uint64(config.LeaseTime.Milliseconds())
@@ -177,18 +185,70 @@
 }
 
 // ensureMember commits the node to the list of nodes before it gets its first lease, so that a later leader knows of it.
-func (s *Server) ensureMember(ctx context.Context, req *peerpb.RenewRequest) error {
+// It returns the removal, if any, that the commit came after.
+func (s *Server) ensureMember(ctx context.Context, req *peerpb.RenewRequest) (*removal, error) {
 	name := camphorhinge.NodeID(req.GetNode())
+	before, ended := s.removed(name)
+	if before != nil && !ended {
+		return nil, &Error{Op: "renew", Kind: KindRefused, Err: errors.New("the node is being removed from the list")}
+	}
 	held, ok := s.cfg.Members.Get(name)
-	if ok && held.Address == req.GetAddress() && held.Zone == camphorhinge.Zone(req.GetZone()) {
+	if ok && before == nil && held.Address == req.GetAddress() && held.Zone == camphorhinge.Zone(req.GetZone()) {
+		return nil, nil
+	}
+	// Without a replica the command keeps the one that is listed, which a Join may be changing right now.
+	return before, s.change(ctx, member.ActionPut, member.Node{
+		Name: name, Address: req.GetAddress(), Zone: camphorhinge.Zone(req.GetZone()),
+	})
+}
+
+// removal is one attempt to take a node off the list.
+type removal struct{ ended bool }
+
+// removed returns the latest removal of a node that was not listed again since, and whether it has ended.
+func (s *Server) removed(name camphorhinge.NodeID) (r *removal, ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r = s.unlisted[name]
+	return r, r != nil && r.ended
+}
+
+// relisted notes that a node was listed after a removal and that its lease is counted again.
+func (s *Server) relisted(name camphorhinge.NodeID, after *removal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unlisted[name] == after {
+		delete(s.unlisted, name)
+	}
+}
+
+// Forget removes a node from the list unless it renewed its lease less than away ago. A node that returns meanwhile gets
+// no lease; later it is listed anew before its next lease, even when the outcome of the removal is not known. So no
+// node holds a lease that this leader or a later one does not know of.
+func (s *Server) Forget(ctx context.Context, name camphorhinge.NodeID, away time.Duration) error {
+	r := &removal{}
+	s.mu.Lock()
+	before := s.unlisted[name]
+	s.unlisted[name] = r
+	s.mu.Unlock()
+	if lease, ok := s.cfg.Leases.Members()[name]; ok && lease.Age <= away {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.unlisted[name] = before
 		return nil
 	}
-	held.Name, held.Address, held.Zone = name, req.GetAddress(), camphorhinge.Zone(req.GetZone())
-	return s.put(ctx, held)
+	err := s.change(ctx, member.ActionRemove, member.Node{Name: name})
+	if err == nil {
+		s.cfg.Leases.Release(name)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.ended = true
+	return err
 }
 
-func (s *Server) put(ctx context.Context, n member.Node) error {
-	command, err := json.Marshal(member.Command{Action: member.ActionPut, Node: n})
+func (s *Server) change(ctx context.Context, action member.Action, n member.Node) error {
+	command, err := json.Marshal(member.Command{Action: action, Node: n})
 	if err != nil {
 		return err
 	}
@@ -201,7 +261,7 @@
 		return err
 	}
 	if r.Refused != "" {
-		return &Error{Op: "put node", Kind: KindRefused, Err: errors.New(r.Refused)}
+		return &Error{Op: string(action) + " node", Kind: KindRefused, Err: errors.New(r.Refused)}
 	}
 	return nil
 }
@@ -251,7 +311,7 @@
 		return &peerpb.JoinResponse{Outcome: OutcomeRefused, Message: "the data folder belongs to another cluster"}, nil
 	}
 	n := decodeNode(req.GetNode())
-	if err := s.put(ctx, n); err != nil {
+	if err := s.change(ctx, member.ActionPut, n); err != nil {
 		return &peerpb.JoinResponse{Outcome: OutcomeUncertain, Message: err.Error()}, nil
 	}
 	return &peerpb.JoinResponse{Outcome: OutcomeDone, Cluster: cluster}, nil
--- a/internal/node/server/control.go
+++ b/internal/node/server/control.go
@@ -10,6 +10,7 @@
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/record/table"
+	"example.org/camphorhinge/internal/state/replica"
 )
 
 // buildControl makes the Control service: on a node without a replica it redirects to the leader.
@@ -22,7 +23,7 @@
 		Status:        func() ([]byte, error) { return json.Marshal(s.local()) },
 	}
 	if d := s.durable; d != nil {
-		cfg.Replica, cfg.Records, cfg.Members = d.replica, distributed{d.records}, d.members
+		cfg.Replica, cfg.Records, cfg.Members = leading{d.replica, d}, distributed{d.records}, d.members
 		cfg.Holds = d.book
 		cfg.Mix = d.mix.Add
 		cfg.Scores = d.scores
@@ -30,6 +31,22 @@
 		cfg.Cluster = func() camphorhinge.ClusterID { return d.cluster }
 	}
 	s.control = control.NewServer(cfg)
+	if s.durable != nil {
+		s.durable.control = s.control
+	}
+}
+
+// leading is a replica that answers as the leader only once the leases of its leadership are counted. Otherwise those of
+// an earlier leadership of this replica could stand in for them.
+type leading struct {
+	*replica.Replica
+	durable *durable
+}
+
+// Authority implements control.Replica.
+func (l leading) Authority() (camphorhinge.Term, bool) {
+	term, ok := l.Replica.Authority()
+	return term, ok && l.durable.led.Load() == uint64(term)
 }
 
 // acceptedRevision returns the revision of an accepted record command, or 0.
--- a/internal/node/server/durable.go
+++ b/internal/node/server/durable.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -32,6 +33,8 @@
 	discoverPause = 200 * time.Millisecond
 	// discoverTimeout bounds the search for the cluster to join.
 	discoverTimeout = 60 * time.Second
+	// joinPause is the time between two attempts to join; a refusal comes at once.
+	joinPause = time.Second
 	// callTimeout bounds one call of the replica's own upkeep.
 	callTimeout = 5 * time.Second
 	// transferTimeout bounds the hand-over of leadership at a planned stop.
@@ -56,13 +59,18 @@
 	crashes   *quarantine.Machine
 	book      *order.Book
 	// mix collects the nodes' reports while this replica leads.
-	mix *mix.Collector
+	mix     *mix.Collector
+	control *control.Server
+	// led is the term of the leadership that has begun, or 0.
+	led atomic.Uint64
+	// away tells since when a listed node that gave its lease back has not returned; only lead uses it.
+	away map[camphorhinge.NodeID]camphorhinge.Instant
 	// leads receives the terms of leaderships that began; 0 tells that one has ended.
 	leads chan camphorhinge.Term
 }
 
 // openDurable opens the data folder and makes the replica, if the node has one.
-func (s *Server) openDurable() error {
+func (s *Server) openDurable(ctx context.Context) error {
 	if s.cfg.Data == "" {
 		return nil
 	}
@@ -72,12 +80,15 @@
 	}
 	s.closers = append(s.closers, folder)
 	start := replica.Start{Bootstrap: s.cfg.Bootstrap, Address: s.self.GetAddress()}
-	if s.cfg.Join {
-		if start.Join, err = s.discover(); err != nil {
+	log, err := replica.Open(folder, wal.Config{}, start)
+	var failed *replica.Error
+	if s.cfg.Join && errors.As(err, &failed) && failed.Kind == replica.KindStart {
+		// Only an empty folder needs another node's answer: after a loss of all nodes none would answer first.
+		if start.Join, err = s.discover(ctx); err != nil {
 			return err
 		}
+		log, err = replica.Open(folder, wal.Config{}, start)
 	}
-	log, err := replica.Open(folder, wal.Config{}, start)
 	if err != nil {
 		return err
 	}
@@ -87,6 +98,7 @@
 		cluster: log.Identity().Cluster, id: log.Identity().Replica,
 		records: table.New(), members: member.New(), claims: claim.NewMachine(), crashes: quarantine.NewMachine(),
 		book: order.NewBook(), mix: mix.NewCollector(s.clock),
+		away:  map[camphorhinge.NodeID]camphorhinge.Instant{},
 		leads: make(chan camphorhinge.Term, 16),
 	}
 	s.self.Replica = uint64(d.id)
@@ -135,8 +147,8 @@
 }
 
 // discover asks the other nodes for the cluster that a new replica joins.
-func (s *Server) discover() (camphorhinge.ClusterID, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), discoverTimeout)
+func (s *Server) discover(ctx context.Context) (camphorhinge.ClusterID, error) {
+	ctx, cancel := context.WithTimeout(ctx, discoverTimeout)
 	defer cancel()
 	last := errors.New("no node answered")
 	for {
@@ -219,7 +231,16 @@
 		if err == nil {
 			return nil
 		}
-		d.log.Debug("join not answered", "error", err)
+		var refused *control.Error
+		if errors.As(err, &refused) && refused.Kind == control.KindRefused {
+			d.log.Error("join refused", "error", err)
+		} else {
+			d.log.Debug("join not answered", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinPause):
+		}
 	}
 	return nil
 }
--- a/internal/node/server/lead.go
+++ b/internal/node/server/lead.go
@@ -41,6 +41,7 @@
 // changed begins or ends a leadership. The replica calls it only after the machines hold all that earlier leaders
 // committed, so that no node gets an older configuration than one in force.
 func (d *durable) changed(term camphorhinge.Term) {
+	d.led.Store(0)
 	if term == 0 {
 		d.leases.Follow()
 		d.mix.Follow()
@@ -50,7 +51,9 @@
 	for _, n := range d.members.Nodes() {
 		names = append(names, n.Name)
 	}
+	clear(d.away)
 	d.leases.Lead(names)
+	d.led.Store(uint64(term))
 	d.mix.Lead()
 }
 
@@ -64,26 +67,31 @@
 	if d.putSelf(ctx, nodes) || d.forget(ctx, nodes) {
 		return
 	}
-	change, ok := nextChange(d.replica.Membership(), nodes, d.id)
-	if !ok {
-		return
+	// A learner that does not catch up must not keep another from being promoted.
+	for _, change := range nextChanges(d.replica.Membership(), nodes, d.id) {
+		err := d.apply(ctx, change)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		d.log.Debug("membership change waits", "replica", change.ID, "error", err)
 	}
-	var err error
-	switch change.Kind {
+}
+
+func (d *durable) apply(ctx context.Context, c consensus.Change) error {
+	switch c.Kind {
 	case consensus.AddLearner:
-		err = d.replica.AddLearner(ctx, change.ID, change.Address)
+		return d.replica.AddLearner(ctx, c.ID, c.Address)
 	case consensus.Promote:
-		err = d.replica.Promote(ctx, change.ID)
-	case consensus.Remove:
-		err = d.replica.Remove(ctx, change.ID)
-	}
-	if err != nil {
-		d.log.Debug("membership change waits", "replica", change.ID, "error", err)
+		return d.replica.Promote(ctx, c.ID)
+	default:
+		return d.replica.Remove(ctx, c.ID)
 	}
 }
 
-// nextChange returns the next single step of the membership, if one is needed.
-func nextChange(m consensus.Membership, nodes []member.Node, self camphorhinge.ReplicaID) (consensus.Change, bool) {
+// nextChanges returns the single steps of the membership that are needed now, the most urgent first. One of them is made;
+// the others are for when it is refused.
+func nextChanges(m consensus.Membership, nodes []member.Node, self camphorhinge.ReplicaID) []consensus.Change {
+	var out []consensus.Change
 	listed := map[camphorhinge.ReplicaID]member.Node{}
 	for _, n := range nodes {
 		if n.Replica != 0 {
@@ -92,7 +100,7 @@
 	}
 	for _, n := range nodes {
 		if _, ok := m.Find(n.Replica); n.Replica != 0 && !ok {
-			return consensus.Change{Kind: consensus.AddLearner, ID: n.Replica, Address: n.Address}, true
+			out = append(out, consensus.Change{Kind: consensus.AddLearner, ID: n.Replica, Address: n.Address})
 		}
 	}
 	kept := 0
@@ -108,12 +116,12 @@
 		_, ok := listed[x.ID]
 		switch {
 		case ok && !x.Voter && kept < voterCount:
-			return consensus.Change{Kind: consensus.Promote, ID: x.ID}, true
+			out = append(out, consensus.Change{Kind: consensus.Promote, ID: x.ID})
 		case !ok && x.ID != self && (!x.Voter || kept >= voterCount):
-			return consensus.Change{Kind: consensus.Remove, ID: x.ID}, true
+			out = append(out, consensus.Change{Kind: consensus.Remove, ID: x.ID})
 		}
 	}
-	return consensus.Change{}, false
+	return out
 }
 
 // putSelf lists this node with its replica; the node that bootstrapped the cluster joined no one.
@@ -129,16 +137,27 @@
 	return true
 }
 
-// forget removes a node without a replica that stayed away for long. Such a node can't serve any more, and gets listed
-// again when it comes back.
+// forget removes a node without a replica that stayed away for long, also one that gave its lease back at a planned stop.
+// Such a node can't serve any more, and gets listed again when it comes back.
 func (d *durable) forget(ctx context.Context, nodes []member.Node) bool {
-	leases := d.leases.Members()
+	leases, now := d.leases.Members(), d.clock.Now()
 	for _, n := range nodes {
 		lease, ok := leases[n.Name]
-		if n.Replica == 0 && ok && lease.Age > forgetAfter {
-			d.log.Info("node removed from the list", "node", n.Name, "away", lease.Age)
-			d.proposeMember(ctx, member.Command{Action: member.ActionRemove, Node: n})
-			d.leases.Release(n.Name)
+		age := lease.Age
+		if ok {
+			delete(d.away, n.Name)
+		} else {
+			if _, noted := d.away[n.Name]; !noted {
+				d.away[n.Name] = now
+			}
+			age = now.Sub(d.away[n.Name])
+		}
+		if n.Replica == 0 && age > forgetAfter {
+			delete(d.away, n.Name)
+			d.log.Info("node is being removed from the list", "node", n.Name, "away", age)
+			if err := d.control.Forget(ctx, n.Name, forgetAfter); err != nil {
+				d.log.Debug("list of nodes not changed", "error", err)
+			}
 			return true
 		}
 	}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/fleet/mix"
 	"example.org/camphorhinge/internal/fleet/order"
 	"example.org/camphorhinge/internal/fleet/registry"
@@ -81,7 +82,7 @@
 type Server struct {
 	cfg     setting.Serve
 	log     *slog.Logger
-	clock   clock.Boot
+	clock   camphorhinge.Clock
 	metrics *metrics.Set
 	ring    *decision.Ring
 	traces  *trace.Provider
@@ -125,7 +126,7 @@
 	steps := []func() error{
 		func() error { return s.openTraces(ctx, extra) },
 		s.openPeers,
-		s.openDurable,
+		func() error { return s.openDurable(ctx) },
 		s.buildFleet,
 		s.buildRequests,
 		s.openPorts,
@@ -328,7 +329,11 @@
 	g.Go(func() error { return s.spreader.Run(work) })
 	renewing, stopRenewing := context.WithCancel(work)
 	defer stopRenewing()
-	g.Go(func() error { return s.renewer.Run(renewing) })
+	renewed := make(chan struct{})
+	g.Go(func() error {
+		defer close(renewed)
+		return s.renewer.Run(renewing)
+	})
 	g.Go(func() error { return s.targets.Serve(work, controlGrace) })
 	g.Go(func() error { return s.operators.Serve(work, controlGrace) })
 	if s.durable != nil {
@@ -348,6 +353,7 @@
 		err := s.callers.Serve(callers, s.cfg.StopLimit)
 		// A renewal after the farewell would make acceptances wait for a node that is gone.
 		stopRenewing()
+		<-renewed
 		s.leave(work)
 		halt(nil)
 		return err
