Drain an engine under its present hold only

Cause: the time since which a hold was in force on all nodes was kept when its drain was given up, or when this replica lost leadership, and counted for the next drain of the same engine. An empty load report then passed for a drained engine while nodes still sent it work, and the change cut their requests. The time now belongs to one revision of the engine's entry, which must be draining; the hold counts as in force once all nodes have confirmed that revision, not every later change of other engines.

Ruled out: the report's own time, which is moved back by its age.

--- /dev/null
+++ b/internal/node/server/duty_test.go
@@ -0,0 +1,223 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/order"
+	"example.org/camphorhinge/internal/fleet/registry"
+	"example.org/camphorhinge/internal/node/config"
+	"example.org/camphorhinge/internal/node/control"
+	"example.org/camphorhinge/internal/node/member"
+)
+
+// bubbleClock reads the virtual time of a synctest bubble.
+type bubbleClock struct{ start time.Time }
+
+func (c bubbleClock) Now() camphorhinge.Instant {
+	return camphorhinge.Instant(time.Since(c.start) + time.Hour)
+}
+
+// Guards against an order that cuts requests: an engine counts as drained only by a report that it took after its present
+// hold had been in force on all nodes for as long as a request may still be connecting.
+func TestDrained(t *testing.T) {
+	// A step waits, then changes something, and then asks.
+	type step struct {
+		what  string
+		after time.Duration
+		do    func(*drainBench)
+		want  bool
+	}
+	confirm := func(b *drainBench) { b.confirm() }
+	report := func(running, waiting int, age time.Duration) func(*drainBench) {
+		return func(b *drainBench) { b.report(running, waiting, age) }
+	}
+	for _, tt := range []struct {
+		name  string
+		steps []step
+	}{
+		{name: "no decision", steps: []step{
+			{what: "asked", do: report(0, 0, 0)}, {what: "asked again", after: 5 * time.Second, do: report(0, 0, 0)},
+		}},
+		{name: "hold not in force yet", steps: []step{
+			{what: "hold", do: func(b *drainBench) { b.decide(true) }},
+			{what: "empty, but a node may still send", after: 5 * time.Second, do: report(0, 0, 0)},
+			{what: "in force", do: confirm},
+			{what: "within the margin", after: 1999 * time.Millisecond, do: report(0, 0, 0)},
+			{what: "after the margin", after: time.Millisecond, do: report(0, 0, 0), want: true},
+		}},
+		{name: "isolated node can't serve any more", steps: []step{
+			{what: "hold", do: func(b *drainBench) { b.decide(true) }},
+			{what: "lease and stale limit have passed", after: 10450 * time.Millisecond},
+			{what: "drained", after: drainMargin, do: report(0, 0, 0), want: true},
+		}},
+		{name: "report older than the hold", steps: []step{
+			{what: "hold", do: func(b *drainBench) { b.decide(true); b.confirm() }},
+			{what: "taken before the margin ended", after: 3 * time.Second, do: report(0, 0, 1001*time.Millisecond)},
+			{what: "taken after", after: time.Second, do: report(0, 0, 2*time.Second), want: true},
+		}},
+		{name: "still running", steps: []step{
+			{what: "hold", do: func(b *drainBench) { b.decide(true); b.confirm() }},
+			{what: "one runs", after: 3 * time.Second, do: report(1, 0, 0)},
+			{what: "one waits", after: time.Second, do: report(0, 1, 0)},
+			{what: "none", after: time.Second, do: report(0, 0, 0), want: true},
+		}},
+		{name: "engine gone", steps: []step{
+			{what: "hold", do: func(b *drainBench) { b.decide(true); b.confirm(); b.report(0, 0, 0) }},
+			{what: "no report lately", after: 5 * time.Second},
+		}},
+		{name: "hold of an earlier drain that was given up", steps: []step{
+			{what: "hold", do: func(b *drainBench) { b.decide(true); b.confirm() }},
+			{what: "given up", after: 3 * time.Second, do: func(b *drainBench) { b.report(1, 0, 0); b.decide(false) }},
+			{what: "second hold, not in force", after: time.Second, do: func(b *drainBench) { b.decide(true); b.report(0, 0, 0) }},
+			{what: "in force", after: time.Second, do: func(b *drainBench) { b.confirm(); b.report(0, 0, 0) }},
+			{what: "drained", after: drainMargin, do: report(0, 0, 0), want: true},
+		}},
+		{name: "leader without leases", steps: []step{
+			{what: "hold", do: func(b *drainBench) { b.decide(true); b.confirm(); b.leases.Follow() }},
+			{what: "empty", after: 5 * time.Second, do: report(0, 0, 0)},
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newDrainBench()
+				for _, s := range tt.steps {
+					time.Sleep(s.after)
+					if s.do != nil {
+						s.do(b)
+					}
+					require.Equal(t, s.want, b.orders.Drained("e"), s.what)
+				}
+			})
+		})
+	}
+}
+
+// drainBench is what orders.Drained looks at; one node, "a", confirms holds.
+type drainBench struct {
+	orders   *orders
+	leases   *config.Leases
+	book     *order.Book
+	registry *registry.Registry
+	seq      camphorhinge.Sequence
+}
+
+func newDrainBench() *drainBench {
+	clock := bubbleClock{time.Now()}
+	b := &drainBench{
+		leases: config.NewLeases(clock, config.StaleLimit), book: order.NewBook(),
+		registry: registry.New(registry.Config{Clock: clock, Metrics: metrics.NewSet()}),
+	}
+	b.leases.Lead([]camphorhinge.NodeID{"a"})
+	b.orders = &orders{
+		server: &Server{clock: clock, registry: b.registry}, durable: &durable{leases: b.leases, book: b.book},
+		held: map[camphorhinge.TargetName]hold{},
+	}
+	return b
+}
+
+func (b *drainBench) decide(draining bool) {
+	command, err := json.Marshal(map[string]any{"op": "decide", "term": 1, "engine": "e", "service": "s", "draining": draining})
+	if err != nil {
+		panic(err)
+	}
+	b.book.Apply(camphorhinge.Entry{Term: 1}, command)
+}
+
+func (b *drainBench) confirm() {
+	if err := b.leases.Renew("a", config.Position{Holds: b.book.Revision()}); err != nil {
+		panic(err)
+	}
+}
+
+func (b *drainBench) report(running, waiting int, age time.Duration) {
+	b.seq++
+	if _, err := b.registry.Announce(camphorhinge.Announcement{
+		Name: "e", Service: "s", Kind: camphorhinge.KindEngine, Seq: b.seq,
+		Load: camphorhinge.Load{Running: running, Waiting: waiting, Age: age.Milliseconds()},
+	}, 0, true); err != nil {
+		panic(err)
+	}
+}
+
+// listing is a leading replica that applies changes of the list of nodes.
+type listing struct{ *member.Table }
+
+func (l listing) Propose(_ context.Context, _ camphorhinge.CommandKind, command []byte) ([]byte, error) {
+	return l.Apply(camphorhinge.Entry{}, command), nil
+}
+func (listing) Authority() (camphorhinge.Term, bool) { return 1, true }
+func (listing) Barrier(context.Context) error        { return nil }
+func (listing) Leader() camphorhinge.ReplicaID       { return 1 }
+
+// Guards against a list of nodes that grows for ever, so that each node's share of the limits shrinks, and against the
+// removal of a node that may still serve.
+func TestForget(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		replica camphorhinge.ReplicaID
+		// during runs each minute.
+		during func(minute int, l *config.Leases)
+		// gone is the minute after which the node is off the list, or 0.
+		gone int
+	}{
+		{name: "away since before this leader", gone: 11},
+		{name: "away, with a replica", replica: 2},
+		{name: "renews", during: func(_ int, l *config.Leases) { _ = l.Renew("a", config.Position{}) }},
+		{name: "planned stop", gone: 11, during: func(_ int, l *config.Leases) { l.Release("a") }},
+		{name: "planned stop and return", gone: 28, during: func(m int, l *config.Leases) {
+			switch {
+			case m <= 8:
+				l.Release("a")
+			case m <= 16:
+				_ = l.Renew("a", config.Position{})
+			case m == 17:
+				l.Release("a")
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := bubbleClock{time.Now()}
+				l := config.NewLeases(clock, config.StaleLimit)
+				l.Lead([]camphorhinge.NodeID{"a"})
+				d := &durable{
+					log: slog.New(slog.DiscardHandler), clock: clock, leases: l, members: member.New(),
+					away: map[camphorhinge.NodeID]camphorhinge.Instant{},
+				}
+				d.control = control.NewServer(control.ServerConfig{
+					Replica: listing{d.members}, Members: d.members, Leases: l, Metrics: metrics.NewSet(),
+				})
+				require.NoError(t, d.members.Restore(mustJSON([]member.Node{{Name: "a", Address: "1:1", Replica: tt.replica}})))
+				gone := 0
+				for minute := 0; minute <= 30; minute++ {
+					if tt.during != nil {
+						tt.during(minute, l)
+					}
+					if d.forget(t.Context(), d.members.Nodes()) && gone == 0 {
+						gone = minute
+					}
+					require.Equal(t, gone == 0, len(d.members.Nodes()) == 1)
+					time.Sleep(time.Minute)
+				}
+				require.Equal(t, tt.gone, gone)
+			})
+		})
+	}
+}
+
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- a/internal/node/server/orders.go
+++ b/internal/node/server/orders.go
@@ -35,11 +35,19 @@
 	steerer    *steer.Steerer
 
 	mu sync.Mutex
-	// heldSince tells since when all nodes enforce the hold on an engine.
-	heldSince map[camphorhinge.TargetName]camphorhinge.Instant
-	changes   map[camphorhinge.ServiceName]*order.RoleChange
-	lastID    uint64
-	recent    map[camphorhinge.ServiceName][]role.Change
+	// held tells since when all nodes enforce the hold on an engine.
+	held    map[camphorhinge.TargetName]hold
+	changes map[camphorhinge.ServiceName]*order.RoleChange
+	lastID  uint64
+	recent  map[camphorhinge.ServiceName][]role.Change
+}
+
+// hold is a hold that is in force on all nodes. A drain that was given up leaves its hold behind, so the book's entry must
+// still be the same when it counts.
+type hold struct {
+	since camphorhinge.Instant
+	// entry is the revision of the engine's entry in the book.
+	entry uint64
 }
 
 func (s *Server) newOrders() (*orders, error) {
@@ -49,9 +57,9 @@
 	}
 	o := &orders{
 		server: s, durable: s.durable,
-		heldSince: map[camphorhinge.TargetName]camphorhinge.Instant{},
-		changes:   map[camphorhinge.ServiceName]*order.RoleChange{},
-		recent:    map[camphorhinge.ServiceName][]role.Change{},
+		held:    map[camphorhinge.TargetName]hold{},
+		changes: map[camphorhinge.ServiceName]*order.RoleChange{},
+		recent:  map[camphorhinge.ServiceName][]role.Change{},
 	}
 	o.controller = order.New(order.Config{
 		Authority: s.durable.replica, Proposer: s.durable.replica, Targets: s.registry, Engines: engines, Drains: o,
@@ -78,14 +86,22 @@
 // runs on the target.
 func (o *orders) Drained(name camphorhinge.TargetName) bool {
 	now := o.server.clock.Now()
-	inForce := o.durable.leases.InForce(config.Position{Holds: o.durable.book.Revision()})
+	entry, ok := o.durable.book.Entry(name)
+	if !ok || !entry.Draining {
+		return false
+	}
+	inForce := o.durable.leases.InForce(config.Position{Holds: entry.Revision})
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	since, held := o.heldSince[name]
+	h, held := o.held[name]
+	if held && h.entry != entry.Revision {
+		delete(o.held, name)
+		held = false
+	}
 	if !held && inForce {
-		o.heldSince[name] = now
+		o.held[name] = hold{since: now, entry: entry.Revision}
 	}
-	if !held || now.Sub(since) < drainMargin {
+	if !held || now.Sub(h.since) < drainMargin {
 		return false
 	}
 	t := o.server.target(name)
@@ -93,10 +109,10 @@
 		return false
 	}
 	taken := t.Heard.Add(-time.Duration(t.Load.Age) * time.Millisecond)
-	if taken < since.Add(drainMargin) || t.Load.Running > 0 || t.Load.Waiting > 0 {
+	if taken < h.since.Add(drainMargin) || t.Load.Running > 0 || t.Load.Waiting > 0 {
 		return false
 	}
-	delete(o.heldSince, name)
+	delete(o.held, name)
 	return true
 }
 
