Check the load generator's verdicts and close its gaps

Cause: the end-to-end verdicts rest on this package, which had no test. A table against a scripted server showed faults that it passed over: an event after the end mark (an answer twice), another's text in a stream that breaks off, an error event without a class (counted nowhere), "not run" after a part of the answer, a second answer behind the first, and a malformed answer, which counted as a cut and so as allowed where cuts are. A run whose deadline came before its last request reported success.

It also accused wrongly: when no node could be reached for a resend, the deposit counted as told "not run" by the system, although the last word of a node was unknown or cut. What a node says itself counts as before, also after a cut.

Ruled out: double runs, false "not run" and lost deposits were counted correctly.

--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -135,8 +136,10 @@
 	limiter := rate.NewLimiter(limit, 1)
 	var g errgroup.Group
 	g.SetLimit(r.cfg.Workers)
+	var stopped error
 	for i := range r.cfg.Requests {
-		if err := limiter.Wait(ctx); err != nil {
+		// Wait fails early when the deadline of ctx comes before the request's turn.
+		if stopped = limiter.Wait(ctx); stopped != nil {
 			break
 		}
 		g.Go(func() error {
@@ -144,10 +147,7 @@
 			return nil
 		})
 	}
-	if err := g.Wait(); err != nil {
-		return err
-	}
-	return ctx.Err()
+	return errors.Join(g.Wait(), stopped, ctx.Err())
 }
 
 func (r *runner) one(ctx context.Context, i int) {
--- a/internal/standin/load/request.go
+++ b/internal/standin/load/request.go
@@ -95,8 +95,12 @@
 	if err != nil {
 		return failed(err)
 	}
-	detail := fmt.Sprintf("%d %s", resp.StatusCode, body)
-	switch camphorhinge.RunClass(resp.Header.Get(camphorhinge.HeaderRun)) {
+	return classified(camphorhinge.RunClass(resp.Header.Get(camphorhinge.HeaderRun)), fmt.Sprintf("%d %s", resp.StatusCode, body))
+}
+
+// classified takes an error without a class for a wrong answer.
+func classified(class camphorhinge.RunClass, detail string) ending {
+	switch class {
 	case camphorhinge.NotRun:
 		return ending{kind: endNotRun, detail: detail}
 	case camphorhinge.Unknown:
@@ -140,7 +144,7 @@
 	} `json:"error"`
 }
 
-// readStream reads server-sent events up to the end mark and compares their text with want.
+// readStream reads server-sent events up to the end and compares their text with want, also when the stream breaks off.
 func readStream(body io.Reader, want string, started time.Time) ending {
 	var text strings.Builder
 	var e ending
@@ -151,6 +155,9 @@
 		if !ok {
 			continue
 		}
+		if e.kind == endComplete {
+			return ending{kind: endWrong, detail: "an event after the end mark"}
+		}
 		data = strings.TrimSpace(data)
 		if data == "[DONE]" {
 			e.whole = time.Since(started)
@@ -158,14 +165,18 @@
 				return ending{kind: endWrong, detail: fmt.Sprintf("answer of %d bytes differs from the expected %d", text.Len(), len(want))}
 			}
 			e.kind = endComplete
-			return e
+			continue
 		}
 		var p piece
 		if err := json.Unmarshal([]byte(data), &p); err != nil {
 			return ending{kind: endWrong, detail: err.Error()}
 		}
 		if p.Error != nil {
-			return ending{kind: endKind(p.Error.Run), detail: p.Error.Message}
+			failure := classified(p.Error.Run, p.Error.Message)
+			if failure.kind == endNotRun && text.Len() > 0 {
+				return ending{kind: endWrong, detail: "told as not run after a part of the answer: " + p.Error.Message}
+			}
+			return broken(failure, text.String(), want)
 		}
 		if e.first == 0 {
 			e.first = time.Since(started)
@@ -174,10 +185,21 @@
 			text.WriteString(c.Text)
 		}
 	}
+	if e.kind == endComplete {
+		return e
+	}
 	if err := in.Err(); err != nil {
-		return failed(fmt.Errorf("after %d bytes: %w", text.Len(), err))
+		return broken(failed(fmt.Errorf("after %d bytes: %w", text.Len(), err)), text.String(), want)
 	}
-	return ending{kind: endCut, detail: "stream ended without its end mark"}
+	return broken(ending{kind: endCut, detail: "stream ended without its end mark"}, text.String(), want)
+}
+
+// broken returns how a stream without an end mark ended, unless its text is not the beginning of the answer.
+func broken(e ending, text, want string) ending {
+	if !strings.HasPrefix(want, text) {
+		return ending{kind: endWrong, detail: fmt.Sprintf("%d bytes that don't begin the answer, then: %s", len(text), e.detail)}
+	}
+	return e
 }
 
 // deposit sends one non-idempotent request and resends it under its key until the outcome is known.
@@ -186,11 +208,16 @@
 	body := []byte(fmt.Sprintf(`{"board":%d,"amount":"12.50"}`, i))
 	deadline := time.Now().Add(r.cfg.Settle)
 	resent := 0
+	var told ending
 	for {
 		e := r.balanced(ctx, func(node string) ending { return r.depositOnce(ctx, node, key, body) })
+		if e.refused && resent > 0 {
+			e = told // No node said anything new.
+		}
+		told = e
 		e.key, e.resent = key, resent
 		settled := e.kind == endComplete || e.kind == endWrong || e.kind == endRun
-		if settled || ctx.Err() != nil || time.Now().After(deadline) {
+		if settled || ctx.Err() != nil || !time.Now().Before(deadline) {
 			return e
 		}
 		resent++
@@ -208,10 +235,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
 	}
-	var a service.Answer
-	if err := json.NewDecoder(io.LimitReader(resp.Body, answerLimit)).Decode(&a); err != nil {
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	if err != nil {
 		return failed(err)
 	}
+	var a service.Answer
+	if err := json.Unmarshal(answer, &a); err != nil {
+		return ending{kind: endWrong, detail: err.Error()}
+	}
 	if a.Key != key || a.Body != string(body) || a.Run != 1 {
 		return ending{kind: endWrong, detail: fmt.Sprintf("answer of key %s run %d", a.Key, a.Run)}
 	}
@@ -237,6 +268,9 @@
 		var c service.Counters
 		err = json.NewDecoder(resp.Body).Decode(&c)
 		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			err = fmt.Errorf("counters of %s: %s", url, resp.Status)
+		}
 		if err != nil {
 			return err
 		}
