Serve the operator port by the same server as the other ports

Cause: the operator package had a server of its own, which only tests used. The test of the stop moved to package web, with 20 stops before the first request and the refused connection after each.

--- a/internal/node/operator/api.go
+++ b/internal/node/operator/api.go
@@ -12,6 +12,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/route"
 
 	"example.org/camphorhinge"
@@ -20,6 +23,19 @@
 // DefaultTimeout bounds a request; acceptance may take 10 s beyond the commit.
 const DefaultTimeout = 15 * time.Second
 
+// HTTPBody is the largest body that the HTTP server should let through: somewhat over MaxBody, so that the API answers with
+// its own error.
+const HTTPBody = 4 * MaxBody
+
+// Options returns the options that an HTTP server for the API needs.
+func Options() []config.Option {
+	return []config.Option{
+		// Idle connections would hold up a stop, and the operator sends few requests.
+		server.WithKeepAlive(false),
+		server.WithHandleMethodNotAllowed(false),
+	}
+}
+
 // Config holds what the API depends on; all but Timeout is needed.
 type Config struct {
 	// TokenFile holds the bearer token.
@@ -61,6 +77,7 @@
 
 // Register adds the routes of the API to an engine.
 func (a *API) Register(e *route.Engine) {
+	e.Use(recovery.Recovery())
 	e.POST("/v1/records", a.handle("apply", a.apply))
 	e.POST("/v1/withdraw", a.handle("withdraw", a.withdraw))
 	e.GET("/v1/records", a.handle("list", a.list))
--- a/internal/node/server/operator.go
+++ b/internal/node/server/operator.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	s.operators, err = web.New(web.Config{Address: s.cfg.OperatorListen, MaxBody: operator.MaxBody})
+	s.operators, err = web.New(web.Config{Address: s.cfg.OperatorListen, MaxBody: operator.HTTPBody, Options: operator.Options()})
 	if err != nil {
 		return err
 	}
--- a/internal/node/web/web_test.go
+++ b/internal/node/web/web_test.go
@@ -74,3 +74,18 @@
 	require.NoError(t, client.Wait())
 	require.NoError(t, server.Wait())
 }
+
+// Guards against a port that can't be stopped before its first request, or that outlives its stop.
+func TestStopBeforeTheFirstRequest(t *testing.T) {
+	for range 20 {
+		s, err := web.New(web.Config{Address: "127.0.0.1:0", MaxBody: 1 << 10})
+		require.NoError(t, err)
+		ctx, stop := context.WithCancel(context.Background())
+		var g errgroup.Group
+		g.Go(func() error { return s.Serve(ctx, 0) })
+		stop()
+		require.NoError(t, g.Wait())
+		_, err = net.DialTimeout("tcp", s.Address(), time.Second)
+		require.Error(t, err)
+	}
+}
