Add a relay that injects network faults between processes

The trials on loopback could kill processes only. A relay now passes TCP connections on and can cut them, silence open or all connections, pass one direction, or deliver late. Its forwards are told by name over an HTTP control port (standin relay, standin rule).

Reading the caller's process from the kernel's socket tables was ruled out: it needs no flag, but a scan per connection.

--- a/internal/cli/command/commands.go
+++ b/internal/cli/command/commands.go
@@ -37,6 +37,8 @@
 	standin := a.kingpin.Command("standin", "Run a stand-in for a target.")
 	a.bind("standin engine", standin.Command("engine", "Run a stand-in for a model engine."), a.standinEngine)
 	a.bind("standin service", standin.Command("service", "Run a stand-in for a plain service."), a.standinService)
+	a.bind("standin relay", standin.Command("relay", "Run a TCP relay between processes."), a.standinRelay)
+	a.bind("standin rule", standin.Command("rule", "Tell a relay what a forward does with connections."), a.standinRule)
 }
 
 // connection holds the flags of the commands that talk to an operator port.
--- /dev/null
+++ b/internal/cli/command/leave_test.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// busy is a stand-in that runs for a time after it began to leave.
+type busy struct {
+	work  time.Duration
+	left  time.Time
+	ended time.Time
+}
+
+func (b *busy) Run(ctx context.Context) error {
+	<-ctx.Done()
+	b.ended = time.Now()
+	return nil
+}
+
+func (b *busy) Leave(bool) { b.left = time.Now() }
+
+func (b *busy) Running() int {
+	if time.Since(b.left) < b.work {
+		return 1
+	}
+	return 0
+}
+
+// Guards against a stand-in that ends before its running work has, or that ends without having announced that it leaves.
+func TestLeave(t *testing.T) {
+	for _, tt := range []struct{ leave, work, want time.Duration }{
+		{0, time.Minute, 0},
+		{time.Second, 0, time.Second + leaveFlush},
+		{time.Second, time.Minute, time.Minute + leaveFlush},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			began := time.Now()
+			time.AfterFunc(time.Hour, cancel)
+			b := &busy{work: tt.work}
+			require.NoError(t, runTarget(ctx, b, tt.leave))
+			require.Equal(t, tt.want, b.ended.Sub(began.Add(time.Hour)))
+			require.Equal(t, tt.leave > 0, !b.left.IsZero())
+		})
+	}
+}
--- a/internal/cli/command/probe.go
+++ b/internal/cli/command/probe.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -11,6 +12,8 @@
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"example.org/camphorhinge"
 )
 
 // probeTimeout bounds a probe by default; ports on the same network answer within milliseconds.
@@ -18,6 +21,8 @@
 
 func (a *app) probe(cmd *kingpin.CmdClause) func(context.Context) error {
 	timeout := cmd.Flag("timeout", "Longest wait for the answer.").Default(probeTimeout.String()).Duration()
+	show := cmd.Flag("show", "Print the status, the run class and the body of the answer, on one line.").Bool()
+	key := cmd.Flag("key", "API key.").String()
 	target := cmd.Arg("url", "URL to ask, such as http://127.0.0.1:8080/readyz.").Required().String()
 	return func(ctx context.Context) error {
 		u, err := url.Parse(*target)
@@ -35,9 +40,16 @@
 		req, resp := &protocol.Request{}, &protocol.Response{}
 		req.SetMethod(http.MethodGet)
 		req.SetRequestURI(*target)
+		if *key != "" {
+			req.Header.Set("Authorization", "Bearer "+*key)
+		}
 		if err := h.DoTimeout(ctx, req, resp, *timeout); err != nil {
 			return &Error{Op: "probe", Kind: KindUnavailable, Err: fmt.Errorf("%s: %w", *target, err)}
 		}
+		if *show {
+			class := dash(string(resp.Header.Peek(camphorhinge.HeaderRun)))
+			fmt.Fprintln(a.out, resp.StatusCode(), class, string(bytes.TrimSpace(resp.Body())))
+		}
 		if resp.StatusCode() != http.StatusOK {
 			return &Error{Op: "probe", Kind: KindRun, Err: fmt.Errorf("%s: expected status 200, got %d", *target, resp.StatusCode())}
 		}
--- a/internal/cli/command/serve.go
+++ b/internal/cli/command/serve.go
@@ -30,6 +30,7 @@
 	cmd.Flag("operator-listen", "IP:port for the operator and /metrics.").Default("127.0.0.1:8082").StringVar(&s.OperatorListen)
 	cmd.Flag("peer-listen", "IP:port for other nodes.").Default("127.0.0.1:8083").StringVar(&s.PeerListen)
 	cmd.Flag("peer-address", "IP:port at which other nodes reach --peer-listen.").StringVar(&s.PeerAddress)
+	cmd.Flag("peer-source", "IP address of this VM that connections to other nodes come from.").StringVar(&s.PeerSource)
 	cmd.Flag("data", "Data folder; with it the node holds a replica of the durable state.").StringVar(&s.Data)
 	cmd.Flag("bootstrap", "Create a new cluster in an empty data folder.").BoolVar(&s.Bootstrap)
 	cmd.Flag("join", "Join a cluster with an empty data folder, also to replace a lost disk.").BoolVar(&s.Join)
--- a/internal/cli/command/standin.go
+++ b/internal/cli/command/standin.go
@@ -32,7 +32,9 @@
 	cmd.Flag("service", "Service that it belongs to.").Required().StringVar((*string)(&cfg.Service))
 	cmd.Flag("zone", "Availability zone.").Default("zone-a").StringVar((*string)(&cfg.Zone))
 	cmd.Flag("listen", "IP:port to listen on.").Default("127.0.0.1:0").StringVar(&cfg.Listen)
+	cmd.Flag("advertise", "IP:port to announce; that of --listen by default.").StringVar(&cfg.Advertise)
 	cmd.Flag("announce", "Base URL of a node's target port; may be repeated.").Required().StringsVar(&cfg.Announce)
+	leave := leaveFlag(cmd)
 	cmd.Flag("role", "Role at the start.").Default("mixed").EnumVar((*string)(&cfg.Role), "mixed", "prefill", "decode")
 	cmd.Flag("models", "Models loaded at the start, separated by commas.").StringVar(&models)
 	cmd.Flag("adapters", "Adapters loaded at the start, separated by commas.").StringVar(&adapters)
@@ -56,8 +58,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(a.out, "engine %s listens on %s\n", cfg.Name, e.Addr())
-		return e.Run(ctx)
+		fmt.Fprintf(a.out, "engine %s listens on %s\n", cfg.Name, e.Listening())
+		return runTarget(ctx, e, *leave)
 	}
 }
 
@@ -67,15 +69,17 @@
 	cmd.Flag("service", "Service that it belongs to.").Required().StringVar((*string)(&cfg.Service))
 	cmd.Flag("zone", "Availability zone.").Default("zone-a").StringVar((*string)(&cfg.Zone))
 	cmd.Flag("listen", "IP:port to listen on.").Default("127.0.0.1:0").StringVar(&cfg.Listen)
+	cmd.Flag("advertise", "IP:port to announce; that of --listen by default.").StringVar(&cfg.Advertise)
 	cmd.Flag("announce", "Base URL of a node's target port; may be repeated.").Required().StringsVar(&cfg.Announce)
+	leave := leaveFlag(cmd)
 	cmd.Flag("delay", "Time of one request.").DurationVar(&cfg.Delay)
 	return func(ctx context.Context) error {
 		s, err := service.New(cfg)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(a.out, "service %s listens on %s\n", cfg.Name, s.Addr())
-		return s.Run(ctx)
+		fmt.Fprintf(a.out, "service %s listens on %s\n", cfg.Name, s.Listening())
+		return runTarget(ctx, s, *leave)
 	}
 }
 
--- a/internal/node/peer/client.go
+++ b/internal/node/peer/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 // Pool hands out clients by peer address.
 type Pool struct {
 	creds *credentials
+	// source is the local address of new connections; nil leaves the choice to the system.
+	source net.Addr
 
 	mu    sync.Mutex
 	conns map[string]*Conn
@@ -49,6 +52,11 @@
 	return p, nil
 }
 
+// From makes all connections come from an IP address of this VM. It is called before the first Get.
+func (p *Pool) From(source netip.Addr) {
+	p.source = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+}
+
 // Get returns the clients of the peer at address, which is IP:port.
 func (p *Pool) Get(address string) *Conn {
 	p.mu.Lock()
@@ -58,7 +66,7 @@
 	}
 	scheme := "http://"
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, LocalAddr: p.source}).DialContext,
 		TLSHandshakeTimeout: dialTimeout,
 		MaxIdleConnsPerHost: connectionsPerPeer,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -162,6 +163,13 @@
 	if err != nil {
 		return err
 	}
+	if s.cfg.PeerSource != "" {
+		source, err := netip.ParseAddr(s.cfg.PeerSource)
+		if err != nil {
+			return err
+		}
+		pool.From(source)
+	}
 	s.pool = pool
 	s.client = control.NewClient(pool, s.leaderCandidates)
 	s.holder = config.NewHolder(s.clock, s.cfg.StaleLimit)
--- a/internal/node/setting/setting.go
+++ b/internal/node/setting/setting.go
@@ -22,6 +22,8 @@
 	PeerListen     string
 	// PeerAddress is the IP:port at which other nodes reach PeerListen; empty takes PeerListen.
 	PeerAddress string
+	// PeerSource is the IP address that connections to other nodes come from; empty leaves the choice to the system.
+	PeerSource string
 
 	// Data is the data folder; empty for a node without a replica.
 	Data      string
@@ -136,6 +138,11 @@
 	} else if a, err := netip.ParseAddrPort(s.PeerListen); err == nil && a.Addr().IsUnspecified() {
 		errs = append(errs, errors.New("--peer-address: needed when --peer-listen names no single address"))
 	}
+	if s.PeerSource != "" {
+		if _, err := netip.ParseAddr(s.PeerSource); err != nil {
+			errs = append(errs, fmt.Errorf("--peer-source: expected an IP address, got %q", s.PeerSource))
+		}
+	}
 	files := []struct{ flag, name string }{{"peer-cert", s.PeerCert}, {"peer-key", s.PeerKey}, {"peer-ca", s.PeerCA}}
 	for _, f := range files {
 		switch {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -132,6 +132,22 @@
 	return e.listener.Addr().String()
 }
 
+// Listening returns the IP and port of the listener.
+func (e *Engine) Listening() string { return e.listener.Addr().String() }
+
+// Running returns the number of attempts that run, wait, or still have a reader.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, s := range e.seqs {
+		if s.phase <= decoding || s.readers > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Run serves until ctx ends, and then resets all connections.
 func (e *Engine) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- /dev/null
+++ b/internal/standin/relay/client.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+)
+
+// Put sets the rule of a forward by the control port at the base URL.
+func Put(ctx context.Context, control, name string, rule Rule) error {
+	body, err := json.Marshal(rule)
+	if err != nil {
+		return &Error{Op: "put", Kind: KindRule, Err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, control+forwardsPath+"/"+url.PathEscape(name), bytes.NewReader(body))
+	if err != nil {
+		return &Error{Op: "put", Kind: KindRule, Err: err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &Error{Op: "put", Kind: KindNetwork, Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxRule)) // The status alone tells of the failure.
+		return &Error{Op: "put", Kind: KindRule, Err: errors.New(resp.Status + ": " + string(bytes.TrimSpace(text)))}
+	}
+	return nil
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -111,6 +111,16 @@
 	return s.listener.Addr().String()
 }
 
+// Listening returns the IP and port of the listener.
+func (s *Service) Listening() string { return s.listener.Addr().String() }
+
+// Running returns the number of requests that run.
+func (s *Service) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
 // Run serves until ctx ends, and then resets all connections.
 func (s *Service) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
