--- a/internal/cli/command/commands.go
+++ b/internal/cli/command/commands.go
@@ -40,6 +40,8 @@
 	a.bind("standin service", standin.Command("service", "Run a stand-in for a plain service."), a.standinService)
 	a.bind("standin fleet", standin.Command("fleet", "Announce many engines that serve no request, to measure the cost of announcements."),
 		a.standinFleet)
+	a.bind("standin relay", standin.Command("relay", "Run a TCP relay between processes."), a.standinRelay)
+	a.bind("standin rule", standin.Command("rule", "Tell a relay what a forward does with connections."), a.standinRule)
 }
 
 // connection holds the flags of the commands that talk to an operator port.
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -170,6 +171,13 @@
 	if err != nil {
 		return err
 	}
+	if s.cfg.PeerSource != "" {
+		source, err := netip.ParseAddr(s.cfg.PeerSource)
+		if err != nil {
+			return err
+		}
+		pool.From(source)
+	}
 	s.pool = pool
 	s.client = control.NewClient(pool, s.leaderCandidates)
 	s.holder = config.NewHolder(s.clock, s.cfg.StaleLimit)
