--- a/internal/node/server/duty_test.go
+++ b/internal/node/server/duty_test.go
@@ -47,12 +47,16 @@
 		{name: "no decision", steps: []step{
 			{what: "asked", do: report(0, 0, 0)}, {what: "asked again", after: 5 * time.Second, do: report(0, 0, 0)},
 		}},
+		{name: "decision that holds nothing back", steps: []step{
+			{what: "decision", do: func(b *drainBench) { b.decide(false); b.confirm() }},
+			{what: "idle", after: 5 * time.Second, do: report(0, 0, 0)},
+		}},
 		{name: "hold not in force yet", steps: []step{
 			{what: "hold", do: func(b *drainBench) { b.decide(true) }},
 			{what: "empty, but a node may still send", after: 5 * time.Second, do: report(0, 0, 0)},
 			{what: "in force", do: confirm},
 			{what: "within the margin", after: 1999 * time.Millisecond, do: report(0, 0, 0)},
-			{what: "after the margin", after: time.Millisecond, do: report(0, 0, 0), want: true},
+			{what: "after the margin", after: time.Second + time.Millisecond, do: report(0, 0, time.Second), want: true},
 		}},
 		{name: "isolated node can't serve any more", steps: []step{
 			{what: "hold", do: func(b *drainBench) { b.decide(true) }},
--- a/internal/node/server/orders.go
+++ b/internal/node/server/orders.go
@@ -42,12 +42,10 @@
 	recent  map[camphorhinge.ServiceName][]role.Change
 }
 
-// hold is a hold that is in force on all nodes. A drain that was given up leaves its hold behind, so the book's entry must
-// still be the same when it counts.
+// hold is the hold of one decision on an engine.
 type hold struct {
-	since camphorhinge.Instant
-	// entry is the revision of the engine's entry in the book.
-	entry uint64
+	revision uint64
+	since    camphorhinge.Instant
 }
 
 func (s *Server) newOrders() (*orders, error) {
@@ -85,35 +83,23 @@
 // Drained implements order.Drains: each node holds new work back, and a load report taken after that says that nothing
 // runs on the target.
 func (o *orders) Drained(name camphorhinge.TargetName) bool {
-	now := o.server.clock.Now()
 	entry, ok := o.durable.book.Entry(name)
-	if !ok || !entry.Draining {
+	if !ok || !entry.Draining || !o.durable.leases.InForce(config.Position{Holds: entry.Revision}) {
 		return false
 	}
-	inForce := o.durable.leases.InForce(config.Position{Holds: entry.Revision})
+	now := o.server.clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	h, held := o.held[name]
-	if held && h.entry != entry.Revision {
-		delete(o.held, name)
-		held = false
-	}
-	if !held && inForce {
-		o.held[name] = hold{since: now, entry: entry.Revision}
-	}
-	if !held || now.Sub(h.since) < drainMargin {
-		return false
+	if o.held[name].revision != entry.Revision {
+		o.held[name] = hold{revision: entry.Revision, since: now}
 	}
+	full := o.held[name].since.Add(drainMargin)
 	t := o.server.target(name)
 	if t == nil {
 		return false
 	}
 	taken := t.Heard.Add(-time.Duration(t.Load.Age) * time.Millisecond)
-	if taken < h.since.Add(drainMargin) || t.Load.Running > 0 || t.Load.Waiting > 0 {
-		return false
-	}
-	delete(o.held, name)
-	return true
+	return taken >= full && t.Load.Running == 0 && t.Load.Waiting == 0
 }
 
 // target returns a live target by name, or nil.
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -241,7 +241,7 @@
 					r.balancer = newBalancer([]string{closed, s.URL})
 					r.client = &http.Client{Transport: once{r.balancer, closed, client.Transport}}
 				}
-				e := r.deposit(context.Background(), 0)
+				e := r.deposit(context.Background(), 0, false)
 				require.Equal(t, tt.want, e.kind, e.detail)
 				client.CloseIdleConnections()
 			})
--- a/internal/standin/load/request.go
+++ b/internal/standin/load/request.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/standin/engine"
 	"example.org/camphorhinge/internal/standin/service"
@@ -54,8 +56,11 @@
 	return ending{kind: endCut, detail: err.Error(), refused: errors.As(err, &op) && op.Op == "dial"}
 }
 
-// balanced calls try on ready nodes until a connection opens.
-func (r *runner) balanced(ctx context.Context, try func(node string) ending) ending {
+// balanced calls try on ready nodes until a connection opens, or once on the target.
+func (r *runner) balanced(ctx context.Context, direct bool, try func(base string) ending) ending {
+	if direct {
+		return try(r.cfg.Direct)
+	}
 	var e ending
 	for range connectTries {
 		e = try(r.balancer.pick())
@@ -72,12 +77,16 @@
 	return e
 }
 
-func (r *runner) post(ctx context.Context, url, key string, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+func (r *runner) post(ctx context.Context, base, path, key string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if base == r.cfg.Direct {
+		// Engines refuse a request without an attempt id.
+		req.Header.Set(camphorhinge.HeaderAttempt, uuid.NewString())
+	}
 	if r.cfg.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+r.cfg.Key)
 	}
@@ -112,7 +121,7 @@
 }
 
 // complete streams one completion and compares it with the stand-in's answer.
-func (r *runner) complete(ctx context.Context, i int) ending {
+func (r *runner) complete(ctx context.Context, i int, direct bool) ending {
 	prompt := fmt.Sprintf("run %d request %d ", r.cfg.Seed, i) + strings.Repeat("sand board ", r.cfg.Words/2)
 	body, err := json.Marshal(engine.Request{
 		Model: camphorhinge.ModelName(r.cfg.Model), Prompt: prompt, MaxTokens: r.cfg.Output, Stream: true,
@@ -120,9 +129,9 @@
 	if err != nil {
 		return ending{kind: endWrong, detail: err.Error()}
 	}
-	return r.balanced(ctx, func(node string) ending {
+	return r.balanced(ctx, direct, func(base string) ending {
 		started := time.Now()
-		resp, err := r.post(ctx, node+"/v1/completions", "", body)
+		resp, err := r.post(ctx, base, "/v1/completions", "", body)
 		if err != nil {
 			return failed(err)
 		}
@@ -202,15 +211,46 @@
 	return e
 }
 
+// get sends one idempotent request without a body.
+func (r *runner) get(ctx context.Context, direct bool) ending {
+	return r.balanced(ctx, direct, func(base string) ending {
+		started := time.Now()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+r.cfg.Get, http.NoBody)
+		if err != nil {
+			return ending{kind: endWrong, detail: err.Error()}
+		}
+		if r.cfg.Key != "" {
+			req.Header.Set("Authorization", "Bearer "+r.cfg.Key)
+		}
+		resp, err := r.client.Do(req)
+		if err != nil {
+			return failed(err)
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return refusal(resp)
+		}
+		a, e := readAnswer(resp.Body)
+		if e.kind != endComplete {
+			return e
+		}
+		if a.Path != r.cfg.Get || a.Body != "" {
+			return ending{kind: endWrong, detail: fmt.Sprintf("answer for path %s", a.Path)}
+		}
+		took := time.Since(started)
+		return ending{kind: endComplete, first: took, whole: took}
+	})
+}
+
 // deposit sends one non-idempotent request and resends it under its key until the outcome is known.
-func (r *runner) deposit(ctx context.Context, i int) ending {
+func (r *runner) deposit(ctx context.Context, i int, direct bool) ending {
 	key := fmt.Sprintf("deposit-%d-%d", r.cfg.Seed, i)
 	body := []byte(fmt.Sprintf(`{"board":%d,"amount":"12.50"}`, i))
 	deadline := time.Now().Add(r.cfg.Settle)
 	resent := 0
 	var told ending
 	for {
-		e := r.balanced(ctx, func(node string) ending { return r.depositOnce(ctx, node, key, body) })
+		e := r.balanced(ctx, direct, func(base string) ending { return r.depositOnce(ctx, base, key, body) })
 		if e.refused && resent > 0 {
 			e = told // No node said anything new.
 		}
@@ -225,9 +265,9 @@
 	}
 }
 
-func (r *runner) depositOnce(ctx context.Context, node, key string, body []byte) ending {
+func (r *runner) depositOnce(ctx context.Context, base, key string, body []byte) ending {
 	started := time.Now()
-	resp, err := r.post(ctx, node+r.cfg.Deposit, key, body)
+	resp, err := r.post(ctx, base, r.cfg.Deposit, key, body)
 	if err != nil {
 		return failed(err)
 	}
@@ -235,13 +275,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
 	}
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
-	if err != nil {
-		return failed(err)
-	}
-	var a service.Answer
-	if err := json.Unmarshal(answer, &a); err != nil {
-		return ending{kind: endWrong, detail: err.Error()}
+	a, e := readAnswer(resp.Body)
+	if e.kind != endComplete {
+		return e
 	}
 	if a.Key != key || a.Body != string(body) || a.Run != 1 {
 		return ending{kind: endWrong, detail: fmt.Sprintf("answer of key %s run %d", a.Key, a.Run)}
@@ -293,3 +329,16 @@
 	}
 	return nil
 }
+
+// readAnswer reads one answer of a stand-in service up to its end; anything behind it makes it wrong.
+func readAnswer(body io.Reader) (service.Answer, ending) {
+	var a service.Answer
+	data, err := io.ReadAll(io.LimitReader(body, answerLimit))
+	if err != nil {
+		return a, failed(err)
+	}
+	if err := json.Unmarshal(data, &a); err != nil {
+		return a, ending{kind: endWrong, detail: err.Error()}
+	}
+	return a, ending{kind: endComplete}
+}
--- a/internal/state/replica/harness_test.go
+++ b/internal/state/replica/harness_test.go
@@ -86,10 +86,23 @@
 	cut   map[camphorhinge.ReplicaID]bool
 	// chunks counts delivered parts of snapshots.
 	chunks int
+	// syncTime is how long a sync takes, in virtual time.
+	syncTime time.Duration
 	// snapshotEntries is passed to New.
 	snapshotEntries int
 }
 
+// slowLog is a log whose syncs take time.
+type slowLog struct {
+	*wal.Log
+	syncTime time.Duration
+}
+
+func (s slowLog) Sync() error {
+	time.Sleep(s.syncTime)
+	return s.Log.Sync()
+}
+
 func newLab(t *testing.T) *lab {
 	t.Helper()
 	return &lab{
@@ -170,8 +183,8 @@
 	log, err := Open(v.disk, wal.Config{}, start)
 	require.NoError(l.t, err)
 	v.log, v.id, v.machine = log, log.Identity().Replica, &journal{}
-	v.r, err = New(Config{
-		Storage: log, Transport: link{l, v.id}, Clock: l.clock, Wall: func() int64 { return time.Now().UnixMilli() },
+	r, err := New(Config{
+		Storage: slowLog{log, l.syncTime}, Transport: link{l, v.id}, Clock: l.clock, Wall: func() int64 { return time.Now().UnixMilli() },
 		Machines: map[camphorhinge.CommandKind]camphorhinge.Machine{testKind: v.machine},
 		Seed:     uint64(len(l.vms)), Log: slog.New(slog.DiscardHandler), SnapshotEntries: l.snapshotEntries,
 		OnLeader: func(camphorhinge.Term) {
@@ -187,11 +200,10 @@
 	})
 	require.NoError(l.t, err)
 	l.mu.Lock()
-	l.vms[v.id] = v
+	l.vms[v.id], v.r = v, r
 	l.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel, v.group = cancel, new(errgroup.Group)
-	r := v.r
 	v.group.Go(func() error { return r.Run(ctx) })
 }
 
@@ -244,18 +256,28 @@
 // leader waits for a replica with a valid lease that answers a barrier.
 func (l *lab) leader() *vm {
 	l.t.Helper()
-	for range 1000 {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		for _, v := range l.all() {
-			if _, ok := v.r.Authority(); ok && v.r.Barrier(context.Background()) == nil {
+			if l.answers(v) {
 				return v
 			}
 		}
-		time.Sleep(10 * time.Millisecond)
+	}
+	for _, v := range l.all() {
+		l.t.Logf("replica %d: %+v", v.id, v.r.Status())
 	}
 	l.t.Fatal("no leader within 10 s")
 	return nil
 }
 
+// answers reports whether v answers a barrier as the leader.
+func (l *lab) answers(v *vm) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, ok := v.r.Authority()
+	return ok && v.r.Barrier(ctx) == nil
+}
+
 // eventually calls f each 20 ms of virtual time until it returns nil.
 func (l *lab) eventually(f func() error) {
 	l.t.Helper()
