--- a/internal/state/replica/harness_test.go
+++ b/internal/state/replica/harness_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,6 +76,8 @@
 	// err is what Run returned last.
 	err   error
 	hooks []string
+	// seen is the number of lines in the machine when OnLeader was called last.
+	seen int
 }
 
 // lab is a group of replicas in one synctest bubble, over a network with a delay of 1.5 ms.
@@ -86,20 +89,22 @@
 	cut   map[camphorhinge.ReplicaID]bool
 	// chunks counts delivered parts of snapshots.
 	chunks int
-	// syncTime is how long a sync takes, in virtual time.
-	syncTime time.Duration
 	// snapshotEntries is passed to New.
 	snapshotEntries int
+	// syncTime is how long each sync takes; syncs counts those of all replicas.
+	syncTime time.Duration
+	syncs    atomic.Int64
 }
 
-// slowLog is a log whose syncs take time.
+// slowLog takes virtual time for each sync.
 type slowLog struct {
 	*wal.Log
-	syncTime time.Duration
+	l *lab
 }
 
 func (s slowLog) Sync() error {
-	time.Sleep(s.syncTime)
+	s.l.syncs.Add(1)
+	time.Sleep(s.l.syncTime)
 	return s.Log.Sync()
 }
 
@@ -122,6 +127,13 @@
 	return v.r
 }
 
+// observed returns the number of delivered parts of snapshots, and what OnLeader of v saw last.
+func (l *lab) observed(v *vm) (chunks, seen int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chunks, v.seen
+}
+
 func (l *lab) setCut(id camphorhinge.ReplicaID, cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -184,13 +196,13 @@
 	require.NoError(l.t, err)
 	v.log, v.id, v.machine = log, log.Identity().Replica, &journal{}
 	r, err := New(Config{
-		Storage: slowLog{log, l.syncTime}, Transport: link{l, v.id}, Clock: l.clock, Wall: func() int64 { return time.Now().UnixMilli() },
+		Storage: slowLog{log, l}, Transport: link{l, v.id}, Clock: l.clock, Wall: func() int64 { return time.Now().UnixMilli() },
 		Machines: map[camphorhinge.CommandKind]camphorhinge.Machine{testKind: v.machine},
 		Seed:     uint64(len(l.vms)), Log: slog.New(slog.DiscardHandler), SnapshotEntries: l.snapshotEntries,
 		OnLeader: func(camphorhinge.Term) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			v.hooks = append(v.hooks, "leader")
+			v.hooks, v.seen = append(v.hooks, "leader"), len(v.machine.read())
 		},
 		OnFollower: func(camphorhinge.Term) {
 			l.mu.Lock()
