--- a/internal/standin/load/request.go
+++ b/internal/standin/load/request.go
@@ -230,9 +230,9 @@
 		if resp.StatusCode != http.StatusOK {
 			return refusal(resp)
 		}
-		var a service.Answer
-		if err := json.NewDecoder(io.LimitReader(resp.Body, answerLimit)).Decode(&a); err != nil {
-			return failed(err)
+		a, e := readAnswer(resp.Body)
+		if e.kind != endComplete {
+			return e
 		}
 		if a.Path != r.cfg.Get || a.Body != "" {
 			return ending{kind: endWrong, detail: fmt.Sprintf("answer for path %s", a.Path)}
@@ -275,13 +275,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
 	}
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
-	if err != nil {
-		return failed(err)
-	}
-	var a service.Answer
-	if err := json.Unmarshal(answer, &a); err != nil {
-		return ending{kind: endWrong, detail: err.Error()}
+	a, e := readAnswer(resp.Body)
+	if e.kind != endComplete {
+		return e
 	}
 	if a.Key != key || a.Body != string(body) || a.Run != 1 {
 		return ending{kind: endWrong, detail: fmt.Sprintf("answer of key %s run %d", a.Key, a.Run)}
@@ -333,3 +329,16 @@
 	}
 	return nil
 }
+
+// readAnswer reads one answer of a stand-in service up to its end; anything behind it makes it wrong.
+func readAnswer(body io.Reader) (service.Answer, ending) {
+	var a service.Answer
+	data, err := io.ReadAll(io.LimitReader(body, answerLimit))
+	if err != nil {
+		return a, failed(err)
+	}
+	if err := json.Unmarshal(data, &a); err != nil {
+		return a, ending{kind: endWrong, detail: err.Error()}
+	}
+	return a, ending{kind: endComplete}
+}
