Give the place of a voter that stays away to a spare learner

Cause: a VM lost for good and replaced under a new name was never repaired, since its voter stayed listed and no command removes one. A voter that the leader has not heard for 5 min now counts as lost when a spare learner can take its place. Weighed: a command to remove a node, which would make the operator tend single processes.

--- a/internal/node/server/durable.go
+++ b/internal/node/server/durable.go
@@ -64,7 +64,9 @@
 	// led is the term of the leadership that has begun, or 0.
 	led atomic.Uint64
 	// away tells since when a listed node that gave its lease back has not returned; only lead uses it.
-	away map[camphorhinge.NodeID]camphorhinge.Instant
+	// ledSince is when the present leadership began; only lead uses it.
+	ledSince camphorhinge.Instant
+	away     map[camphorhinge.NodeID]camphorhinge.Instant
 	// leads receives the terms of leaderships that began; 0 tells that one has ended.
 	leads chan camphorhinge.Term
 }
--- a/internal/node/server/lead.go
+++ b/internal/node/server/lead.go
@@ -15,6 +15,8 @@
 	upkeepInterval = 300 * time.Millisecond
 	// voterCount is the number of voters that the leader keeps.
 	voterCount = 3
+	// lostAfter is how long a replica may stay away before a spare learner takes its place. It is above a restart of a VM.
+	lostAfter = 5 * time.Minute
 	// forgetAfter is how long a node without a replica may stay away before it leaves the list of nodes.
 	forgetAfter = 10 * time.Minute
 )
@@ -52,6 +54,7 @@
 		names = append(names, n.Name)
 	}
 	clear(d.away)
+	d.ledSince = d.clock.Now()
 	d.leases.Lead(names)
 	d.led.Store(uint64(term))
 	d.mix.Lead()
@@ -59,7 +62,8 @@
 
 // upkeep brings the membership closer to the list of nodes by at most one change: a listed replica becomes a learner, a
 // learner that has caught up becomes a voter while voters are missing, and a replica that no node has any more is
-// removed once three others vote.
+// removed once three others vote. A replica that stayed away for long counts as if no node had it, when a spare learner
+// can take its place; it becomes a learner again, and a voter if one is missing, when it comes back.
 func (d *durable) upkeep(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -68,7 +72,7 @@
 		return
 	}
 	// A learner that does not catch up must not keep another from being promoted.
-	for _, change := range nextChanges(d.replica.Membership(), nodes, d.id) {
+	for _, change := range nextChanges(d.replica.Membership(), nodes, d.id, d.lost()) {
 		err := d.apply(ctx, change)
 		if err == nil || ctx.Err() != nil {
 			return
@@ -77,6 +81,18 @@
 	}
 }
 
+// lost returns the replicas that this leader has not heard for long.
+func (d *durable) lost() map[camphorhinge.ReplicaID]bool {
+	now := d.clock.Now()
+	out := map[camphorhinge.ReplicaID]bool{}
+	for _, p := range d.replica.Status().Progress {
+		if now.Sub(max(p.Heard, d.ledSince)) > lostAfter {
+			out[p.ID] = true
+		}
+	}
+	return out
+}
+
 func (d *durable) apply(ctx context.Context, c consensus.Change) error {
 	switch c.Kind {
 	case consensus.AddLearner:
@@ -90,7 +106,9 @@
 
 // nextChanges returns the single steps of the membership that are needed now, the most urgent first. One of them is made;
 // the others are for when it is refused.
-func nextChanges(m consensus.Membership, nodes []member.Node, self camphorhinge.ReplicaID) []consensus.Change {
+func nextChanges(
+	m consensus.Membership, nodes []member.Node, self camphorhinge.ReplicaID, lost map[camphorhinge.ReplicaID]bool,
+) []consensus.Change {
 	var out []consensus.Change
 	listed := map[camphorhinge.ReplicaID]member.Node{}
 	for _, n := range nodes {
@@ -108,16 +126,16 @@
 		if !x.Voter {
 			continue
 		}
-		if _, ok := listed[x.ID]; ok || x.ID == self {
+		if _, ok := listed[x.ID]; ok && !lost[x.ID] || x.ID == self {
 			kept++
 		}
 	}
 	for _, x := range m.Members {
 		_, ok := listed[x.ID]
 		switch {
-		case ok && !x.Voter && kept < voterCount:
+		case ok && !lost[x.ID] && !x.Voter && kept < voterCount:
 			out = append(out, consensus.Change{Kind: consensus.Promote, ID: x.ID})
-		case !ok && x.ID != self && (!x.Voter || kept >= voterCount):
+		case x.ID != self && (!ok && !x.Voter || (!ok || lost[x.ID]) && x.Voter && kept >= voterCount):
 			out = append(out, consensus.Change{Kind: consensus.Remove, ID: x.ID})
 		}
 	}
