Trace the hops between nodes, and close a pool's connections

A claim now has a span of its own, and so has each call between nodes that belongs to a trace; renewals and consensus traffic make none. Pool.Close forgot its connections without closing them.

--- a/internal/node/peer/client.go
+++ b/internal/node/peer/client.go
@@ -9,7 +9,11 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/observe/trace"
 )
 
 const (
@@ -26,6 +30,8 @@
 	Replica peerpb.Replica
 	Control peerpb.Control
 	Spread  peerpb.Spread
+
+	transport *http.Transport
 }
 
 // Pool hands out clients by peer address.
@@ -80,6 +86,8 @@
 		Replica: peerpb.NewReplicaProtobufClient(scheme+address, client),
 		Control: peerpb.NewControlProtobufClient(scheme+address, client),
 		Spread:  peerpb.NewSpreadProtobufClient(scheme+address, client),
+
+		transport: transport,
 	}
 	p.conns[address] = c
 	return c
@@ -89,16 +97,21 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address := range p.conns {
-		delete(p.conns, address)
+	for _, c := range p.conns {
+		c.transport.CloseIdleConnections()
 	}
+	clear(p.conns)
 }
 
-// dropSilent closes idle sibling connections when a call ends without an answer.
+// dropSilent closes idle sibling connections when a call ends without an answer. It passes the trace context on.
 type dropSilent struct{ inner *http.Transport }
 
 // RoundTrip sends one call.
 func (d *dropSilent) RoundTrip(req *http.Request) (*http.Response, error) {
+	if oteltrace.SpanContextFromContext(req.Context()).IsValid() {
+		req = req.Clone(req.Context())
+		trace.Propagator().Inject(req.Context(), propagation.HeaderCarrier(req.Header))
+	}
 	resp, err := d.inner.RoundTrip(req)
 	if err != nil && (errors.Is(err, context.DeadlineExceeded) || isTimeout(err)) {
 		d.inner.CloseIdleConnections()
--- a/internal/node/peer/peer_test.go
+++ b/internal/node/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -20,6 +21,7 @@
 
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/observe/trace"
 )
 
 type echo struct {
@@ -180,6 +182,34 @@
 	require.NoError(t, g.Wait())
 }
 
+// Guards against a hop between nodes that is missing from the trace of its request, and against spans for the many calls
+// that belong to none.
+func TestCallsKeepTheTrace(t *testing.T) {
+	var out bytes.Buffer
+	p, err := trace.New(t.Context(), trace.Config{Process: "node", Lines: &out})
+	require.NoError(t, err)
+	s, err := peer.NewServer("127.0.0.1:0", nil)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error {
+		return s.Serve(ctx, peer.Services{Replica: echo{}, Control: echo{}, Spread: echo{}, Tracer: p.Tracer("peer")})
+	})
+	pool, err := peer.NewPool(nil)
+	require.NoError(t, err)
+	require.NoError(t, call(t, pool, s.Address()))
+	traced, span := p.Tracer("frontend").Start(t.Context(), "claim")
+	_, err = pool.Get(s.Address()).Control.Propose(traced, &peerpb.ProposeRequest{})
+	require.NoError(t, err)
+	span.End()
+	cancel()
+	require.NoError(t, g.Wait())
+	require.NoError(t, p.Close(context.Background()))
+	const mentions = 3 // Each of two spans names the trace, and the child's parent does.
+	require.Equal(t, mentions, bytes.Count(out.Bytes(), []byte(span.SpanContext().TraceID().String())))
+	require.Equal(t, 1, bytes.Count(out.Bytes(), []byte(`"Name":"peer Propose"`)))
+}
+
 // Guards against a start with unusable certificate files.
 func TestUnusableFiles(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/node/peer/server.go
+++ b/internal/node/peer/server.go
@@ -5,9 +5,14 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"path"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/observe/trace"
 )
 
 const (
@@ -24,6 +29,8 @@
 	Replica peerpb.Replica
 	Control peerpb.Control
 	Spread  peerpb.Spread
+	// Tracer makes a span for each call that belongs to a trace; nil makes none.
+	Tracer oteltrace.Tracer
 }
 
 // Server serves the peer port.
@@ -71,7 +78,7 @@
 	mux.Handle(replica.PathPrefix(), replica)
 	mux.Handle(control.PathPrefix(), control)
 	mux.Handle(spread.PathPrefix(), spread)
-	s.http.Handler = http.MaxBytesHandler(mux, MaxBody)
+	s.http.Handler = traced(svc.Tracer, http.MaxBytesHandler(mux, MaxBody))
 
 	stop := context.AfterFunc(ctx, func() {
 		late, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -86,3 +93,20 @@
 	}
 	return nil
 }
+
+// traced makes a span for each call that carries a trace context, such as a claim of a traced request.
+func traced(tracer oteltrace.Tracer, next http.Handler) http.Handler {
+	if tracer == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := trace.Propagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		if oteltrace.SpanContextFromContext(ctx).IsValid() {
+			var span oteltrace.Span
+			ctx, span = tracer.Start(ctx, "peer "+path.Base(r.URL.Path), oteltrace.WithSpanKind(oteltrace.SpanKindServer))
+			defer span.End()
+			r = r.WithContext(ctx)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/node/server/control.go
+++ b/internal/node/server/control.go
@@ -74,7 +74,7 @@
 
 // services returns what the peer port offers.
 func (s *Server) services() peer.Services {
-	svc := peer.Services{Replica: noReplica{}, Control: s.control, Spread: s.spreader}
+	svc := peer.Services{Replica: noReplica{}, Control: s.control, Spread: s.spreader, Tracer: s.traces.Tracer("peer")}
 	if s.durable != nil {
 		svc.Replica = s.durable.transport
 	}
--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -283,6 +283,8 @@
 		return false, refuse(KindInvalid, http.StatusBadRequest, "%s exceeds %d bytes",
 			camphorhinge.HeaderIdempotencyKey, maxKey)
 	}
+	ctx, span := c.f.cfg.Tracer.Start(ctx, "claim")
+	defer span.End()
 	g, err := c.f.cfg.Claims.Claim(ctx, claim.Request{
 		Key:      claim.Key{Workspace: c.in.workspace.Name, Service: c.in.service, Key: key},
 		Digest:   claim.DigestOf(c.in.method, c.in.target, c.head),
