--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -6,8 +6,9 @@
 	"sync"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/VictoriaMetrics/metrics"
+
+	"example.org/camphorhinge"
 )
 
 // Limit is the rate that a workspace has at one priority over all nodes; 0 means no limit.
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -4,10 +4,11 @@
 	"testing"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"example.org/camphorhinge"
 )
 
 // world is a clock, a fixed limit and the news of the other nodes.
--- a/internal/request/admit/bucket.go
+++ b/internal/request/admit/bucket.go
@@ -4,8 +4,9 @@
 	"math"
 	"time"
 
-	"example.org/camphorhinge"
 	"golang.org/x/time/rate"
+
+	"example.org/camphorhinge"
 )
 
 const (
--- a/internal/request/claim/claim_test.go
+++ b/internal/request/claim/claim_test.go
@@ -8,10 +8,11 @@
 	"testing"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"example.org/camphorhinge"
 )
 
 // fault tells how a proposal of a log ends.
--- a/internal/request/claim/client.go
+++ b/internal/request/claim/client.go
@@ -7,9 +7,10 @@
 	"fmt"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
+
+	"example.org/camphorhinge"
 )
 
 // DefaultKeep is how long claims are kept after their last change.
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -15,13 +15,14 @@
 	"sync"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/VictoriaMetrics/metrics"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
 )
 
 // Dialer opens connections; *net.Dialer implements it.
--- a/internal/request/exchange/exchange_test.go
+++ b/internal/request/exchange/exchange_test.go
@@ -15,11 +15,12 @@
 	"testing/synctest"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/sdk/trace"
 	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
 )
 
 func client(cfg Config) *Client {
--- a/internal/request/frontend/contract_test.go
+++ b/internal/request/frontend/contract_test.go
@@ -13,12 +13,13 @@
 	"testing/synctest"
 	"time"
 
-	"example.org/camphorhinge"
-	"example.org/camphorhinge/internal/request/claim"
-	"example.org/camphorhinge/internal/request/exchange"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace/noop"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/claim"
+	"example.org/camphorhinge/internal/request/exchange"
 )
 
 // recorder is a caller that keeps what it gets.
--- a/internal/request/frontend/fake_test.go
+++ b/internal/request/frontend/fake_test.go
@@ -13,8 +13,9 @@
 	"sync"
 	"time"
 
-	"example.org/camphorhinge"
 	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
 )
 
 // pieces is the number of events of a whole stream; the last has the finish reason.
--- a/internal/request/frontend/frontend.go
+++ b/internal/request/frontend/frontend.go
@@ -6,13 +6,14 @@
 	"net/http"
 	"time"
 
-	"example.org/camphorhinge"
-	"example.org/camphorhinge/internal/request/claim"
-	"example.org/camphorhinge/internal/request/exchange"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/claim"
+	"example.org/camphorhinge/internal/request/exchange"
 )
 
 // Service is what the configuration says of a service.
--- a/internal/request/frontend/guard.go
+++ b/internal/request/frontend/guard.go
@@ -11,13 +11,14 @@
 	"syscall"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
+
+	"example.org/camphorhinge"
 )
 
 // guarded is hertz's transport over the standard library with a guard around each connection.
--- a/internal/request/frontend/http_test.go
+++ b/internal/request/frontend/http_test.go
@@ -19,14 +19,15 @@
 	"testing/synctest"
 	"time"
 
-	"example.org/camphorhinge"
-	"example.org/camphorhinge/internal/request/exchange"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/exchange"
 )
 
 // fleet is a fixed view of targets: it picks the first that serves and is not excluded.
--- a/internal/request/frontend/inbound.go
+++ b/internal/request/frontend/inbound.go
@@ -13,12 +13,13 @@
 	"strings"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+
+	"example.org/camphorhinge"
 )
 
 // inbound is one request of a caller.
--- a/internal/request/frontend/metrics.go
+++ b/internal/request/frontend/metrics.go
@@ -4,8 +4,9 @@
 	"fmt"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/VictoriaMetrics/metrics"
+
+	"example.org/camphorhinge"
 )
 
 // meters counts requests.
--- a/internal/request/frontend/refuse_test.go
+++ b/internal/request/frontend/refuse_test.go
@@ -7,11 +7,12 @@
 	"testing/synctest"
 	"time"
 
-	"example.org/camphorhinge"
-	"example.org/camphorhinge/internal/request/exchange"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace/noop"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/exchange"
 )
 
 // gate refuses a request as scripted, by admission or by quarantine, and records how attempts ended.
--- a/internal/request/frontend/relay.go
+++ b/internal/request/frontend/relay.go
@@ -11,9 +11,10 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/request/exchange"
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
--- a/internal/request/quarantine/client.go
+++ b/internal/request/quarantine/client.go
@@ -8,9 +8,10 @@
 	"sync"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
 )
 
 // Config holds the dependencies of a Client.
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -8,9 +8,10 @@
 	"testing/synctest"
 	"time"
 
-	"example.org/camphorhinge"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
 )
 
 // report is one command at a time in milliseconds.
