Make the frontend's limits constants

Config had fields for the bounds of bodies, of answers and of the time to send a body. Neither the serve process nor a test set them, so only the defaults were ever in force; they are constants now, with the same values. The timeout of control calls is named as one. No behaviour changes.

--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -248,7 +248,7 @@
 
 func (s *Server) openPorts() error {
 	var err error
-	s.callers, err = web.New(web.Config{Address: s.cfg.CallerListen, MaxBody: frontend.DefaultPlainBody, Options: frontend.Options()})
+	s.callers, err = web.New(web.Config{Address: s.cfg.CallerListen, MaxBody: frontend.MaxBody, Options: frontend.Options()})
 	if err != nil {
 		return err
 	}
--- a/internal/request/frontend/frontend.go
+++ b/internal/request/frontend/frontend.go
@@ -83,8 +83,7 @@
 	Jitter() time.Duration
 }
 
-// Config holds the dependencies and limits of a Frontend. Claims and Quarantine may be nil. Zero limits take the
-// defaults below.
+// Config holds the dependencies of a Frontend. Claims and Quarantine may be nil.
 type Config struct {
 	Router        camphorhinge.Router
 	Admission     camphorhinge.Admission
@@ -100,35 +99,26 @@
 	Prefixes func(model camphorhinge.ModelName, adapter camphorhinge.AdapterName, prompt string) []uint64
 	// NewID draws ids of requests and attempts; nil takes random UUIDs.
 	NewID func() string
-
-	// ModelBody bounds the body of a model request, PlainBody that of a call to a plain service, in bytes.
-	ModelBody int64
-	PlainBody int64
-	// Answer bounds a whole answer to a model request, in bytes.
-	Answer int64
-	// Receive bounds the time in which a caller sends the body.
-	Receive time.Duration
 }
 
-// Defaults of Config.
+// MaxBody bounds the body of any request, in bytes. It holds a photo or a document for a plain service.
+const MaxBody = 16 << 20
+
 const (
-	// DefaultModelBody holds a prompt of about two million tokens.
-	DefaultModelBody = 8 << 20
-	// DefaultPlainBody holds a photo or a document.
-	DefaultPlainBody = 16 << 20
-	// DefaultAnswer holds several answers of the longest context.
-	DefaultAnswer = 16 << 20
-	// DefaultReceive lets a slow phone link send a few MB.
-	DefaultReceive = 20 * time.Second
-
-	// keepBody bounds the part of a plain call's body or answer that is held in memory. A call with a longer body is not
-	// repeated.
+	// maxModelBody bounds the body of a model request, in bytes. It holds a prompt of about two million tokens.
+	maxModelBody = 8 << 20
+	// maxAnswer bounds a whole answer to a model request, in bytes. It holds several answers of the longest context.
+	maxAnswer = 16 << 20
+	// receiveTimeout bounds the time in which a caller sends the body. It lets a slow phone link send a few MB.
+	receiveTimeout = 20 * time.Second
+	// keepBody bounds the part of a plain call's body or answer that is held in memory, in bytes. A call with a longer body
+	// is not repeated.
 	keepBody = 256 << 10
 	// tries bounds the attempts of a request, so that a request that each target refuses ends.
 	tries = 4
-	// control bounds a claim's completion, release or loss after the exchange.
-	control = 2 * time.Second
-	// tokenBytes is the estimated prompt text of one token.
+	// controlTimeout bounds a claim's completion, release or loss after the exchange, and a cancel.
+	controlTimeout = 2 * time.Second
+	// tokenBytes is the estimated prompt text of one token, in bytes.
 	tokenBytes = 4
 )
 
@@ -150,18 +140,6 @@
 	if cfg.NewID == nil {
 		cfg.NewID = uuid.NewString
 	}
-	if cfg.ModelBody == 0 {
-		cfg.ModelBody = DefaultModelBody
-	}
-	if cfg.PlainBody == 0 {
-		cfg.PlainBody = DefaultPlainBody
-	}
-	if cfg.Answer == 0 {
-		cfg.Answer = DefaultAnswer
-	}
-	if cfg.Receive == 0 {
-		cfg.Receive = DefaultReceive
-	}
 	f := &Frontend{cfg: cfg, meters: newMeters(cfg.Metrics)}
 	f.after.SetLimit(afterLimit)
 	return f
@@ -173,7 +151,7 @@
 // later runs a control call that no caller waits for.
 func (f *Frontend) later(call func(ctx context.Context) error) {
 	run := func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), control)
+		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 		defer cancel()
 		if call(ctx) != nil {
 			f.meters.controlFailures.Inc()
--- a/internal/request/frontend/http.go
+++ b/internal/request/frontend/http.go
@@ -72,7 +72,7 @@
 		in.length = 0
 	}
 	if in.length != 0 {
-		in.body = &body{r: c.RequestBodyStream(), conn: c.GetConn(), until: time.Now().Add(f.cfg.Receive)}
+		in.body = &body{r: c.RequestBodyStream(), conn: c.GetConn(), until: time.Now().Add(receiveTimeout)}
 	}
 	if g, ok := c.GetConn().(*guard); ok {
 		in.watch = func(cancel context.CancelFunc) func() { return g.watch(&f.watches, cancel) }
--- a/internal/request/frontend/model.go
+++ b/internal/request/frontend/model.go
@@ -16,7 +16,7 @@
 
 // model serves a model request.
 func (f *Frontend) model(ctx context.Context, in *inbound, out sink) *Error {
-	body, err := in.read(f.cfg.ModelBody)
+	body, err := in.read(maxModelBody)
 	if err != nil {
 		return err
 	}
@@ -116,14 +116,14 @@
 		return nil, nil, err
 	}
 	defer a.Close()
-	answer, err := io.ReadAll(io.LimitReader(a, j.f.cfg.Answer+1))
+	answer, err := io.ReadAll(io.LimitReader(a, maxAnswer+1))
 	switch {
 	case err != nil:
 		return nil, nil, err
-	case int64(len(answer)) > j.f.cfg.Answer:
+	case len(answer) > maxAnswer:
 		return nil, nil, &exchange.Error{
 			Op: "read body", Kind: exchange.KindProtocol, Run: camphorhinge.Unknown,
-			Err: fmt.Errorf("the answer exceeds %d bytes", j.f.cfg.Answer),
+			Err: fmt.Errorf("the answer exceeds %d bytes", maxAnswer),
 		}
 	case a.Status >= http.StatusBadRequest:
 		return nil, nil, &exchange.Error{
--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -68,7 +68,7 @@
 
 // receive reads the body: the whole of a claimed call, whose digest is compared, or else the first part.
 func (c *call) receive(all bool) *Error {
-	in, limit := c.in, c.f.cfg.PlainBody
+	in, limit := c.in, int64(MaxBody)
 	if in.length > limit {
 		return refuse(KindTooLarge, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
 	}
@@ -350,7 +350,7 @@
 	}
 	g := *c.grant
 	c.grant = nil
-	ctx, cancel := context.WithTimeout(context.Background(), control)
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
 	if c.f.cfg.Claims.Complete(ctx, g, a) != nil {
 		c.f.meters.controlFailures.Inc()
@@ -369,7 +369,7 @@
 	g := *c.grant
 	c.grant = nil
 	// Released before the caller is told, so that a resend at once does not find the request in progress.
-	ctx, cancel := context.WithTimeout(context.Background(), control)
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
 	if c.f.cfg.Claims.Release(ctx, g) != nil {
 		c.f.meters.controlFailures.Inc()
