Let a planned stop wait for the longest deadline by default

It is 1 h now, the limit of a record's deadline and of the setting. Requests end at their own deadline, so a stop with shorter ones takes no longer than before.

--- a/internal/cli/command/serve.go
+++ b/internal/cli/command/serve.go
@@ -10,11 +10,13 @@
 
 	"example.org/camphorhinge/internal/node/config"
 	"example.org/camphorhinge/internal/node/setting"
+	"example.org/camphorhinge/internal/record/schema"
 )
 
 const (
-	defaultStopDelay      = 3 * time.Second
-	defaultStopLimit      = 10 * time.Minute
+	defaultStopDelay = 3 * time.Second
+	// defaultStopLimit is the longest deadline of a request, so that a planned stop cuts none.
+	defaultStopLimit      = schema.MaxDeadline
 	defaultClaimRetention = 24 * time.Hour
 	defaultWeightRate     = 1 << 30
 	defaultWeightLoads    = 2
