Choose the engine to which a stream moves by Router.PickDecode

A stream that left its engine was placed by Pick with a prompt of 0 tokens, and counted by Sent with the whole prompt. The router had PickDecode and SentDecode for this, which only tests called.

Both are methods of camphorhinge.Router now and the frontend calls them. PickDecode counts the wait for memory as Pick does (before: engines without free blocks tied with idle ones; TestPickDecode fails without this), and passes over prefill engines only for a stream that leaves one. A stream on a prefill engine now stays when no decode engine is expected to finish it sooner; it still moves later when that engine is drained. The pieces sent count as memory too.

mix.Wrap passes both methods on; its assertion that a bare router lacks them is now the compiler's. Ruled out: removing the methods, which would have kept both faults.

--- a/interfaces.go
+++ b/interfaces.go
@@ -100,6 +100,11 @@
 	Pick(req RouteRequest) (choice RouteChoice, ok bool)
 	// Sent notes that an attempt was sent; the returned function is called once when the attempt has ended.
 	Sent(choice RouteChoice, req RouteRequest) (done func(AttemptResult))
+	// PickDecode returns the engine to which the KV cache of a request moves from the engine that holds it; ok is false when
+	// no engine may take it, or when the request should stay.
+	PickDecode(req RouteRequest, from *Target) (choice RouteChoice, ok bool)
+	// SentDecode is Sent for an attempt whose KV cache was moved to the target, so that no prefill is left.
+	SentDecode(choice RouteChoice, req RouteRequest) (done func(AttemptResult))
 }
 
 // RouteRequest is what a Router knows of a request.
--- a/internal/fleet/mix/wrap.go
+++ b/internal/fleet/mix/wrap.go
@@ -6,39 +6,19 @@
 	"example.org/camphorhinge"
 )
 
-// decoder is an optional ability of a router: it chooses the engine to which a KV cache moves.
-type decoder interface {
-	PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool)
-	SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) (done func(camphorhinge.AttemptResult))
-}
-
 // expecter is an optional ability of a router: it knows the expected output of a service.
 type expecter interface {
 	Output(service camphorhinge.ServiceName, limit camphorhinge.Tokens) camphorhinge.Tokens
 }
 
-// Wrap returns a router that feeds m and leaves each choice to inner. It has the methods PickDecode, SentDecode and
-// Output if inner has them; Unwrap returns inner for all others.
+// Wrap returns a router that feeds m and leaves each choice to inner. It has the method Output if inner
+// has it; Unwrap returns inner for all others.
 //
 // Only requests that name a model count. One counts as asked for at a choice without excluded targets; a repeat that
 // starts over with all targets counts again, which the retry budget bounds to a tenth of the requests.
 func Wrap(inner camphorhinge.Router, m *Meter) camphorhinge.Router {
 	r := &router{inner: inner, meter: m}
-	d, decodes := inner.(decoder)
-	x, expects := inner.(expecter)
-	switch {
-	case decodes && expects:
-		return struct {
-			*router
-			*decoding
-			expecter
-		}{r, &decoding{d, m}, x}
-	case decodes:
-		return struct {
-			*router
-			*decoding
-		}{r, &decoding{d, m}}
-	case expects:
+	if x, ok := inner.(expecter); ok {
 		return struct {
 			*router
 			expecter
@@ -76,19 +56,14 @@
 	return r.meter.sent(req, r.inner.Sent(choice, req))
 }
 
-type decoding struct {
-	inner decoder
-	meter *Meter
-}
-
-// PickDecode passes the call on.
-func (d *decoding) PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool) {
-	return d.inner.PickDecode(req, from)
+// PickDecode implements camphorhinge.Router; the request was counted at its first choice.
+func (r *router) PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool) {
+	return r.inner.PickDecode(req, from)
 }
 
-// SentDecode counts the attempt's answer as Sent does.
-func (d *decoding) SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
-	return d.meter.sent(req, d.inner.SentDecode(choice, req))
+// SentDecode implements camphorhinge.Router.
+func (r *router) SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
+	return r.meter.sent(req, r.inner.SentDecode(choice, req))
 }
 
 // jitterer is an optional ability of an Admission: a random delay before a repeated attempt.
--- a/internal/request/frontend/contract_test.go
+++ b/internal/request/frontend/contract_test.go
@@ -266,6 +266,7 @@
 	time.Sleep(2 * time.Minute)
 	require.NoError(t, shut())
 	require.Equal(t, tc.runs, a.runs+b.runs, "runs")
+	require.Equal(t, strings.Contains(tc.seen, "import"), view.decodes > 0, "the router knows a move from a run")
 	if tc.class == string(camphorhinge.NotRun) && tc.again == "" {
 		require.Zero(t, a.runs+b.runs)
 	}
--- a/internal/request/frontend/http_test.go
+++ b/internal/request/frontend/http_test.go
@@ -34,6 +34,8 @@
 type fleet struct {
 	mu      sync.Mutex
 	targets []*camphorhinge.Target
+	// decodes counts the attempts that came with a KV cache.
+	decodes int
 }
 
 func (f *fleet) Live(camphorhinge.ServiceName) []*camphorhinge.Target {
@@ -64,6 +66,16 @@
 	return camphorhinge.RouteChoice{}, false
 }
 
+func (f *fleet) PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool) {
+	req.Exclude = append(slices.Clone(req.Exclude), from.Name)
+	return f.Pick(req)
+}
+
+func (f *fleet) SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
+	f.decodes++
+	return f.Sent(choice, req)
+}
+
 func (f *fleet) Sent(camphorhinge.RouteChoice, camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
 	return func(camphorhinge.AttemptResult) {}
 }
--- a/internal/request/frontend/job.go
+++ b/internal/request/frontend/job.go
@@ -185,9 +185,15 @@
 	flight  func(crashed, succeeded bool)
 }
 
+// begin starts a leg that computes the prompt.
 func (j *job) begin(choice camphorhinge.RouteChoice, attempt camphorhinge.AttemptID) *leg {
-	l := &leg{choice: choice, attempt: attempt, began: time.Now(), flight: func(bool, bool) {}}
-	l.sent = j.f.cfg.Router.Sent(choice, j.route)
+	return j.leg(choice, attempt, j.f.cfg.Router.Sent(choice, j.route))
+}
+
+func (j *job) leg(
+	choice camphorhinge.RouteChoice, attempt camphorhinge.AttemptID, sent func(camphorhinge.AttemptResult),
+) *leg {
+	l := &leg{choice: choice, attempt: attempt, began: time.Now(), sent: sent, flight: func(bool, bool) {}}
 	if q := j.f.cfg.Quarantine; q != nil {
 		l.flight = q.Begin(choice.Target, j.fp)
 	}
--- a/internal/request/frontend/relay.go
+++ b/internal/request/frontend/relay.go
@@ -46,8 +46,9 @@
 	headed   bool
 	last     time.Time
 	looked   time.Time
-	// moved is true after an attempt to move the stream off its engine.
-	moved bool
+	// handed and moved are true after an attempt to move the stream off its engine: handed because the engine only computes
+	// prompts, moved because it is drained.
+	handed, moved bool
 }
 
 // run runs attempts until the answer is complete.
@@ -125,11 +126,11 @@
 			return l, err
 		}
 		if r.leaves(l) {
-			if next, nl := r.move(ctx, l, s.Offset()); next != nil {
+			if next, nl := r.move(ctx, l, s.Offset(), r.route); next != nil {
 				s.Close()
 				l.moveOn()
 				r.cancel(l)
-				s, l, r.moved = next, nl, false
+				s, l, r.handed, r.moved = next, nl, false, false
 			}
 		}
 	}
@@ -205,17 +206,20 @@
 	if attemptError(err).Kind == exchange.KindConnect {
 		return nil, nil
 	}
-	return r.move(ctx, l, offset)
+	// The engine refuses the stream, so it can't stay there.
+	route := r.route
+	route.Exclude = append(slices.Clone(route.Exclude), l.choice.Target.Name)
+	return r.move(ctx, l, offset, route)
 }
 
 // leaves reports whether the stream should leave its engine: one that only computes prompts, or one that is drained. A
-// move that failed is not tried again on the same engine.
+// move that failed is not tried again on the same engine for the same reason.
 func (r *relay) leaves(l *leg) bool {
 	if r.moved || int(r.route.Output)-r.sent < moveMin {
 		return false
 	}
-	if l.choice.Target.Role == camphorhinge.RolePrefill {
-		r.moved = true
+	if l.choice.Target.Role == camphorhinge.RolePrefill && !r.handed {
+		r.handed = true
 		return true
 	}
 	now := time.Now()
@@ -232,18 +236,17 @@
 	return false
 }
 
-// move exports the attempt's KV cache, imports it on another engine and resumes the stream there. The router is asked
-// for a prompt of 0 tokens, which tells it that the engine only decodes. move returns nil when any step fails; the
-// attempt's old connection is not touched.
-func (r *relay) move(ctx context.Context, l *leg, offset int) (*exchange.Stream, *leg) {
+// move exports the attempt's KV cache, imports it on another engine and resumes the stream there. It returns nil when any
+// step fails or the router prefers that the stream stays; the attempt's old connection is not touched.
+func (r *relay) move(ctx context.Context, l *leg, offset int, route camphorhinge.RouteRequest) (*exchange.Stream, *leg) {
 	x := r.f.cfg.Exchange
-	route := r.route
-	route.Exclude = append(slices.Clone(route.Exclude), l.choice.Target.Name)
-	route.Prompt, route.Output = 0, max(route.Output-camphorhinge.Tokens(r.sent), 1)
+	// The pieces that were sent are in the cache as well, and fill memory on the importer.
+	sent := camphorhinge.Tokens(r.sent)
+	route.Prompt, route.Output = route.Prompt+sent, max(route.Output-sent, 1)
 	if d, ok := ctx.Deadline(); ok {
 		route.Deadline = time.Until(d)
 	}
-	choice, ok := r.f.cfg.Router.Pick(route)
+	choice, ok := r.f.cfg.Router.PickDecode(route, l.choice.Target)
 	if !ok {
 		return nil, nil
 	}
@@ -254,7 +257,7 @@
 	if err := x.Import(ctx, choice.Target, l.choice.Target, handle, l.attempt); err != nil {
 		return nil, nil
 	}
-	nl := r.begin(choice, l.attempt)
+	nl := r.leg(choice, l.attempt, r.f.cfg.Router.SentDecode(choice, route))
 	call := r.call(nl, r.body, offset)
 	call.Finished = r.finished && offset >= r.sent
 	s, err := x.Stream(ctx, call)
--- a/internal/request/route/cost.go
+++ b/internal/request/route/cost.go
@@ -128,6 +128,8 @@
 	// ready is the time to the first token, decode the rest.
 	ready, decode time.Duration
 	perToken      time.Duration
+	// wait is the part of ready before the prefill: for a place in the batch and for memory.
+	wait time.Duration
 	// load is the part of ready and decode that stems from other requests.
 	load time.Duration
 }
@@ -151,6 +153,7 @@
 	token += slower
 	return estimate{
 		load:     seconds((wait + slower*float64(output)) * s.speed),
+		wait:     seconds(wait * s.speed),
 		ready:    seconds((wait + prefill) * s.speed),
 		decode:   seconds(token * float64(output) * s.speed),
 		perToken: seconds(token * s.speed),
--- a/internal/request/route/router.go
+++ b/internal/request/route/router.go
@@ -138,8 +138,8 @@
 	return camphorhinge.RouteChoice{Target: best.target, Expected: best.total, Reason: reason}, true
 }
 
-// PickDecode returns the engine to which the KV cache of a prompt moves after its prefill on from. ok is false when
-// the request should stay there.
+// PickDecode returns the engine to which the KV cache of a request moves from the engine that holds it. ok is false when
+// the request should stay there, or no engine may take it.
 func (r *Router) PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool) {
 	live := r.cfg.Targets.Live(req.Service)
 	now := r.cfg.Clock.Now()
@@ -155,11 +155,11 @@
 			stay = c.est.decode
 			continue
 		}
-		if c.target.Role == camphorhinge.RolePrefill {
-			continue
+		if c.target.Role == camphorhinge.RolePrefill && from.Role == camphorhinge.RolePrefill {
+			continue // It would hand the stream on at once.
 		}
-		// The cache comes with the move, so the wait for a place in the batch is all that precedes the next token.
-		c.total = move + r.wait(c, now) + c.est.decode
+		// The cache comes with the move, so only the wait for a place in the batch and for memory precedes the next token.
+		c.total = move + c.est.wait + c.est.decode
 		kept = append(kept, c)
 	}
 	r.list = kept
@@ -173,10 +173,6 @@
 	return camphorhinge.RouteChoice{Target: best.target, Expected: best.total, Reason: ReasonDecode}, true
 }
 
-func (r *Router) wait(c candidate, now camphorhinge.Instant) time.Duration {
-	return seconds(c.state.work(c.target.Load, taken(c.target, now), r.nodes()).tokens / r.cfg.DrainRate * c.state.speed)
-}
-
 // collect fills r.list with the eligible candidates and their estimates.
 func (r *Router) collect(live []*camphorhinge.Target, req *camphorhinge.RouteRequest, now camphorhinge.Instant, output camphorhinge.Tokens) {
 	r.list, r.starter = r.list[:0], r.starter[:0]
@@ -373,7 +369,8 @@
 	return r.sent(choice, req, req.Prompt)
 }
 
-// SentDecode is Sent for an attempt whose KV cache was moved to the target, by PickDecode.
+// SentDecode is Sent for an attempt whose KV cache was moved to the target: its prompt fills memory, and none of it is
+// computed.
 func (r *Router) SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) (done func(camphorhinge.AttemptResult)) {
 	return r.sent(choice, req, 0)
 }
--- a/internal/request/route/router_test.go
+++ b/internal/request/route/router_test.go
@@ -164,20 +164,26 @@
 	}
 }
 
-// Guards against a decode that moves to a loaded engine, or away from an engine that does as well itself.
+// Guards against a decode that moves to an engine with much work or without memory for the prompt, or away from an engine
+// that does as well itself, and against a moved prompt that counts as work.
 func TestPickDecode(t *testing.T) {
 	c := &clock{}
 	l := engines(3, c)
 	l[0].Role, l[1].Role, l[2].Role = camphorhinge.RolePrefill, camphorhinge.RoleDecode, camphorhinge.RoleDecode
-	l[1].Load.Tokens = 50_000
 	r := newRouter(t, l, c, 7)
-	for range 20 {
+	for i := range 40 {
+		if l[1].Load.Tokens = 50_000; i >= 20 {
+			l[1].Load.Tokens, l[1].Load.FreeBlocks = 0, 4
+		}
 		got, ok := r.PickDecode(request, l[0])
 		require.True(t, ok)
 		require.Equal(t, l[2], got.Target)
 	}
 	_, ok := r.PickDecode(request, l[2])
 	require.False(t, ok)
+	r.SentDecode(camphorhinge.RouteChoice{Target: l[1]}, request)
+	f := r.states[l[1].Name].flights[0]
+	require.Equal(t, []int{200, 9}, []int{int(f.tokens), int(f.blocks)}, "tokens to compute and blocks to hold")
 }
 
 // Guards against a target that gets its full share at once after it returned, and against a breaker that never lets
