--- a/errors.go
+++ b/errors.go
@@ -7,6 +7,3 @@
 
 // ErrNotLeader marks a call that only the leader answers.
 var ErrNotLeader = errors.New("not the leader")
-
-// ErrStale marks a node whose configuration lease and stale limit have passed.
-var ErrStale = errors.New("configuration is stale")
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -105,7 +105,7 @@
 
 // plan chooses the work of the next step and returns it with its duration.
 func (e *Engine) plan(now time.Time) ([]share, time.Duration) {
-	if e.down || e.paused {
+	if e.down {
 		return nil, 0
 	}
 	e.reap(now)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -86,7 +86,6 @@
 	orders   int
 	pending  *Order // the change in progress
 	down     bool
-	paused   bool
 	quiet    bool
 	life     chan struct{} // closed when the incarnation ends
 }
@@ -270,14 +269,6 @@
 	e.announceNow()
 }
 
-// Pause stops the batch, but not the answers of the control protocol; false goes on.
-func (e *Engine) Pause(paused bool) {
-	e.mu.Lock()
-	e.paused = paused
-	e.mu.Unlock()
-	notify(e.wake)
-}
-
 // Quiet stops the announcements; false goes on.
 func (e *Engine) Quiet(quiet bool) {
 	e.mu.Lock()
