Bind the flags that stand-ins share once, and name defaults in their help

The stand-ins of engines and of plain services listed the same seven flags twice. Help texts name the defaults of the engine's times and rates. In the server, two comments stand at the fields that they describe and long literals are broken. No behaviour changes.

--- a/internal/cli/command/standin.go
+++ b/internal/cli/command/standin.go
@@ -26,16 +26,24 @@
 	return names
 }
 
+// targetFlags adds the flags that the stand-ins of engines and plain services share, and returns the value of --leave.
+func targetFlags(
+	cmd *kingpin.CmdClause, name *camphorhinge.TargetName, service *camphorhinge.ServiceName, zone *camphorhinge.Zone,
+	listen, advertise *string, announce *[]string,
+) *time.Duration {
+	cmd.Flag("name", "Name of the target.").Required().StringVar((*string)(name))
+	cmd.Flag("service", "Service that it belongs to.").Required().StringVar((*string)(service))
+	cmd.Flag("zone", "Availability zone.").Default("zone-a").StringVar((*string)(zone))
+	cmd.Flag("listen", "IP:port to listen on.").Default("127.0.0.1:0").StringVar(listen)
+	cmd.Flag("advertise", "IP:port to announce; that of --listen by default.").StringVar(advertise)
+	cmd.Flag("announce", "Base URL of a node's target port; may be repeated.").Required().StringsVar(announce)
+	return leaveFlag(cmd)
+}
+
 func (a *app) standinEngine(cmd *kingpin.CmdClause) func(context.Context) error {
 	var cfg engine.Config
 	var models, adapters string
-	cmd.Flag("name", "Name of the engine.").Required().StringVar((*string)(&cfg.Name))
-	cmd.Flag("service", "Service that it belongs to.").Required().StringVar((*string)(&cfg.Service))
-	cmd.Flag("zone", "Availability zone.").Default("zone-a").StringVar((*string)(&cfg.Zone))
-	cmd.Flag("listen", "IP:port to listen on.").Default("127.0.0.1:0").StringVar(&cfg.Listen)
-	cmd.Flag("advertise", "IP:port to announce; that of --listen by default.").StringVar(&cfg.Advertise)
-	cmd.Flag("announce", "Base URL of a node's target port; may be repeated.").Required().StringsVar(&cfg.Announce)
-	leave := leaveFlag(cmd)
+	leave := targetFlags(cmd, &cfg.Name, &cfg.Service, &cfg.Zone, &cfg.Listen, &cfg.Advertise, &cfg.Announce)
 	cmd.Flag("role", "Role at the start.").Default("mixed").EnumVar((*string)(&cfg.Role), "mixed", "prefill", "decode")
 	cmd.Flag("models", "Models loaded at the start, separated by commas.").StringVar(&models)
 	cmd.Flag("adapters", "Adapters loaded at the start, separated by commas.").StringVar(&adapters)
@@ -43,14 +51,14 @@
 		EnumVar((*string)(&cfg.Fencing), "checked", "ignored")
 	cmd.Flag("orders", "Condition that orders support.").Default("plain").
 		EnumVar((*string)(&cfg.Orders), "plain", "twostep", "conditional")
-	cmd.Flag("prefill-rate", "Prompt tokens per second.").Float64Var(&cfg.PrefillRate)
-	cmd.Flag("token-time", "Time of one output token at batch size 1.").DurationVar(&cfg.TokenTime)
-	cmd.Flag("change-time", "Time of a role change.").DurationVar(&cfg.ChangeTime)
-	cmd.Flag("load-time", "Time to load a model or adapter.").DurationVar(&cfg.LoadTime)
+	cmd.Flag("prefill-rate", "Prompt tokens per second; 20,000 by default.").Float64Var(&cfg.PrefillRate)
+	cmd.Flag("token-time", "Time of one output token at batch size 1; 10ms by default.").DurationVar(&cfg.TokenTime)
+	cmd.Flag("change-time", "Time of a role change; 2s by default.").DurationVar(&cfg.ChangeTime)
+	cmd.Flag("load-time", "Time to load a model or adapter; 1s by default.").DurationVar(&cfg.LoadTime)
 	cmd.Flag("load-lag", "Least age of a load report.").DurationVar(&cfg.LoadLag)
-	cmd.Flag("cache-loss", "Share of cache events that are never sent.").Float64Var(&cfg.CacheLoss)
+	cmd.Flag("cache-loss", "Share of cache events that are never sent, from 0 to 1.").Float64Var(&cfg.CacheLoss)
 	cmd.Flag("crash-on", "Crash on a prompt that contains this text.").StringVar(&cfg.CrashOn)
-	cmd.Flag("max-batch", "Greatest number of sequences in the batch.").IntVar(&cfg.MaxBatch)
+	cmd.Flag("max-batch", "Greatest number of sequences in the batch; 32 by default.").IntVar(&cfg.MaxBatch)
 	cmd.Flag("seed", "Seed of lost cache events and nonces.").Uint64Var(&cfg.Seed)
 	return func(ctx context.Context) error {
 		cfg.Models = splitNames[camphorhinge.ModelName](models)
@@ -66,13 +74,7 @@
 
 func (a *app) standinService(cmd *kingpin.CmdClause) func(context.Context) error {
 	var cfg service.Config
-	cmd.Flag("name", "Name of the process.").Required().StringVar((*string)(&cfg.Name))
-	cmd.Flag("service", "Service that it belongs to.").Required().StringVar((*string)(&cfg.Service))
-	cmd.Flag("zone", "Availability zone.").Default("zone-a").StringVar((*string)(&cfg.Zone))
-	cmd.Flag("listen", "IP:port to listen on.").Default("127.0.0.1:0").StringVar(&cfg.Listen)
-	cmd.Flag("advertise", "IP:port to announce; that of --listen by default.").StringVar(&cfg.Advertise)
-	cmd.Flag("announce", "Base URL of a node's target port; may be repeated.").Required().StringsVar(&cfg.Announce)
-	leave := leaveFlag(cmd)
+	leave := targetFlags(cmd, &cfg.Name, &cfg.Service, &cfg.Zone, &cfg.Listen, &cfg.Advertise, &cfg.Announce)
 	cmd.Flag("delay", "Time of one request.").DurationVar(&cfg.Delay)
 	return func(ctx context.Context) error {
 		s, err := service.New(cfg)
--- a/internal/node/server/durable.go
+++ b/internal/node/server/durable.go
@@ -63,10 +63,10 @@
 	control *control.Server
 	// led is the term of the leadership that has begun, or 0.
 	led atomic.Uint64
-	// away tells since when a listed node that gave its lease back has not returned; only lead uses it.
 	// ledSince is when the present leadership began; only lead uses it.
 	ledSince camphorhinge.Instant
-	away     map[camphorhinge.NodeID]camphorhinge.Instant
+	// away tells since when a listed node that gave its lease back has not returned; only lead uses it.
+	away map[camphorhinge.NodeID]camphorhinge.Instant
 	// leads receives the terms of leaderships that began; 0 tells that one has ended.
 	leads chan camphorhinge.Term
 }
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -158,6 +158,7 @@
 	return err
 }
 
+// files names the TLS files of the peer port; nil stands for no TLS.
 func (s *Server) files() *peer.Files {
 	if s.cfg.PeerPlain {
 		return nil
@@ -201,8 +202,7 @@
 	s.reports = admit.NewReports(s.clock, s.nodeCount)
 	s.renewer = control.NewRenewer(control.RenewerConfig{
 		Self: s.self, Client: s.client, Mirror: s.mirror, Holder: s.holder, Clock: s.clock, Log: s.log,
-		Engines: s.learnEngines,
-		Scores:  s.learnScores, Mix: s.meter.Take,
+		Engines: s.learnEngines, Scores: s.learnScores, Mix: s.meter.Take,
 	})
 	s.registry = registry.New(registry.Config{
 		Clock: s.clock, Held: s.engines.Holds, Observe: s.observe, Metrics: s.metrics,
@@ -238,10 +238,10 @@
 	claims := claim.New(claim.Config{Proposer: s.client, Node: s.cfg.Node, Metrics: s.metrics, Keep: s.cfg.ClaimRetention})
 	s.settings = &configuration{mirror: s.mirror, holder: s.holder, warm: s.spreader.Warm}
 	s.frontend = frontend.New(frontend.Config{
-		Router: mix.Wrap(s.router, s.meter), Admission: mix.WrapAdmission(s.admission, s.meter), Targets: s.registry, Decisions: s.ring, Configuration: s.settings,
-		Exchange: s.exchange, Claims: claims, Quarantine: s.quarantine, Metrics: s.metrics,
-		Tracer:   s.traces.Tracer("frontend"),
-		Prefixes: prefixes,
+		Router: mix.Wrap(s.router, s.meter), Admission: mix.WrapAdmission(s.admission, s.meter),
+		Targets: s.registry, Decisions: s.ring, Configuration: s.settings,
+		Exchange: s.exchange, Claims: claims, Quarantine: s.quarantine,
+		Metrics: s.metrics, Tracer: s.traces.Tracer("frontend"), Prefixes: prefixes,
 	})
 	return nil
 }
@@ -393,6 +393,7 @@
 	}
 }
 
+// finish waits for calls that outlive their requests, and closes what New opened besides files.
 func (s *Server) finish() {
 	late, cancel := context.WithTimeout(context.Background(), controlGrace)
 	defer cancel()
