Refuse a call whose body was cut off in its first 256 KiB

readHead read by io.ReadFull, which gives io.ErrUnexpectedEOF both at the end of a body and when hertz reports that the caller's connection ended within it. A call to a plain service with a chunked body that was cut ran with the part that had arrived, as the whole; so did one of a stated length that ended early without an error. Now only io.EOF ends a body, and a stated length must be reached; other calls are refused as not-run. Before: TestReadHead's new cases were accepted (the test fails on the old code). A body that comes too slowly in this place has kind slow_request and status 408, as where the whole body is read; it was 400. The answer of a target is whole only if the exchange says so, as before.

--- a/internal/request/frontend/inbound.go
+++ b/internal/request/frontend/inbound.go
@@ -175,10 +175,8 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(in.body, limit+1))
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, refuse(KindSlow, http.StatusRequestTimeout, "the body was not received in time")
 	case err != nil:
-		return nil, refuse(KindInvalid, http.StatusBadRequest, "the body could not be read: %w", err)
+		return nil, unreadable(err)
 	case int64(len(body)) > limit:
 		return nil, refuse(KindTooLarge, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
 	case in.length >= 0 && int64(len(body)) < in.length:
@@ -187,6 +185,14 @@
 	return body, nil
 }
 
+// unreadable returns the Error of a body that could not be read.
+func unreadable(err error) *Error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refuse(KindSlow, http.StatusRequestTimeout, "the body was not received in time")
+	}
+	return refuse(KindInvalid, http.StatusBadRequest, "the body could not be read: %w", err)
+}
+
 // fingerprint returns the hash by which crashing requests are counted.
 func (in *inbound) fingerprint(body []byte) camphorhinge.Fingerprint {
 	d := xxhash.New()
--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -87,8 +87,10 @@
 	switch {
 	case err == nil:
 		c.rest = &capped{r: in.body, left: limit - int64(len(c.head))}
-	case !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		return refuse(KindInvalid, http.StatusBadRequest, "the body could not be read: %w", err)
+	case !errors.Is(err, io.EOF):
+		return unreadable(err)
+	case in.length > int64(len(c.head)):
+		return unreadable(io.ErrUnexpectedEOF)
 	}
 	return nil
 }
@@ -96,8 +98,8 @@
 // firstPart is the first size of the buffer for a body of unknown length.
 const firstPart = 4 << 10
 
-// readHead reads a body up to its end or to keepBody bytes. The error is nil when keepBody bytes were read, and io.EOF or
-// io.ErrUnexpectedEOF at the end of the body. Length is the body's size in bytes, or -1 when it is not known. The buffer
+// readHead reads a body up to its end or to keepBody bytes. The error is nil when keepBody bytes were read, and that of r
+// otherwise: io.EOF at the end of the body. Length is the body's size in bytes, or -1 when it is not known. The buffer
 // follows the size: one of keepBody bytes for each call was nine tenths of all that a node allocated.
 func readHead(r io.Reader, length int64) ([]byte, error) {
 	size := int64(firstPart)
@@ -106,12 +108,16 @@
 	}
 	head := make([]byte, 0, min(size, keepBody))
 	for {
-		n, err := io.ReadFull(r, head[len(head):cap(head)])
+		n, err := r.Read(head[len(head):cap(head)])
 		head = head[:len(head)+n]
-		if err != nil || len(head) == keepBody {
+		switch {
+		case len(head) == keepBody:
+			return head, nil
+		case err != nil:
 			return head, err
+		case len(head) == cap(head):
+			head = append(make([]byte, 0, min(2*len(head), keepBody)), head...)
 		}
-		head = append(make([]byte, 0, min(2*len(head), keepBody)), head...)
 	}
 }
 
@@ -183,7 +189,7 @@
 // it; an error of a longer one wraps errWritten. told is set when the caller left.
 func (c *call) answer(a *exchange.Answer) (told *Error, err error) {
 	head, err := readHead(a, a.Length)
-	whole := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && a.Whole()
+	whole := errors.Is(err, io.EOF) && a.Whole()
 	if err != nil && !whole {
 		return nil, err
 	}
--- a/internal/request/frontend/plain_test.go
+++ b/internal/request/frontend/plain_test.go
@@ -9,7 +9,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a body that is cut, or taken for whole, where it ends on a bound of the growing buffer.
+// Guards against a body that is cut, or taken for whole, where it ends on a bound of the growing buffer, and against a call
+// that runs with the part of a body after which its caller was cut off.
 func TestReadHead(t *testing.T) {
 	for _, size := range []int{0, 1, firstPart - 1, firstPart, firstPart + 1, keepBody - 1, keepBody, keepBody + 1} {
 		body := bytes.Repeat([]byte("x"), size)
@@ -21,10 +22,16 @@
 					require.NoError(t, err, "size %d, length %d", size, length)
 					continue
 				}
-				require.ErrorContains(t, err, "EOF", "size %d, length %d", size, length)
+				require.ErrorIs(t, err, io.EOF, "size %d, length %d", size, length)
 			}
 		}
 	}
 	_, err := readHead(iotest.ErrReader(io.ErrNoProgress), 10)
 	require.ErrorIs(t, err, io.ErrNoProgress)
+	for length, end := range map[int64]error{-1: io.ErrUnexpectedEOF, keepBody + 1: io.EOF} {
+		body := io.MultiReader(bytes.NewReader([]byte("pay")), iotest.ErrReader(end))
+		refused := (&call{job: &job{in: &inbound{body: body, length: length}}}).receive(false)
+		require.NotNil(t, refused, "length %d", length)
+		require.Equal(t, KindInvalid, refused.Kind)
+	}
 }
