Remove encodings and accessors that nothing uses

Cause: wal.Log.SnapshotIndex, schema.Service.Repeatable and schema.Floors.Of had no caller; DecodeEntry, AppendHardState and DecodeHardState of consensus were called by their own tests only, since the wal has its own encoding of both. Ruled out: keeping them for the tests, which then guard code that no replica runs. Their lines in the encoding tests go with them; the rows for the encodings in use stay. appendEntry has no caller outside the package and is unexported. After: the tests of state/consensus, state/wal and record pass.

--- a/internal/record/schema/types.go
+++ b/internal/record/schema/types.go
@@ -107,16 +107,6 @@
 	Idempotent []string
 }
 
-// Repeatable reports whether a plain request with the method may be sent more than once.
-func (s *Service) Repeatable(method string) bool {
-	for _, m := range s.Idempotent {
-		if m == method {
-			return true
-		}
-	}
-	return false
-}
-
 // QuietAt reports whether t lies in one of the service's quiet windows.
 func (s *Service) QuietAt(t time.Time) bool {
 	for _, w := range s.Quiet {
@@ -132,19 +122,6 @@
 	Prefill, Decode, Mixed int
 }
 
-// Of returns the floor of a role, and 0 for an unknown one.
-func (f Floors) Of(role camphorhinge.Role) int {
-	switch role {
-	case camphorhinge.RolePrefill:
-		return f.Prefill
-	case camphorhinge.RoleDecode:
-		return f.Decode
-	case camphorhinge.RoleMixed:
-		return f.Mixed
-	}
-	return 0
-}
-
 // Weigh sets goodput against the number of role changes; both are at least 0 and not both 0.
 type Weigh struct {
 	Goodput, Changes float64
--- a/internal/state/consensus/encode.go
+++ b/internal/state/consensus/encode.go
@@ -38,7 +38,7 @@
 		b = binary.AppendUvarint(b, v)
 	}
 	for i := range m.Entries {
-		b = AppendEntry(b, &m.Entries[i])
+		b = appendEntry(b, &m.Entries[i])
 	}
 	return b
 }
@@ -73,8 +73,8 @@
 	return m, nil
 }
 
-// AppendEntry appends the encoding of e to b.
-func AppendEntry(b []byte, e *Entry) []byte {
+// appendEntry appends the encoding of e to b.
+func appendEntry(b []byte, e *Entry) []byte {
 	b = binary.AppendUvarint(b, uint64(e.Index))
 	b = binary.AppendUvarint(b, uint64(e.Term))
 	b = append(b, byte(e.Kind))
@@ -82,34 +82,6 @@
 	return append(b, e.Data...)
 }
 
-// DecodeEntry decodes one entry, whose data share memory with b.
-func DecodeEntry(b []byte) (Entry, error) {
-	r := reader{b: b}
-	e := r.entry()
-	if err := r.end("decode entry"); err != nil {
-		return Entry{}, err
-	}
-	return e, nil
-}
-
-// AppendHardState appends the encoding of h to b.
-func AppendHardState(b []byte, h HardState) []byte {
-	b = append(b, formatVersion)
-	b = binary.AppendUvarint(b, uint64(h.Term))
-	return binary.AppendUvarint(b, uint64(h.Vote))
-}
-
-// DecodeHardState decodes a HardState.
-func DecodeHardState(b []byte) (HardState, error) {
-	r := reader{b: b}
-	r.version()
-	h := HardState{Term: camphorhinge.Term(r.uvarint()), Vote: camphorhinge.ReplicaID(r.uvarint())}
-	if err := r.end("decode hard state"); err != nil {
-		return HardState{}, err
-	}
-	return h, nil
-}
-
 // AppendMembership appends the encoding of m to b.
 func AppendMembership(b []byte, m Membership) []byte {
 	b = append(b, formatVersion)
--- a/internal/state/consensus/encode_test.go
+++ b/internal/state/consensus/encode_test.go
@@ -66,8 +66,6 @@
 		}
 		for _, decode := range []func([]byte) error{
 			func(b []byte) error { _, err := DecodeMessage(b); return err },
-			func(b []byte) error { _, err := DecodeEntry(b); return err },
-			func(b []byte) error { _, err := DecodeHardState(b); return err },
 			func(b []byte) error { _, err := DecodeMembership(b); return err },
 			func(b []byte) error { _, err := DecodeSnapshotMeta(b); return err },
 		} {
@@ -93,10 +91,6 @@
 	gotMembers, err := DecodeMembership(AppendMembership(nil, meta.Membership))
 	require.NoError(t, err)
 	require.Equal(t, meta.Membership, gotMembers)
-	hard := HardState{Term: 9, Vote: 1 << 63}
-	gotHard, err := DecodeHardState(AppendHardState(nil, hard))
-	require.NoError(t, err)
-	require.Equal(t, hard, gotHard)
 
 	unsorted := Membership{Members: []Member{{ID: 2}, {ID: 1}}}
 	_, err = DecodeMembership(AppendMembership(nil, unsorted))
--- a/internal/state/wal/snapshot.go
+++ b/internal/state/wal/snapshot.go
@@ -93,11 +93,6 @@
 	return l.positions[index-l.first].term, true
 }
 
-// SnapshotIndex returns the index and term of the snapshot's last entry, and 0 without a snapshot.
-func (l *Log) SnapshotIndex() (camphorhinge.Index, camphorhinge.Term) {
-	return l.snapshot.index, l.snapshot.term
-}
-
 // Snapshot reads the snapshot; its index is 0 and data nil when there is none.
 func (l *Log) Snapshot() (index camphorhinge.Index, term camphorhinge.Term, data []byte, err error) {
 	if l.snapshot.index == 0 {
