Import the root package of the state packages without an alias

Cause: consensus and replica named the import camphorhinge, which is the package's own name; the other packages do not.

--- a/internal/state/consensus/authority.go
+++ b/internal/state/consensus/authority.go
@@ -1,8 +1,6 @@
 package consensus
 
-import (
-	camphorhinge "example.org/camphorhinge"
-)
+import "example.org/camphorhinge"
 
 // transferState describes a planned handover of leadership.
 type transferState struct {
--- a/internal/state/consensus/check_test.go
+++ b/internal/state/consensus/check_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 const registerCount = 3
--- a/internal/state/consensus/core.go
+++ b/internal/state/consensus/core.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 // Core is one replica of the log. It is not safe for concurrent use.
--- a/internal/state/consensus/core_test.go
+++ b/internal/state/consensus/core_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 // group is three voters and a driver that syncs at once and loses nothing but what drop names.
--- a/internal/state/consensus/election.go
+++ b/internal/state/consensus/election.go
@@ -1,8 +1,6 @@
 package consensus
 
-import (
-	camphorhinge "example.org/camphorhinge"
-)
+import "example.org/camphorhinge"
 
 // preCampaign asks whether an election could be won, without raising the term.
 func (c *Core) preCampaign() {
--- a/internal/state/consensus/encode.go
+++ b/internal/state/consensus/encode.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"fmt"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 // Bounds on decoded sizes; larger ones are malformed, so that a bad length allocates little.
--- a/internal/state/consensus/encode_test.go
+++ b/internal/state/consensus/encode_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 func drawMessage(t *rapid.T) Message {
--- a/internal/state/consensus/errors.go
+++ b/internal/state/consensus/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 // Kind classifies an Error.
--- a/internal/state/consensus/follower.go
+++ b/internal/state/consensus/follower.go
@@ -1,8 +1,6 @@
 package consensus
 
-import (
-	camphorhinge "example.org/camphorhinge"
-)
+import "example.org/camphorhinge"
 
 func (c *Core) stepAppend(m Message) {
 	if m.Index < c.commit {
--- a/internal/state/consensus/leader.go
+++ b/internal/state/consensus/leader.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 // leaderState is what a leader holds in memory only.
--- a/internal/state/consensus/log.go
+++ b/internal/state/consensus/log.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 // memoryLog holds the entries after a compacted position. entries[i] has index prev.Index+1+i.
--- a/internal/state/consensus/types.go
+++ b/internal/state/consensus/types.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 // EntryKind tells what an Entry carries.
--- a/internal/state/consensus/world_test.go
+++ b/internal/state/consensus/world_test.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 )
 
 // driverFault is a deliberate mistake of the test's driver. The checks must catch each of them.
--- a/internal/state/consensus/writes.go
+++ b/internal/state/consensus/writes.go
@@ -1,8 +1,6 @@
 package consensus
 
-import (
-	camphorhinge "example.org/camphorhinge"
-)
+import "example.org/camphorhinge"
 
 // writeState tracks which writes were handed out and which are synced.
 type writeState struct {
--- a/internal/state/replica/call.go
+++ b/internal/state/replica/call.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/consensus"
 )
 
--- a/internal/state/replica/control.go
+++ b/internal/state/replica/control.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/consensus"
 )
 
--- a/internal/state/replica/errors.go
+++ b/internal/state/replica/errors.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/consensus"
 )
 
--- a/internal/state/replica/harness_test.go
+++ b/internal/state/replica/harness_test.go
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/consensus"
 	"example.org/camphorhinge/internal/state/disk"
 	"example.org/camphorhinge/internal/state/wal"
--- a/internal/state/replica/machine.go
+++ b/internal/state/replica/machine.go
@@ -6,7 +6,7 @@
 	"maps"
 	"slices"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/consensus"
 	"example.org/camphorhinge/internal/state/wal"
 )
--- a/internal/state/replica/random_test.go
+++ b/internal/state/replica/random_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/disk"
 )
 
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/consensus"
 	"example.org/camphorhinge/internal/state/wal"
 )
--- a/internal/state/replica/snapshot.go
+++ b/internal/state/replica/snapshot.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/consensus"
 	"example.org/camphorhinge/internal/state/wal"
 )
--- a/internal/state/replica/start.go
+++ b/internal/state/replica/start.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/uuid"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/consensus"
 	"example.org/camphorhinge/internal/state/wal"
 )
--- a/internal/state/replica/writer.go
+++ b/internal/state/replica/writer.go
@@ -6,7 +6,7 @@
 	"sync"
 	"sync/atomic"
 
-	camphorhinge "example.org/camphorhinge"
+	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/state/consensus"
 	"example.org/camphorhinge/internal/state/wal"
 )
