Use the standard library's comparisons and sorted keys in state, record and registry

Cause: five orders and key lists were written out by hand, consensus stamped messages in two places, wal.Log.Term repeated heldTerm, and the WAL's order of segments hid a comparison in unsigned arithmetic. A condition of yields ran over 120 columns, and WindowBytes had no unit.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -246,10 +247,7 @@
 // All returns the live targets of all services, sorted by name.
 func (r *Registry) All() []*camphorhinge.Target {
 	r.mu.Lock()
-	names := make([]camphorhinge.ServiceName, 0, len(r.services))
-	for name := range r.services {
-		names = append(names, name)
-	}
+	names := slices.Collect(maps.Keys(r.services))
 	r.mu.Unlock()
 	var all []*camphorhinge.Target
 	for _, name := range names {
--- a/internal/record/schema/spec.go
+++ b/internal/record/schema/spec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"maps"
 	"math"
 	"net/url"
 	"slices"
@@ -244,7 +245,7 @@
 			w.Limits[0] = limit(limits)
 		}
 	} else {
-		for _, key := range sortedKeys(limits.m) {
+		for _, key := range slices.Sorted(maps.Keys(limits.m)) {
 			p, err := strconv.ParseUint(key, 10, 8)
 			if err != nil || p > uint64(camphorhinge.MaxPriority) || key != strconv.FormatUint(p, 10) {
 				limits.used[key] = true
@@ -257,12 +258,3 @@
 	s.done()
 	return w
 }
-
-func sortedKeys(m map[string]any) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/record/schema/types.go
+++ b/internal/record/schema/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"time"
 
 	"example.org/camphorhinge"
@@ -109,12 +110,7 @@
 
 // QuietAt reports whether t lies in one of the service's quiet windows.
 func (s *Service) QuietAt(t time.Time) bool {
-	for _, w := range s.Quiet {
-		if w.Contains(t) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.Quiet, func(w Window) bool { return w.Contains(t) })
 }
 
 // Floors are the least numbers of engines per role.
--- a/internal/record/table/history.go
+++ b/internal/record/table/history.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
@@ -39,13 +40,7 @@
 
 func (h history) find(v camphorhinge.Version) (past, bool) {
 	i, ok := slices.BinarySearchFunc(h, v, func(p past, v camphorhinge.Version) int {
-		switch {
-		case p.version < v:
-			return -1
-		case p.version > v:
-			return 1
-		}
-		return 0
+		return cmp.Compare(p.version, v)
 	})
 	if !ok {
 		return past{}, false
--- a/internal/record/table/table.go
+++ b/internal/record/table/table.go
@@ -1,12 +1,13 @@
 package table
 
 import (
+	"cmp"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -18,7 +19,7 @@
 const (
 	// WindowChanges is the greatest number of kept changes.
 	WindowChanges = 1024
-	// WindowBytes bounds the size of the kept changes.
+	// WindowBytes is the greatest size of the kept changes, in bytes.
 	WindowBytes = 4 << 20
 )
 
@@ -194,19 +195,11 @@
 
 // keys returns the keys of all records, tombstones included, sorted.
 func (t *Table) keys() []schema.Key {
-	keys := make([]schema.Key, 0, len(t.records))
-	for key := range t.records {
-		keys = append(keys, key)
-	}
-	slices.SortFunc(keys, compareKeys)
-	return keys
+	return slices.SortedFunc(maps.Keys(t.records), compareKeys)
 }
 
 func compareKeys(a, b schema.Key) int {
-	if c := strings.Compare(string(a.Kind), string(b.Kind)); c != 0 {
-		return c
-	}
-	return strings.Compare(a.Name, b.Name)
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 }
 
 type encodedTable struct {
--- a/internal/state/consensus/election.go
+++ b/internal/state/consensus/election.go
@@ -66,7 +66,8 @@
 // same time, the one with the lower id yields, since both would split the votes otherwise and lose an election timeout.
 // The rule ends soon, so that a replica whose requests are lost doesn't hold up the others, and it needs equal logs.
 func (c *Core) yields(m Message) bool {
-	return m.Index > c.log.last() || m.LogTerm > c.log.lastTerm() || c.role != PreCandidate || c.id < m.From || c.now.Sub(c.asked) >= c.timing.ElectionMin/4
+	return c.role != PreCandidate || c.id < m.From || c.now.Sub(c.asked) >= c.timing.ElectionMin/4 ||
+		m.Index > c.log.last() || m.LogTerm > c.log.lastTerm()
 }
 
 func (c *Core) stepPreVote(m Message) {
--- a/internal/state/consensus/types.go
+++ b/internal/state/consensus/types.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -91,13 +92,7 @@
 }
 
 func compareMember(m Member, id camphorhinge.ReplicaID) int {
-	switch {
-	case m.ID < id:
-		return -1
-	case m.ID > id:
-		return 1
-	}
-	return 0
+	return cmp.Compare(m.ID, id)
 }
 
 // SnapshotMeta describes the position of a snapshot.
--- a/internal/state/consensus/writes.go
+++ b/internal/state/consensus/writes.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "example.org/camphorhinge"
+import (
+	"slices"
+
+	"example.org/camphorhinge"
+)
 
 // writeState tracks which writes were handed out and which are synced.
 type writeState struct {
@@ -73,26 +77,27 @@
 	w.dirty = true
 }
 
-// send queues a message that reveals no unsynced state.
-func (c *Core) send(m Message) {
+// stamped fills in the sender, and the current term unless the message names another one.
+func (c *Core) stamped(m Message) Message {
 	m.From = c.id
 	if m.Term == 0 {
 		m.Term = c.hard.Term
 	}
-	c.outbox = append(c.outbox, m)
+	return m
 }
 
+// send queues a message that reveals no unsynced state.
+func (c *Core) send(m Message) { c.outbox = append(c.outbox, c.stamped(m)) }
+
 // sendAfterTerm queues a message that reveals the term and the vote.
 func (c *Core) sendAfterTerm(m Message) { c.hold(c.writes.term, m) }
 
 // sendAfterAll queues a message that reveals the log, the term and the vote.
 func (c *Core) sendAfterAll(m Message) { c.hold(c.writes.current(), m) }
 
+// hold queues a message that may leave once write is synced. One to this replica itself always waits for Synced.
 func (c *Core) hold(write uint64, m Message) {
-	m.From = c.id
-	if m.Term == 0 {
-		m.Term = c.hard.Term
-	}
+	m = c.stamped(m)
 	if write <= c.writes.synced && m.To != c.id {
 		c.outbox = append(c.outbox, m)
 		return
@@ -102,7 +107,5 @@
 	for at > 0 && c.held[at-1].write > write {
 		at--
 	}
-	c.held = append(c.held, heldMessage{})
-	copy(c.held[at+1:], c.held[at:])
-	c.held[at] = heldMessage{write: write, message: m}
+	c.held = slices.Insert(c.held, at, heldMessage{write: write, message: m})
 }
--- a/internal/state/disk/memory.go
+++ b/internal/state/disk/memory.go
@@ -182,7 +182,7 @@
 	return &memoryFile{m: m, n: n, generation: m.generation}, nil
 }
 
-func (m *Memory) missing(op, name string) error {
+func missing(op, name string) error {
 	return &Error{Op: op, Kind: KindSystem, Err: fmt.Errorf("%s: %w", name, fs.ErrNotExist)}
 }
 
@@ -198,7 +198,7 @@
 	}
 	n := m.names[name]
 	if n == nil {
-		return nil, m.missing("open", name)
+		return nil, missing("open", name)
 	}
 	return &memoryFile{m: m, n: n, generation: m.generation}, nil
 }
@@ -217,7 +217,7 @@
 	}
 	n := m.names[from]
 	if n == nil {
-		return m.missing("rename", from)
+		return missing("rename", from)
 	}
 	m.change(func(names map[string]*node) {
 		delete(names, from)
@@ -237,7 +237,7 @@
 		return err
 	}
 	if m.names[name] == nil {
-		return m.missing("remove", name)
+		return missing("remove", name)
 	}
 	m.change(func(names map[string]*node) { delete(names, name) })
 	return nil
--- a/internal/state/wal/log.go
+++ b/internal/state/wal/log.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -157,8 +158,8 @@
 
 // Term returns the term of a kept entry or of the snapshot's last one; ok is false for any other index.
 func (l *Log) Term(index camphorhinge.Index) (term camphorhinge.Term, ok bool) {
-	if index >= l.first && index <= l.Last() {
-		return l.positions[index-l.first].term, true
+	if term, ok := l.heldTerm(index); ok {
+		return term, true
 	}
 	if index == l.snapshot.index && index > 0 {
 		return l.snapshot.term, true
@@ -342,12 +343,7 @@
 }
 
 func (l *Log) read(p position) (Entry, error) {
-	i, ok := slices.BinarySearchFunc(l.segments, p.segment, func(s segment, n uint64) int {
-		if s.number < n {
-			return -1
-		}
-		return int(min(s.number-n, 1))
-	})
+	i, ok := slices.BinarySearchFunc(l.segments, p.segment, func(s segment, n uint64) int { return cmp.Compare(s.number, n) })
 	if !ok {
 		return Entry{}, &Error{Op: "entries", Kind: KindCorrupt, Err: fmt.Errorf("no segment %d", p.segment)}
 	}
@@ -413,6 +409,7 @@
 	for _, s := range l.segments {
 		errs = append(errs, s.file.Close())
 	}
+	// The last segment stays listed, since Size and the index methods may still be called.
 	l.segments = l.segments[len(l.segments)-1:]
 	if l.failed == nil {
 		l.failed = misuse("write", "the log is closed")
