Drop the router abilities that mix passes on to nobody

Cause: Wrap kept PickDecode, SentDecode, Output and Unwrap of the wrapped router for callers that assert them. The only callers were the package's own tests: the frontend uses Pick and Sent, and Jitter of the admission, which stays. Ruled out: keeping them for a later use; route.Router can be asked directly by whoever needs them. After: Wrap returns one type, and the tests of fleet/mix pass; the assertions on the dropped methods went with them.

--- a/internal/fleet/mix/wrap.go
+++ b/internal/fleet/mix/wrap.go
@@ -6,45 +6,12 @@
 	"example.org/camphorhinge"
 )
 
-// decoder is an optional ability of a router: it chooses the engine to which a KV cache moves.
-type decoder interface {
-	PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool)
-	SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) (done func(camphorhinge.AttemptResult))
-}
-
-// expecter is an optional ability of a router: it knows the expected output of a service.
-type expecter interface {
-	Output(service camphorhinge.ServiceName, limit camphorhinge.Tokens) camphorhinge.Tokens
-}
-
-// Wrap returns a router that feeds m and leaves each choice to inner. It has the methods PickDecode, SentDecode and
-// Output if inner has them; Unwrap returns inner for all others.
+// Wrap returns a router that feeds m and leaves each choice to inner.
 //
 // Only requests that name a model count. One counts as asked for at a choice without excluded targets; a repeat that
 // starts over with all targets counts again, which the retry budget bounds to a tenth of the requests.
 func Wrap(inner camphorhinge.Router, m *Meter) camphorhinge.Router {
-	r := &router{inner: inner, meter: m}
-	d, decodes := inner.(decoder)
-	x, expects := inner.(expecter)
-	switch {
-	case decodes && expects:
-		return struct {
-			*router
-			*decoding
-			expecter
-		}{r, &decoding{d, m}, x}
-	case decodes:
-		return struct {
-			*router
-			*decoding
-		}{r, &decoding{d, m}}
-	case expects:
-		return struct {
-			*router
-			expecter
-		}{r, x}
-	}
-	return r
+	return &router{inner: inner, meter: m}
 }
 
 type router struct {
@@ -52,9 +19,6 @@
 	meter *Meter
 }
 
-// Unwrap returns the wrapped router.
-func (r *router) Unwrap() camphorhinge.Router { return r.inner }
-
 // Pick implements camphorhinge.Router.
 func (r *router) Pick(req camphorhinge.RouteRequest) (camphorhinge.RouteChoice, bool) {
 	choice, ok := r.inner.Pick(req)
@@ -76,21 +40,6 @@
 	return r.meter.sent(req, r.inner.Sent(choice, req))
 }
 
-type decoding struct {
-	inner decoder
-	meter *Meter
-}
-
-// PickDecode passes the call on.
-func (d *decoding) PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool) {
-	return d.inner.PickDecode(req, from)
-}
-
-// SentDecode counts the attempt's answer as Sent does.
-func (d *decoding) SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
-	return d.meter.sent(req, d.inner.SentDecode(choice, req))
-}
-
 // jitterer is an optional ability of an Admission: a random delay before a repeated attempt.
 type jitterer interface {
 	Jitter() time.Duration
