Split the controller's step and state once when an engine is held

Cause: step planned, committed and started jobs in one loop nest of 60 lines, and Book and its Mirror repeated the rule for holding an engine. The comment of settling said the opposite of its bound. Behaviour is unchanged; the tests of fleet/order and observe pass.

--- a/internal/fleet/order/book.go
+++ b/internal/fleet/order/book.go
@@ -213,7 +213,7 @@
 func (b *Book) Snapshot() ([]byte, error) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	return json.Marshal(b.state)
+	return mustEncode(b.state), nil
 }
 
 // Restore implements camphorhinge.Machine.
@@ -269,9 +269,10 @@
 		return false
 	}
 	e, ok := b.Entry(t.Name)
-	return !ok || e.holds(t)
+	return !ok || e.holding().holds(t)
 }
 
-func (e *Entry) holds(t *camphorhinge.Target) bool {
-	return e.Draining || e.Open != nil || e.Service != t.Service || t.Busy || !e.Desired.Equal(Observed(&t.Announcement))
+// holding returns the part of the entry that entry nodes need.
+func (e *Entry) holding() holding {
+	return holding{Service: e.Service, Desired: e.Desired, Hold: e.Draining || e.Open != nil}
 }
--- a/internal/fleet/order/change.go
+++ b/internal/fleet/order/change.go
@@ -25,6 +25,7 @@
 	x.setOrder(x.name, x.order.state)
 }
 
+// run brings an open order to its end, or else sends a new one if the engine's state differs from its decision.
 func (x *change) run(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, x.cfg.Drain+x.cfg.Settle)
 	defer cancel()
--- a/internal/fleet/order/controller.go
+++ b/internal/fleet/order/controller.go
@@ -84,7 +84,7 @@
 	active map[camphorhinge.TargetName]bool
 	states map[camphorhinge.TargetName]*tracked
 
-	// changed holds the ID of the latest role change that was carried out; only step uses it.
+	// changed holds the ID of the latest role change that was carried out; only decide and step use it.
 	changed map[camphorhinge.ServiceName]uint64
 }
 
@@ -174,24 +174,8 @@
 		for _, r := range next.Refused {
 			c.refuse(r)
 		}
-		for _, d := range next.Decisions {
-			if c.busy(d.Engine) {
-				continue
-			}
-			cmd := command{
-				Op: opDecide, Term: term, Engine: d.Engine, Service: d.Service, Desired: d.Desired, Draining: d.Draining,
-			}
-			if err := c.propose(ctx, cmd); err != nil {
-				if isKind(err, KindDeposed) || ctx.Err() != nil {
-					return
-				}
-				c.refuse(Refusal{Engine: d.Engine, Reason: err.Error()})
-				continue
-			}
-			if d.Reason == ReasonRole {
-				c.changed[s.Name] = s.Change.ID
-			}
-			c.note("role", string(d.Engine), d.Reason, map[string]string{"role": string(d.Desired.Role)})
+		if !c.decide(ctx, term, s, next.Decisions) {
+			return
 		}
 		for _, j := range next.Jobs {
 			unfenced[j.Target.Name] = s.Unfenced
@@ -199,6 +183,37 @@
 		}
 	}
 	c.forget(ctx, term)
+	c.start(ctx, g, term, jobs, unfenced)
+}
+
+// decide commits the decisions for a service. It returns false when the lease or ctx has ended.
+func (c *Controller) decide(ctx context.Context, term camphorhinge.Term, s Service, decisions []Decision) bool {
+	for _, d := range decisions {
+		if c.busy(d.Engine) {
+			continue
+		}
+		cmd := command{
+			Op: opDecide, Term: term, Engine: d.Engine, Service: d.Service, Desired: d.Desired, Draining: d.Draining,
+		}
+		if err := c.propose(ctx, cmd); err != nil {
+			if isKind(err, KindDeposed) || ctx.Err() != nil {
+				return false
+			}
+			c.refuse(Refusal{Engine: d.Engine, Reason: err.Error()})
+			continue
+		}
+		if d.Reason == ReasonRole {
+			c.changed[s.Name] = s.Change.ID
+		}
+		c.note("role", string(d.Engine), d.Reason, map[string]string{"role": string(d.Desired.Role)})
+	}
+	return true
+}
+
+// start begins the jobs that the budget allows, those with the most goodput per byte first.
+func (c *Controller) start(
+	ctx context.Context, g *errgroup.Group, term camphorhinge.Term, jobs []Job, unfenced map[camphorhinge.TargetName]bool,
+) {
 	slices.SortStableFunc(jobs, Job.before)
 	full := false
 	for _, j := range jobs {
@@ -321,7 +336,7 @@
 		if !c.active[t.Name] {
 			s.engine.try(EventReturned)
 			s.engine.try(EventCompare)
-			if e, ok := c.cfg.Book.Entry(t.Name); ok && !e.holds(t) {
+			if e, ok := c.cfg.Book.Entry(t.Name); ok && !e.holding().holds(t) {
 				s.engine.try(EventMatched)
 				s.reason = ""
 				matches = true
@@ -336,7 +351,7 @@
 	return out
 }
 
-// settling reports whether an engine matched its decision within settleTime.
+// settling reports whether an engine matches its decision, and has done so for less than settleTime.
 func (c *Controller) settling(name camphorhinge.TargetName) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/order/mirror.go
+++ b/internal/fleet/order/mirror.go
@@ -14,6 +14,11 @@
 	Hold    bool                     `json:"h,omitempty"`
 }
 
+// holds reports whether the engine must get no new work: its decision says so, or it does not match its decision.
+func (h holding) holds(t *camphorhinge.Target) bool {
+	return h.Hold || h.Service != t.Service || t.Busy || !h.Desired.Equal(Observed(&t.Announcement))
+}
+
 type holdings struct {
 	Revision uint64                              `json:"revision"`
 	Engines  map[camphorhinge.TargetName]holding `json:"engines"`
@@ -24,7 +29,7 @@
 	b.mu.RLock()
 	h := holdings{Revision: b.state.Revision, Engines: make(map[camphorhinge.TargetName]holding, len(b.state.Engines))}
 	for name, e := range b.state.Engines {
-		h.Engines[name] = holding{Service: e.Service, Desired: e.Desired, Hold: e.Draining || e.Open != nil}
+		h.Engines[name] = e.holding()
 	}
 	b.mu.RUnlock()
 	return mustEncode(h), h.Revision
@@ -74,5 +79,5 @@
 		return true
 	}
 	e, ok := h.Engines[t.Name]
-	return !ok || e.Hold || e.Service != t.Service || t.Busy || !e.Desired.Equal(Observed(&t.Announcement))
+	return !ok || e.holds(t)
 }
--- a/internal/observe/decision/ring.go
+++ b/internal/observe/decision/ring.go
@@ -15,7 +15,7 @@
 	next uint64
 }
 
-// New returns a Ring that keeps size decisions.
+// New returns a Ring that keeps size decisions; size is at least 1.
 func New(size int) *Ring {
 	return &Ring{buf: make([]camphorhinge.Decision, size)}
 }
