--- a/internal/fleet/order/change.go
+++ b/internal/fleet/order/change.go
@@ -48,7 +48,7 @@
 			Op: opDecide, Term: x.term, Engine: x.name, Service: e.Service, Desired: e.Desired,
 		})
 	}
-	if !protected(&a) && !x.unfenced {
+	if !Protected(&a) && !x.unfenced {
 		return &Error{Op: "order", Kind: KindRefused, Err: errors.New(ReasonUnfenced)}
 	}
 	x.order = newOrderLifecycle(Planned)
@@ -206,7 +206,7 @@
 		}
 		var r engine.Result
 		switch {
-		case !protected(&a):
+		case !Protected(&a):
 			return "", nil // nothing can void a late frame; run sends such an engine no order unless the record allows it
 		case a.Fencing != camphorhinge.FencingChecked && a.Orders == camphorhinge.OrdersTwoStep:
 			r = x.cfg.Engines.Prepare(ctx, address, x.term, seq)
--- a/internal/fleet/order/plan.go
+++ b/internal/fleet/order/plan.go
@@ -133,7 +133,7 @@
 func (p *planner) settle(g *planned) {
 	t := g.target
 	observed := Observed(&t.Announcement)
-	ordered := p.service.Unfenced || protected(&t.Announcement)
+	ordered := p.service.Unfenced || Protected(&t.Announcement)
 	switch {
 	case g.known && g.entry.Open != nil:
 		// The open order is brought to its end before anything new is decided.
@@ -265,8 +265,9 @@
 	p.next.Jobs = append(p.next.Jobs, j)
 }
 
-// protected reports whether an engine lets a successor void the orders of a deposed controller.
-func protected(a *camphorhinge.Announcement) bool {
+// Protected reports whether an engine lets a successor void the orders of a deposed controller: it checks the fencing
+// token, or takes two-step or conditional orders.
+func Protected(a *camphorhinge.Announcement) bool {
 	return a.Fencing == camphorhinge.FencingChecked || a.Orders == camphorhinge.OrdersTwoStep ||
 		a.Orders == camphorhinge.OrdersConditional
 }
--- a/internal/fleet/steer/step.go
+++ b/internal/fleet/steer/step.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/order"
 	"example.org/camphorhinge/internal/fleet/role"
 	"example.org/camphorhinge/internal/record/schema"
 )
@@ -33,11 +34,10 @@
 	Changeable bool
 }
 
-// Changeable reports whether an engine may be sent orders: it checks the fencing token, takes two-step or conditional
-// orders, or the service's record says unfenced.
+// Changeable reports whether an engine may be sent orders: it is protected against late ones, or the service's record
+// says unfenced.
 func Changeable(a *camphorhinge.Announcement, unfenced bool) bool {
-	return a.Fencing == camphorhinge.FencingChecked || unfenced ||
-		a.Orders == camphorhinge.OrdersTwoStep || a.Orders == camphorhinge.OrdersConditional
+	return unfenced || order.Protected(a)
 }
 
 // Input is all that a Step depends on.
