--- a/internal/state/consensus/core.go
+++ b/internal/state/consensus/core.go
@@ -57,7 +57,7 @@
 	if cfg.ID == 0 {
 		return nil, failure(op, KindInvalid, "replica id 0")
 	}
-	if cfg.Timing.Lease >= cfg.Timing.ElectionMin || cfg.Timing.ElectionMin > cfg.Timing.ElectionMax {
+	if cfg.Timing.Lease*11/10 >= cfg.Timing.ElectionMin || cfg.Timing.ElectionMin > cfg.Timing.ElectionMax {
 		return nil, failure(op, KindInvalid, "lease %v and election timeouts %v to %v don't fit",
 			cfg.Timing.Lease, cfg.Timing.ElectionMin, cfg.Timing.ElectionMax)
 	}
--- a/internal/state/consensus/core_test.go
+++ b/internal/state/consensus/core_test.go
@@ -254,6 +254,16 @@
 	return out
 }
 
+// TestNewRefusesLongLease guards against a lease that outlives the refusal of votes on a clock that is 10 % slow.
+func TestNewRefusesLongLease(t *testing.T) {
+	for lease, ok := range map[time.Duration]bool{909: true, 910: false, 999: false} {
+		timing := DefaultTiming()
+		timing.Lease = lease * time.Millisecond
+		_, err := New(Config{ID: 1, Timing: timing, Limits: DefaultLimits()})
+		require.Equal(t, ok, err == nil, "lease of %d ms", lease)
+	}
+}
+
 // TestVoteRules guards each condition of a grant on its own, since pre-vote hides a fault in the vote itself.
 func TestVoteRules(t *testing.T) {
 	t.Parallel()
