--- a/internal/cli/command/commands.go
+++ b/internal/cli/command/commands.go
@@ -34,6 +34,7 @@
 	a.command("check", "Validate records without a node.", a.check)
 	a.command("probe", "Ask a URL and exit with 0 when it answers 200.", a.probe)
 	a.command("load", "Send requests to caller ports and check every answer.", a.load)
+	a.command("cert", "Make the cluster's certificate authority and certificates of nodes.", a.cert)
 	a.command("trial", "Compare the role policy with no change, a threshold and an oracle on traces of both customers.", a.trial)
 	standin := a.kingpin.Command("standin", "Run a stand-in for a target.")
 	a.bind("standin engine", standin.Command("engine", "Run a stand-in for a model engine."), a.standinEngine)
