--- a/internal/state/wal/frame.go
+++ b/internal/state/wal/frame.go
@@ -30,6 +30,9 @@
 	frameBytes = 12
 	// prefixBytes are the kind, the offset and the synced length at the start of each payload.
 	prefixBytes = 9
+	// entryOverhead is above what the frame of an entry holds besides its data: index and term take at most 10 bytes each,
+	// the kind takes one.
+	entryOverhead = frameBytes + prefixBytes + 30
 )
 
 var errBadFrame = errors.New("bad frame")
--- a/internal/state/wal/log.go
+++ b/internal/state/wal/log.go
@@ -192,7 +192,7 @@
 		if e.Index != from+camphorhinge.Index(i) || e.Term == 0 || len(e.Data) > MaxData {
 			return misuse("append", "entry %d at place %d after %d, term %d, %d bytes", e.Index, i, from, e.Term, len(e.Data))
 		}
-		total += frameBytes + prefixBytes + 30 + int64(len(e.Data))
+		total += entryOverhead + int64(len(e.Data))
 	}
 	if size := l.Size(); size+total > l.cfg.Bound {
 		return &Error{Op: "append", Kind: KindFull, Err: fmt.Errorf("%d and %d bytes, at most %d", size, total, l.cfg.Bound)}
