--- a/internal/fleet/mix/wrap.go
+++ b/internal/fleet/mix/wrap.go
@@ -6,25 +6,12 @@
 	"example.org/camphorhinge"
 )
 
-// expecter is an optional ability of a router: it knows the expected output of a service.
-type expecter interface {
-	Output(service camphorhinge.ServiceName, limit camphorhinge.Tokens) camphorhinge.Tokens
-}
-
-// Wrap returns a router that feeds m and leaves each choice to inner. It has the method Output if inner
-// has it; Unwrap returns inner for all others.
+// Wrap returns a router that feeds m and leaves each choice to inner.
 //
 // Only requests that name a model count. One counts as asked for at a choice without excluded targets; a repeat that
 // starts over with all targets counts again, which the retry budget bounds to a tenth of the requests.
 func Wrap(inner camphorhinge.Router, m *Meter) camphorhinge.Router {
-	r := &router{inner: inner, meter: m}
-	if x, ok := inner.(expecter); ok {
-		return struct {
-			*router
-			expecter
-		}{r, x}
-	}
-	return r
+	return &router{inner: inner, meter: m}
 }
 
 type router struct {
@@ -32,9 +19,6 @@
 	meter *Meter
 }
 
-// Unwrap returns the wrapped router.
-func (r *router) Unwrap() camphorhinge.Router { return r.inner }
-
 // Pick implements camphorhinge.Router.
 func (r *router) Pick(req camphorhinge.RouteRequest) (camphorhinge.RouteChoice, bool) {
 	choice, ok := r.inner.Pick(req)
--- a/internal/fleet/order/change.go
+++ b/internal/fleet/order/change.go
@@ -25,6 +25,7 @@
 	x.setOrder(x.name, x.order.state)
 }
 
+// run brings an open order to its end, or else sends a new one if the engine's state differs from its decision.
 func (x *change) run(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, x.cfg.Drain+x.cfg.Settle)
 	defer cancel()
@@ -47,7 +48,7 @@
 			Op: opDecide, Term: x.term, Engine: x.name, Service: e.Service, Desired: e.Desired,
 		})
 	}
-	if !protected(&a) && !x.unfenced {
+	if !Protected(&a) && !x.unfenced {
 		return &Error{Op: "order", Kind: KindRefused, Err: errors.New(ReasonUnfenced)}
 	}
 	x.order = newOrderLifecycle(Planned)
@@ -205,7 +206,7 @@
 		}
 		var r engine.Result
 		switch {
-		case !protected(&a):
+		case !Protected(&a):
 			return "", nil // nothing can void a late frame; run sends such an engine no order unless the record allows it
 		case a.Fencing != camphorhinge.FencingChecked && a.Orders == camphorhinge.OrdersTwoStep:
 			r = x.cfg.Engines.Prepare(ctx, address, x.term, seq)
--- a/internal/record/schema/types.go
+++ b/internal/record/schema/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"time"
 
 	"example.org/camphorhinge"
@@ -107,24 +108,9 @@
 	Idempotent []string
 }
 
-// Repeatable reports whether a plain request with the method may be sent more than once.
-func (s *Service) Repeatable(method string) bool {
-	for _, m := range s.Idempotent {
-		if m == method {
-			return true
-		}
-	}
-	return false
-}
-
 // QuietAt reports whether t lies in one of the service's quiet windows.
 func (s *Service) QuietAt(t time.Time) bool {
-	for _, w := range s.Quiet {
-		if w.Contains(t) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.Quiet, func(w Window) bool { return w.Contains(t) })
 }
 
 // Floors are the least numbers of engines per role.
@@ -132,19 +118,6 @@
 	Prefill, Decode, Mixed int
 }
 
-// Of returns the floor of a role, and 0 for an unknown one.
-func (f Floors) Of(role camphorhinge.Role) int {
-	switch role {
-	case camphorhinge.RolePrefill:
-		return f.Prefill
-	case camphorhinge.RoleDecode:
-		return f.Decode
-	case camphorhinge.RoleMixed:
-		return f.Mixed
-	}
-	return 0
-}
-
 // Weigh sets goodput against the number of role changes; both are at least 0 and not both 0.
 type Weigh struct {
 	Goodput, Changes float64
