Remove the KV calls of the engine client, which nothing uses

Streams move by package exchange, which knows their attempts. The test's line for the removed call went with it; the row's other assertions stay.

--- a/internal/fleet/engine/client.go
+++ b/internal/fleet/engine/client.go
@@ -25,8 +25,6 @@
 	Read time.Duration
 	// Order bounds the wait for the answer to an order; 2 s by default. An engine answers before it carries out a change.
 	Order time.Duration
-	// Move bounds an export or import of KV cache; 30 s by default.
-	Move time.Duration
 }
 
 // Client talks to engines over HTTP. It is safe for use by several goroutines.
@@ -45,7 +43,6 @@
 	def(&cfg.Dial, 500*time.Millisecond)
 	def(&cfg.Read, time.Second)
 	def(&cfg.Order, 2*time.Second)
-	def(&cfg.Move, 30*time.Second)
 	c, err := client.NewClient(
 		client.WithDialer(standard.NewDialer()),
 		client.WithDialTimeout(cfg.Dial),
@@ -116,37 +113,6 @@
 
 func unknown(err error) Result { return Result{Outcome: Unknown, Err: err} }
 
-// Export stops an attempt on its engine and keeps its KV cache for an importer.
-func (c *Client) Export(ctx context.Context, address string, attempt camphorhinge.AttemptID) (Export, error) {
-	var e Export
-	err := c.move(ctx, "export", address, exportRequest{Attempt: attempt}, &e)
-	if err == nil && e.Handle == "" {
-		err = &Error{Op: "export", Kind: KindAnswer, Err: errors.New("no handle")}
-	}
-	return e, err
-}
-
-// Import lets an engine fetch an exported attempt from another; the attempt is then resumed on the importer.
-func (c *Client) Import(ctx context.Context, address, from string, e Export, attempt camphorhinge.AttemptID) error {
-	return c.move(ctx, "import", address, importRequest{From: from, Handle: e.Handle, Attempt: attempt}, nil)
-}
-
-func (c *Client) move(ctx context.Context, op, address string, in, out any) error {
-	status, body, err := c.call(ctx, c.cfg.Move, http.MethodPost, address, "/v1/kv/"+op, in)
-	switch {
-	case err != nil:
-		return &Error{Op: op, Kind: KindNetwork, Err: err}
-	case status != http.StatusOK:
-		return &Error{Op: op, Kind: KindRefused, Err: fmt.Errorf("status %d", status)}
-	case out == nil:
-		return nil
-	}
-	if err := json.Unmarshal(body, out); err != nil {
-		return &Error{Op: op, Kind: KindAnswer, Err: err}
-	}
-	return nil
-}
-
 // call sends one request and returns the answer's status and body. It ends at the earlier of limit and ctx's deadline; a
 // ctx that is cancelled meanwhile does not end it early.
 func (c *Client) call(ctx context.Context, limit time.Duration, method, address, path string, in any) (int, []byte, error) {
--- a/internal/fleet/engine/client_test.go
+++ b/internal/fleet/engine/client_test.go
@@ -10,8 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
-
-	"example.org/camphorhinge"
 )
 
 // serve answers every request on a listener with handle until the test ends; it returns the address.
@@ -88,7 +86,7 @@
 	require.NoError(t, err)
 	closed := l.Addr().String()
 	require.NoError(t, l.Close())
-	c, err := New(Config{Read: 20 * time.Millisecond, Order: 20 * time.Millisecond, Move: 20 * time.Millisecond})
+	c, err := New(Config{Read: 20 * time.Millisecond, Order: 20 * time.Millisecond})
 	require.NoError(t, err)
 	defer c.Close()
 	for _, address := range []string{silent, closed} {
@@ -98,7 +96,6 @@
 		var e *Error
 		require.ErrorAs(t, err, &e)
 		require.Equal(t, KindNetwork, e.Kind)
-		require.Error(t, c.Import(context.Background(), address, closed, Export{Handle: "h"}, camphorhinge.AttemptID("a")))
 	}
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/fleet/engine/types.go
+++ b/internal/fleet/engine/types.go
@@ -56,19 +56,3 @@
 	Revision    uint64                   `json:"revision"`
 	Nonce       string                   `json:"nonce"`
 }
-
-// Export is an attempt's KV cache that its engine holds for an importer.
-type Export struct {
-	Handle string              `json:"handle"`
-	Blocks camphorhinge.Blocks `json:"blocks"`
-}
-
-type exportRequest struct {
-	Attempt camphorhinge.AttemptID `json:"attempt"`
-}
-
-type importRequest struct {
-	From    string                 `json:"from"`
-	Handle  string                 `json:"handle"`
-	Attempt camphorhinge.AttemptID `json:"attempt"`
-}
