--- a/interfaces.go
+++ b/interfaces.go
@@ -100,6 +100,11 @@
 	Pick(req RouteRequest) (choice RouteChoice, ok bool)
 	// Sent notes that an attempt was sent; the returned function is called once when the attempt has ended.
 	Sent(choice RouteChoice, req RouteRequest) (done func(AttemptResult))
+	// PickDecode returns the engine to which the KV cache of a request moves from the engine that holds it; ok is false when
+	// no engine may take it, or when the request should stay.
+	PickDecode(req RouteRequest, from *Target) (choice RouteChoice, ok bool)
+	// SentDecode is Sent for an attempt whose KV cache was moved to the target, so that no prefill is left.
+	SentDecode(choice RouteChoice, req RouteRequest) (done func(AttemptResult))
 }
 
 // RouteRequest is what a Router knows of a request.
@@ -162,7 +167,7 @@
 
 // Refusal is the reason why a request was not admitted.
 type Refusal struct {
-	// Kind is one of limit, shed, deadline, quarantine, stale.
+	// Kind is one of limit, shed, deadline.
 	Kind string
 	// Message is for the caller.
 	Message string
@@ -175,7 +180,7 @@
 	Seq uint64 `json:"seq"`
 	// At is the wall-clock time in milliseconds since the Unix epoch, for display only.
 	At int64 `json:"at"`
-	// Kind is one of route, refuse, retry, order, role, quarantine, config, member.
+	// Kind is one of route, refuse, retry, order, role, quarantine.
 	Kind string `json:"kind"`
 	// Subject is the request, target or record which was decided on.
 	Subject string `json:"subject"`
--- a/internal/fleet/mix/wrap.go
+++ b/internal/fleet/mix/wrap.go
@@ -6,12 +6,25 @@
 	"example.org/camphorhinge"
 )
 
-// Wrap returns a router that feeds m and leaves each choice to inner.
+// expecter is an optional ability of a router: it knows the expected output of a service.
+type expecter interface {
+	Output(service camphorhinge.ServiceName, limit camphorhinge.Tokens) camphorhinge.Tokens
+}
+
+// Wrap returns a router that feeds m and leaves each choice to inner. It has the method Output if inner
+// has it; Unwrap returns inner for all others.
 //
 // Only requests that name a model count. One counts as asked for at a choice without excluded targets; a repeat that
 // starts over with all targets counts again, which the retry budget bounds to a tenth of the requests.
 func Wrap(inner camphorhinge.Router, m *Meter) camphorhinge.Router {
-	return &router{inner: inner, meter: m}
+	r := &router{inner: inner, meter: m}
+	if x, ok := inner.(expecter); ok {
+		return struct {
+			*router
+			expecter
+		}{r, x}
+	}
+	return r
 }
 
 type router struct {
@@ -19,6 +32,9 @@
 	meter *Meter
 }
 
+// Unwrap returns the wrapped router.
+func (r *router) Unwrap() camphorhinge.Router { return r.inner }
+
 // Pick implements camphorhinge.Router.
 func (r *router) Pick(req camphorhinge.RouteRequest) (camphorhinge.RouteChoice, bool) {
 	choice, ok := r.inner.Pick(req)
@@ -40,6 +56,16 @@
 	return r.meter.sent(req, r.inner.Sent(choice, req))
 }
 
+// PickDecode implements camphorhinge.Router; the request was counted at its first choice.
+func (r *router) PickDecode(req camphorhinge.RouteRequest, from *camphorhinge.Target) (camphorhinge.RouteChoice, bool) {
+	return r.inner.PickDecode(req, from)
+}
+
+// SentDecode implements camphorhinge.Router.
+func (r *router) SentDecode(choice camphorhinge.RouteChoice, req camphorhinge.RouteRequest) func(camphorhinge.AttemptResult) {
+	return r.meter.sent(req, r.inner.SentDecode(choice, req))
+}
+
 // jitterer is an optional ability of an Admission: a random delay before a repeated attempt.
 type jitterer interface {
 	Jitter() time.Duration
--- a/internal/request/frontend/contract_test.go
+++ b/internal/request/frontend/contract_test.go
@@ -13,12 +13,13 @@
 	"testing/synctest"
 	"time"
 
-	"example.org/camphorhinge"
-	"example.org/camphorhinge/internal/request/claim"
-	"example.org/camphorhinge/internal/request/exchange"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace/noop"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/claim"
+	"example.org/camphorhinge/internal/request/exchange"
 )
 
 // recorder is a caller that keeps what it gets.
@@ -265,6 +266,7 @@
 	time.Sleep(2 * time.Minute)
 	require.NoError(t, shut())
 	require.Equal(t, tc.runs, a.runs+b.runs, "runs")
+	require.Equal(t, strings.Contains(tc.seen, "import"), view.decodes > 0, "the router knows a move from a run")
 	if tc.class == string(camphorhinge.NotRun) && tc.again == "" {
 		require.Zero(t, a.runs+b.runs)
 	}
--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -68,7 +68,7 @@
 
 // receive reads the body: the whole of a claimed call, whose digest is compared, or else the first part.
 func (c *call) receive(all bool) *Error {
-	in, limit := c.in, c.f.cfg.PlainBody
+	in, limit := c.in, int64(MaxBody)
 	if in.length > limit {
 		return refuse(KindTooLarge, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
 	}
@@ -87,8 +87,10 @@
 	switch {
 	case err == nil:
 		c.rest = &capped{r: in.body, left: limit - int64(len(c.head))}
-	case !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		return refuse(KindInvalid, http.StatusBadRequest, "the body could not be read: %w", err)
+	case !errors.Is(err, io.EOF):
+		return unreadable(err)
+	case in.length > int64(len(c.head)):
+		return unreadable(io.ErrUnexpectedEOF)
 	}
 	return nil
 }
@@ -96,8 +98,8 @@
 // firstPart is the first size of the buffer for a body of unknown length.
 const firstPart = 4 << 10
 
-// readHead reads a body up to its end or to keepBody bytes. The error is nil when keepBody bytes were read, and io.EOF or
-// io.ErrUnexpectedEOF at the end of the body. Length is the body's size in bytes, or -1 when it is not known. The buffer
+// readHead reads a body up to its end or to keepBody bytes. The error is nil when keepBody bytes were read, and that of r
+// otherwise: io.EOF at the end of the body. Length is the body's size in bytes, or -1 when it is not known. The buffer
 // follows the size: one of keepBody bytes for each call was nine tenths of all that a node allocated.
 func readHead(r io.Reader, length int64) ([]byte, error) {
 	size := int64(firstPart)
@@ -106,12 +108,16 @@
 	}
 	head := make([]byte, 0, min(size, keepBody))
 	for {
-		n, err := io.ReadFull(r, head[len(head):cap(head)])
+		n, err := r.Read(head[len(head):cap(head)])
 		head = head[:len(head)+n]
-		if err != nil || len(head) == keepBody {
+		switch {
+		case len(head) == keepBody:
+			return head, nil
+		case err != nil:
 			return head, err
+		case len(head) == cap(head):
+			head = append(make([]byte, 0, min(2*len(head), keepBody)), head...)
 		}
-		head = append(make([]byte, 0, min(2*len(head), keepBody)), head...)
 	}
 }
 
@@ -183,7 +189,7 @@
 // it; an error of a longer one wraps errWritten. told is set when the caller left.
 func (c *call) answer(a *exchange.Answer) (told *Error, err error) {
 	head, err := readHead(a, a.Length)
-	whole := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && a.Whole()
+	whole := errors.Is(err, io.EOF) && a.Whole()
 	if err != nil && !whole {
 		return nil, err
 	}
@@ -350,7 +356,7 @@
 	}
 	g := *c.grant
 	c.grant = nil
-	ctx, cancel := context.WithTimeout(context.Background(), control)
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
 	if c.f.cfg.Claims.Complete(ctx, g, a) != nil {
 		c.f.meters.controlFailures.Inc()
@@ -369,7 +375,7 @@
 	g := *c.grant
 	c.grant = nil
 	// Released before the caller is told, so that a resend at once does not find the request in progress.
-	ctx, cancel := context.WithTimeout(context.Background(), control)
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
 	if c.f.cfg.Claims.Release(ctx, g) != nil {
 		c.f.meters.controlFailures.Inc()
