Leave a leader that does not answer once another one leads

Cause: with the leader stopped by SIGSTOP, calls to it waited until their own deadline although a new leader had been elected. A claim's proposal took the whole deadline of its request, so the further proposals that the claim client plans never came.

Now a call ends when another address answers as the leader; an address that left a call waiting gets a short question before the next call; a proposal ends after 2 s, or 3 s for a record, and the operator port sends a record again while it has time.

Ruled out: a slow election; by the logs the successor led while the calls still waited.

--- a/internal/node/control/client.go
+++ b/internal/node/control/client.go
@@ -20,6 +20,13 @@
 	defaultTimeout = 10 * time.Second
 	// attemptTimeout bounds one call that does not wait for a change to be in force.
 	attemptTimeout = 2 * time.Second
+	// acceptTimeout bounds one call that does. It is longer than a configuration lease, so that a call on a silent
+	// connection ends soon, and a change that reaches all nodes is in force before.
+	acceptTimeout = 3 * time.Second
+	// answerMargin is the part of a call's time that is left for the leader's answer to arrive.
+	answerMargin = 200 * time.Millisecond
+	// checkTimeout bounds the question to a node that did not answer before; a live one answers within milliseconds.
+	checkTimeout = 200 * time.Millisecond
 )
 
 // Client calls the leader from any node; it implements camphorhinge.Proposer.
@@ -31,11 +38,21 @@
 	mu     sync.Mutex
 	leader string
 	next   int
+	// pending holds what ends the calls that wait for the answer of an address.
+	pending map[*pendingCall]struct{}
+	// doubted are addresses that left their last call waiting to its end.
+	doubted map[string]bool
+}
+
+// pendingCall is a call that waits for an answer.
+type pendingCall struct {
+	address string
+	end     context.CancelFunc
 }
 
 // NewClient returns a Client.
 func NewClient(pool *peer.Pool, addresses func() []string) *Client {
-	return &Client{pool: pool, addresses: addresses}
+	return &Client{pool: pool, addresses: addresses, pending: map[*pendingCall]struct{}{}, doubted: map[string]bool{}}
 }
 
 // Leader returns the address that answered as the leader last, or "".
@@ -72,10 +89,60 @@
 	}
 }
 
+// found notes that address answered as the leader. Calls that wait for the answer of another address end, since a
+// paused or unreachable leader would keep them until their deadline.
 func (c *Client) found(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leader = address
+	for p := range c.pending {
+		if p.address != address {
+			p.end()
+		}
+	}
+}
+
+// wait returns a context for a call to address that ends when another address answers as the leader.
+func (c *Client) wait(ctx context.Context, address string) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancel(ctx)
+	p := &pendingCall{address: address, end: end}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending[p] = struct{}{}
+	return ctx, func() {
+		end()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.pending, p)
+	}
+}
+
+// heard notes whether the last call to address got an answer or at least failed at once, which costs no time.
+func (c *Client) heard(address string, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answered {
+		delete(c.doubted, address)
+	} else {
+		c.doubted[address] = true
+	}
+}
+
+// answers reports whether address may be called: its last call got an answer, or it answers a short question now. The
+// other nodes go on naming a leader that is paused or cut off until they elect another, and a call to it would be lost.
+func (c *Client) answers(ctx context.Context, address string) bool {
+	c.mu.Lock()
+	doubted := c.doubted[address]
+	c.mu.Unlock()
+	if !doubted {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	_, err := c.pool.Get(address).Control.Read(ctx, &peerpb.ReadRequest{})
+	answered := !errors.Is(err, context.DeadlineExceeded)
+	c.heard(address, answered)
+	return answered
 }
 
 // verdict is how one call to one node ended.
@@ -102,7 +169,18 @@
 			}
 			continue
 		}
-		v, err := call(ctx, c.pool.Get(address))
+		if !c.answers(ctx, address) {
+			last = errors.New("no answer from " + address)
+			c.moved(address, "")
+			if !pause(ctx) {
+				break
+			}
+			continue
+		}
+		waiting, done := c.wait(ctx, address)
+		v, err := call(waiting, c.pool.Get(address))
+		done()
+		c.heard(address, !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled))
 		switch {
 		case err != nil && !neverSent(err):
 			c.moved(address, "")
@@ -146,14 +224,19 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// Propose commits a command by way of the leader.
+// Propose commits a command by way of the leader. A call that is not answered in time ends with camphorhinge.ErrUncertain,
+// also before ctx's deadline; the caller then sends the same command again.
 func (c *Client) Propose(ctx context.Context, kind camphorhinge.CommandKind, command []byte) ([]byte, error) {
 	var result []byte
 	err := c.lead(ctx, "propose", func(ctx context.Context, conn *peer.Conn) (verdict, error) {
-		left := attemptTimeout
-		if deadline, ok := ctx.Deadline(); ok {
-			left = time.Until(deadline)
+		limit := attemptTimeout
+		if kind == camphorhinge.CommandRecord {
+			limit = acceptTimeout
 		}
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		deadline, _ := ctx.Deadline()
+		left := time.Until(deadline) - answerMargin
 		resp, err := conn.Control.Propose(ctx, &peerpb.ProposeRequest{
 			Kind: uint32(kind), Command: command, Timeout: uint64(max(left.Milliseconds(), 1)),
 		})
--- /dev/null
+++ b/internal/node/control/client_test.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+)
+
+// node answers proposals as the leader, or, when entered is set, never, as a paused process does.
+type node struct {
+	peerpb.Control
+	entered chan struct{}
+}
+
+func (n *node) Propose(ctx context.Context, _ *peerpb.ProposeRequest) (*peerpb.ProposeResponse, error) {
+	if n.entered != nil {
+		n.entered <- struct{}{}
+		<-ctx.Done()
+	}
+	return &peerpb.ProposeResponse{Outcome: OutcomeDone, Result: []byte("done")}, nil
+}
+
+func (n *node) Read(ctx context.Context, _ *peerpb.ReadRequest) (*peerpb.ReadResponse, error) {
+	if n.entered != nil {
+		<-ctx.Done()
+	}
+	return &peerpb.ReadResponse{Outcome: OutcomeRefused}, nil
+}
+
+// serve offers svc on a peer port until the test ends.
+func serve(t *testing.T, svc peerpb.Control) string {
+	s, err := peer.NewServer("127.0.0.1:0", nil)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return s.Serve(ctx, peer.Services{Control: svc}) })
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, g.Wait())
+	})
+	return s.Address()
+}
+
+// Guards against a command that waits for a paused leader until its own deadline although another node leads by now, and
+// against one that is sent to the paused node again because the others still name it.
+func TestPausedLeader(t *testing.T) {
+	for _, kind := range []camphorhinge.CommandKind{camphorhinge.CommandRecord, camphorhinge.CommandClaim} {
+		paused := &node{entered: make(chan struct{}, 1)}
+		old, successor := serve(t, paused), serve(t, &node{})
+		pool, err := peer.NewPool(nil)
+		require.NoError(t, err)
+		c := NewClient(pool, func() []string { return []string{old, successor} })
+		c.found(old)
+		var g errgroup.Group
+		g.Go(func() error {
+			_, err := c.Propose(context.Background(), kind, nil)
+			require.ErrorIs(t, err, camphorhinge.ErrUncertain)
+			return nil
+		})
+		<-paused.entered
+		c.found(successor)
+		require.NoError(t, g.Wait())
+
+		c.found(old)
+		result, err := c.Propose(t.Context(), kind, nil)
+		require.NoError(t, err)
+		require.Equal(t, "done", string(result))
+		require.Empty(t, paused.entered, "the paused node got the command")
+		require.Equal(t, successor, c.Leader())
+	}
+}
--- a/internal/node/server/operator.go
+++ b/internal/node/server/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"time"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/node/control"
@@ -22,6 +23,9 @@
 	queryStatus  = "status"
 )
 
+// resendPause is the time before a write of uncertain outcome is sent again.
+const resendPause = 50 * time.Millisecond
+
 func (s *Server) openOperatorPort() error {
 	api, err := operator.New(operator.Config{
 		TokenFile: s.cfg.OperatorToken, Writer: writer{s.client}, Reader: reader{s.client}, Status: s, Explain: s, Metrics: s.metrics,
@@ -40,17 +44,29 @@
 // writer commits record commands by way of the leader; it implements operator.RecordWriter.
 type writer struct{ client *control.Client }
 
-// Write returns the result once the write is in force on all nodes.
+// Write returns the result once the write is in force on all nodes. A write whose answer was lost is sent again while
+// time is left: the same version and content have the same result.
 func (w writer) Write(ctx context.Context, c table.Command) (table.Result, error) {
 	command, err := c.Encode()
 	if err != nil {
 		return table.Result{}, err
 	}
-	result, err := w.client.Propose(ctx, camphorhinge.CommandRecord, command)
-	if err != nil {
-		return table.Result{}, err
+	for resent := false; ; resent = true {
+		result, err := w.client.Propose(ctx, camphorhinge.CommandRecord, command)
+		if err == nil {
+			r, err := table.DecodeResult(result)
+			r.Repeated = r.Repeated && !resent // A repetition may be that of this call's own first try.
+			return r, err
+		}
+		if !errors.Is(err, camphorhinge.ErrUncertain) {
+			return table.Result{}, err
+		}
+		select {
+		case <-ctx.Done():
+			return table.Result{}, err
+		case <-time.After(resendPause):
+		}
 	}
-	return table.DecodeResult(result)
 }
 
 // reader reads records from the leader; it implements operator.RecordReader.
