Repeat a failed attempt on a new connection

Cause: when the open connections of several targets fall silent, a request that gives up on one target after the first-byte limit is sent on an idle connection of the next one, which is silent as well, and ends at its deadline with the class unknown. The pool drops siblings only of the address on which a request has failed.

After an attempt that was not certainly not-run, the next one opens a new connection. The contract test has a row for it, which fails without the change with "504 unknown".

--- a/internal/request/frontend/contract_test.go
+++ b/internal/request/frontend/contract_test.go
@@ -130,6 +130,7 @@
 		{fault: "close after the request, no budget", point: "header", body: askWhole, a: []step{closing()}, b: ok, status: 502, class: "unknown", runs: 1, answer: "target"},
 		{fault: "then refusal", point: "header", body: askWhole, budget: 1, a: []step{closing()}, b: []step{refusing(503)}, status: 503, class: "unknown", runs: 1},
 		{fault: "silence", point: "header", body: askWhole, budget: 1, a: []step{silent()}, b: ok, status: 200, class: "run", runs: 2, answer: "ok", seen: "a: probe cancel"},
+		{fault: "silence on the idle connections of all targets", point: "header", body: askStream, budget: 1, a: []step{refusing(503), silent()}, b: mutedLater(), status: 200, class: "run", runs: 3, answer: "stream", again: "200 run"},
 		{fault: "answer after the abandon", point: "header", body: askWhole, budget: 1, a: []step{after(50*time.Second, whole(200, "late"))}, b: ok, status: 200, class: "run", runs: 2, answer: "ok", seen: "a: failed"},
 		{fault: "malformed header", point: "header", body: askWhole, budget: 1, a: []step{raw("nonsense\r\n\r\n")}, b: ok, status: 200, class: "run", runs: 2, answer: "ok"},
 		{fault: "endless header", point: "header", body: askWhole, budget: 1, a: []step{raw("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX: " + strings.Repeat("x", 70<<10) + "\r\n\r\nbad")}, b: ok, status: 200, class: "run", runs: 2, answer: "ok"},
--- a/internal/request/frontend/fake_test.go
+++ b/internal/request/frontend/fake_test.go
@@ -204,6 +204,22 @@
 
 func silent() step { return step{do: (*visit).wait} }
 
+// mutedLater answers twice, the second time only on another connection.
+func mutedLater() []step {
+	var first net.Conn
+	ok := stream()
+	return []step{
+		{do: func(v *visit) { first = v.conn; ok.do(v) }},
+		{do: func(v *visit) {
+			if v.conn == first {
+				v.wait()
+				return
+			}
+			ok.do(v)
+		}},
+	}
+}
+
 // whole answers with a content length.
 func whole(status int, body string) step {
 	return step{do: func(v *visit) {
--- a/internal/request/frontend/model.go
+++ b/internal/request/frontend/model.go
@@ -70,6 +70,8 @@
 	return exchange.Call{
 		Target: l.choice.Target, Attempt: l.attempt, Method: j.in.method, Path: j.in.target, Header: j.header,
 		Body: bytes.NewReader(body), Length: int64(len(body)), Priority: j.in.priority, Resume: resume,
+		// Where one connection broke or fell silent, idle ones may have done so as well.
+		Fresh: j.touched,
 	}
 }
 
--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -148,7 +148,7 @@
 func (c *call) request(l *leg) exchange.Call {
 	out := exchange.Call{
 		Target: l.choice.Target, Attempt: l.attempt, Method: c.in.method, Path: c.in.target, Header: c.header,
-		Priority: c.in.priority, Fresh: !c.repeat,
+		Priority: c.in.priority, Fresh: !c.repeat || c.touched,
 	}
 	if c.rest != nil {
 		out.Body, out.Length = io.MultiReader(bytes.NewReader(c.head), c.rest), c.in.length
