--- a/internal/cli/command/app.go
+++ b/internal/cli/command/app.go
@@ -10,7 +10,6 @@
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 )
 
 // Exit codes of all commands.
@@ -73,9 +72,6 @@
 // Run parses args, runs the command that they name and returns its exit code. Results go to out, log lines and errors to
 // errs. Each flag can be set by an environment variable CAMPHORHINGE_<COMMAND>_<FLAG> as well.
 func Run(ctx context.Context, args []string, out, errs io.Writer) int {
-	// hertz writes to a logger of its own; its lines on ordinary events are left out.
-	hlog.SetLevel(hlog.LevelError)
-	hlog.SetOutput(errs)
 	a := &app{
 		kingpin: kingpin.New("camphorhinge", "A serving system for a fixed fleet of model engines and plain services."),
 		out:     out, errs: errs,
