Send both kinds of load requests to every node

Cause: nodes took requests in turn and every second request was a deposit, so with four ready nodes two got all completions and the others all deposits. The metrics after a run showed exchanges of completions on two nodes only. The turns of the kinds now shift by one each round of nodes.

--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -151,7 +151,8 @@
 }
 
 func (r *runner) one(ctx context.Context, i int) {
-	deposit := r.cfg.Deposit != "" && (r.cfg.Model == "" || i%2 == 1)
+	// Nodes get requests in turn; with the turns of the kinds shifted each round, each node gets both.
+	deposit := r.cfg.Deposit != "" && (r.cfg.Model == "" || (i+i/len(r.cfg.Nodes))%2 == 1)
 	var e ending
 	if deposit {
 		e = r.deposit(ctx, i)
