--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -55,8 +55,7 @@
 	return c
 }
 
-// works reports whether a connection echoes text. A silent one is told from one that works by a second connection: none
-// is, so the silence is awaited for a time in which loopback answers many times over.
+// works reports whether a connection echoes text within wait.
 func works(t *testing.T, c net.Conn, text string, wait time.Duration) bool {
 	if _, err := io.WriteString(c, text); err != nil {
 		return false
