--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -172,7 +172,9 @@
 }
 
 func (r *runner) one(ctx context.Context, i int) {
-	deposit := r.cfg.Deposit != "" && (r.cfg.Model == "" && r.cfg.Get == "" || i%2 == 1)
+	// Nodes get requests in turn; with the turns of the kinds shifted each round, each node gets both.
+	turn := i + i/max(len(r.cfg.Nodes), 1)
+	deposit := r.cfg.Deposit != "" && (r.cfg.Model == "" && r.cfg.Get == "" || turn%2 == 1)
 	direct := r.cfg.Direct != "" && i/2%directShare == 0
 	var e ending
 	switch {
