--- a/interfaces.go
+++ b/interfaces.go
@@ -180,7 +180,7 @@
 	Seq uint64 `json:"seq"`
 	// At is the wall-clock time in milliseconds since the Unix epoch, for display only.
 	At int64 `json:"at"`
-	// Kind is one of route, refuse, retry, order, role, quarantine.
+	// Kind is one of route, refuse, retry, order, role, quarantine, config, member.
 	Kind string `json:"kind"`
 	// Subject is the request, target or record which was decided on.
 	Subject string `json:"subject"`
--- a/internal/node/control/renewer.go
+++ b/internal/node/control/renewer.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	Clock  camphorhinge.Clock
 	// Engines puts the decisions on engines in force.
 	Engines func([]byte) error
+	// Decisions notes each configuration that comes into force.
+	Decisions camphorhinge.Decisions
 	// Scores takes the crash counts by request fingerprint, encoded.
 	Scores func([]byte)
 	// Mix takes the next report on the token mix for the leader; nil sends none.
@@ -138,13 +142,20 @@
 		return &Error{Op: "renew", Kind: KindRefused, Err: errors.New("answer of a deposed leader")}
 	}
 	r.mix = nil
-	_, err := r.cfg.Mirror.Apply(table.Changes{
+	before := r.cfg.Mirror.View().Revision()
+	revision, err := r.cfg.Mirror.Apply(table.Changes{
 		Changes: resp.GetChanges(), Full: resp.GetFull(), Revision: camphorhinge.Revision(resp.GetRevision()),
 	})
 	r.gap = err != nil
 	if err != nil {
 		return &Error{Op: "renew", Kind: KindMalformed, Err: err}
 	}
+	if revision != before {
+		r.cfg.Decisions.Note("config", fmt.Sprintf("revision %d", revision), "put in force", map[string]string{
+			"from": strconv.FormatUint(uint64(before), 10), "term": strconv.FormatUint(resp.GetTerm(), 10),
+			"full": strconv.FormatBool(resp.GetFull()),
+		})
+	}
 	if len(resp.GetEngines()) > 0 {
 		if err := r.cfg.Engines(resp.GetEngines()); err != nil {
 			return &Error{Op: "renew", Kind: KindMalformed, Err: err}
--- a/internal/node/control/renewer_test.go
+++ b/internal/node/control/renewer_test.go
@@ -17,6 +17,7 @@
 	"example.org/camphorhinge/internal/node/config"
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/observe/decision"
 	"example.org/camphorhinge/internal/record/schema"
 	"example.org/camphorhinge/internal/record/table"
 )
@@ -58,7 +59,7 @@
 	return NewRenewer(RenewerConfig{
 		Self: &peerpb.Node{Name: "a"}, Client: NewClient(pool, func() []string { return []string{s.Address()} }),
 		Mirror: table.NewMirror(), Holder: config.NewHolder(fixedClock{}, time.Second), Clock: fixedClock{},
-		Engines: func([]byte) error { return nil }, Scores: func([]byte) {}, Log: slog.New(slog.DiscardHandler),
+		Engines: func([]byte) error { return nil }, Scores: func([]byte) {}, Decisions: decision.New(1), Log: slog.New(slog.DiscardHandler),
 		Mix: mix,
 	})
 }
@@ -141,7 +142,7 @@
 				clock, engines := bubbleClock{time.Now()}, 0
 				holder := config.NewHolder(clock, 0)
 				r := NewRenewer(RenewerConfig{
-					Mirror: table.NewMirror(), Holder: holder, Clock: clock, Scores: func([]byte) {}, Self: &peerpb.Node{},
+					Mirror: table.NewMirror(), Holder: holder, Clock: clock, Scores: func([]byte) {}, Decisions: decision.New(1), Self: &peerpb.Node{},
 					Engines: func(e []byte) error {
 						if string(e) == "bad" {
 							return errLost
--- a/internal/node/server/durable.go
+++ b/internal/node/server/durable.go
@@ -44,6 +44,7 @@
 // durable is the replica of the durable state on a node with a data folder.
 type durable struct {
 	log       *slog.Logger
+	decisions camphorhinge.Decisions
 	clock     camphorhinge.Clock
 	self      *peerpb.Node
 	client    *control.Client
@@ -96,7 +97,7 @@
 	}
 	s.closers = append(s.closers, log)
 	d := &durable{
-		log: s.log, clock: s.clock, self: s.self, client: s.client, leases: s.leases, folder: folder,
+		log: s.log, decisions: s.ring, clock: s.clock, self: s.self, client: s.client, leases: s.leases, folder: folder,
 		cluster: log.Identity().Cluster, id: log.Identity().Replica,
 		records: table.New(), members: member.New(), claims: claim.NewMachine(), crashes: quarantine.NewMachine(),
 		book: order.NewBook(), mix: mix.NewCollector(s.clock),
--- a/internal/node/server/lead.go
+++ b/internal/node/server/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"example.org/camphorhinge"
@@ -74,6 +75,11 @@
 	// A learner that does not catch up must not keep another from being promoted.
 	for _, change := range nextChanges(d.replica.Membership(), nodes, d.id, d.lost()) {
 		err := d.apply(ctx, change)
+		if err == nil {
+			d.decisions.Note("member", strconv.FormatUint(uint64(change.ID), 16), changeName(change.Kind), map[string]string{
+				"members": strconv.Itoa(len(d.replica.Membership().Members)),
+			})
+		}
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -81,6 +87,17 @@
 	}
 }
 
+func changeName(k consensus.ChangeKind) string {
+	switch k {
+	case consensus.AddLearner:
+		return "added as a learner"
+	case consensus.Promote:
+		return "made a voter"
+	default:
+		return "removed"
+	}
+}
+
 // lost returns the replicas that this leader has not heard for long.
 func (d *durable) lost() map[camphorhinge.ReplicaID]bool {
 	now := d.clock.Now()
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -39,8 +39,8 @@
 )
 
 const (
-	// ringSize is the number of decisions that a node keeps, about 2 MB.
-	ringSize = 4096
+	// ringSize is the number of decisions of each kind that a node keeps, about 0.5 MB.
+	ringSize = 1024
 	// smallBody bounds the bodies on the target port, in bytes.
 	smallBody = registry.MaxAnnouncement
 	// controlGrace bounds the wait for calls under way on the target and operator ports at a stop.
@@ -202,7 +202,7 @@
 	s.reports = admit.NewReports(s.clock, s.nodeCount)
 	s.renewer = control.NewRenewer(control.RenewerConfig{
 		Self: s.self, Client: s.client, Mirror: s.mirror, Holder: s.holder, Clock: s.clock, Log: s.log,
-		Engines: s.learnEngines, Scores: s.learnScores, Mix: s.meter.Take,
+		Engines: s.learnEngines, Decisions: s.ring, Scores: s.learnScores, Mix: s.meter.Take,
 	})
 	s.registry = registry.New(registry.Config{
 		Clock: s.clock, Held: s.engines.Holds, Observe: s.observe, Metrics: s.metrics,
--- a/internal/observe/decision/ring.go
+++ b/internal/observe/decision/ring.go
@@ -1,6 +1,8 @@
 package decision
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -8,45 +10,71 @@
 	"example.org/camphorhinge"
 )
 
-// Ring holds the last decisions of a node; it implements camphorhinge.Decisions.
+// maxKinds bounds the kinds that are kept apart; further ones share a buffer.
+const maxKinds = 16
+
+// Ring holds the last decisions of a node; it implements camphorhinge.Decisions. Each kind has a buffer of its own, so
+// that the many choices of targets don't push out the few changes of roles.
 type Ring struct {
-	mu   sync.Mutex
-	buf  []camphorhinge.Decision
-	next uint64
+	size uint64
+
+	mu      sync.Mutex
+	next    uint64
+	buffers map[string]*buffer
 }
 
-// New returns a Ring that keeps size decisions; size is at least 1.
+// buffer holds the last decisions of one kind.
+type buffer struct {
+	decisions []camphorhinge.Decision
+	next      uint64
+}
+
+// New returns a Ring that keeps size decisions of each kind.
 func New(size int) *Ring {
-	return &Ring{buf: make([]camphorhinge.Decision, size)}
+	return &Ring{size: uint64(size), buffers: map[string]*buffer{}}
 }
 
-// Note appends a decision and drops the oldest one when the ring is full.
+// Note appends a decision and drops the oldest one of its kind when the buffer is full.
 func (r *Ring) Note(kind, subject, reason string, inputs map[string]string) {
 	now := time.Now().UnixMilli()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.buf[r.next%uint64(len(r.buf))] = camphorhinge.Decision{
-		Seq: r.next, At: now, Kind: kind, Subject: subject, Reason: reason, Inputs: inputs,
+	b := r.buffer(kind)
+	d := camphorhinge.Decision{Seq: r.next, At: now, Kind: kind, Subject: subject, Reason: reason, Inputs: inputs}
+	if b.next < r.size {
+		b.decisions = append(b.decisions, d)
+	} else {
+		b.decisions[b.next%r.size] = d
 	}
+	b.next++
 	r.next++
 }
 
+func (r *Ring) buffer(kind string) *buffer {
+	if r.buffers[kind] == nil && len(r.buffers) >= maxKinds {
+		kind = ""
+	}
+	b := r.buffers[kind]
+	if b == nil {
+		b = &buffer{}
+		r.buffers[kind] = b
+	}
+	return b
+}
+
 // Find returns at most limit decisions, newest first, whose kind equals kind and whose subject contains subject.
 // An empty kind or subject matches all.
 func (r *Ring) Find(kind, subject string, limit int) []camphorhinge.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var found []camphorhinge.Decision
-	size := uint64(len(r.buf))
-	for i := uint64(1); i <= size && i <= r.next && len(found) < limit; i++ {
-		d := r.buf[(r.next-i)%size]
-		if kind != "" && d.Kind != kind {
-			continue
-		}
-		if !strings.Contains(d.Subject, subject) {
-			continue
+	for _, b := range r.buffers {
+		for _, d := range b.decisions {
+			if (kind == "" || d.Kind == kind) && strings.Contains(d.Subject, subject) {
+				found = append(found, d)
+			}
 		}
-		found = append(found, d)
 	}
-	return found
+	slices.SortFunc(found, func(a, b camphorhinge.Decision) int { return cmp.Compare(b.Seq, a.Seq) })
+	return found[:min(len(found), max(limit, 0))]
 }
--- a/internal/observe/decision/ring_test.go
+++ b/internal/observe/decision/ring_test.go
@@ -9,9 +9,11 @@
 	"example.org/camphorhinge/internal/observe/decision"
 )
 
-// Guards against a ring that grows without bound or returns decisions out of order.
+// Guards against a ring that grows without bound or returns decisions out of order, and against frequent decisions that
+// push rare ones out.
 func TestRingKeepsTheNewest(t *testing.T) {
 	r := decision.New(4)
+	r.Note("role", "service-1", "gain exceeds the cost", nil)
 	for i := range 10 {
 		r.Note("route", "request-"+strconv.Itoa(i), "least expected completion", nil)
 	}
@@ -22,10 +24,11 @@
 		limit               int
 		want                []uint64
 	}{
-		{name: "all", limit: 10, want: []uint64{10, 9, 8, 7}},
-		{name: "kind", kind: "route", limit: 10, want: []uint64{9, 8, 7}},
-		{name: "subject", subject: "-8", limit: 10, want: []uint64{8}},
-		{name: "limit", limit: 1, want: []uint64{10}},
+		{name: "all", limit: 10, want: []uint64{11, 10, 9, 8, 7, 0}},
+		{name: "kind", kind: "route", limit: 10, want: []uint64{10, 9, 8, 7}},
+		{name: "rare kind", kind: "role", limit: 10, want: []uint64{0}},
+		{name: "subject", subject: "-8", limit: 10, want: []uint64{9}},
+		{name: "limit", limit: 1, want: []uint64{11}},
 		{name: "dropped", subject: "request-1", limit: 10},
 	}
 	for _, tt := range tests {
