--- /dev/null
+++ b/internal/node/dial/dial.go
@@ -0,0 +1,31 @@
+package dial
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// UserTimeout is how long sent bytes may stay without an acknowledgement of the other end's TCP before the connection
+// fails. When something between the ends has lost track of the connection, its packets vanish; without this bound the
+// system would send them again for many minutes. A peer that is only slow acknowledges.
+const UserTimeout = 3 * time.Second
+
+// New returns a Dialer that bounds the connecting by timeout and sets UserTimeout. Source is the local address of new
+// connections; nil leaves the choice to the system.
+func New(timeout time.Duration, source net.Addr) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, LocalAddr: source, Control: control}
+}
+
+func control(_, _ string, conn syscall.RawConn) error {
+	var set error
+	err := conn.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
--- a/internal/node/peer/client.go
+++ b/internal/node/peer/client.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	oteltrace "go.opentelemetry.io/otel/trace"
 
+	"example.org/camphorhinge/internal/node/dial"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/observe/trace"
 )
@@ -72,7 +73,7 @@
 	}
 	scheme := "http://"
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, LocalAddr: p.source}).DialContext,
+		DialContext:         dial.New(dialTimeout, p.source).DialContext,
 		TLSHandshakeTimeout: dialTimeout,
 		MaxIdleConnsPerHost: connectionsPerPeer,
 		IdleConnTimeout:     idleTimeout,
