--- /dev/null
+++ b/internal/request/claim/bench_test.go
@@ -0,0 +1,63 @@
+package claim
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+)
+
+// filled returns a machine with n completed claims as those of a plain service are: a body of 150 bytes and three headers.
+func filled(b *testing.B, n int) *Machine {
+	b.Helper()
+	m := NewMachine()
+	apply := func(i int, c command) {
+		data, err := json.Marshal(c)
+		require.NoError(b, err)
+		m.Apply(camphorhinge.Entry{Stamp: int64(i)}, data)
+	}
+	for i := range n {
+		key := Key{Workspace: "guias", Service: "pedidos-app", Key: uuid.NewString()}
+		token := uuid.NewString()
+		digest := DigestOf(http.MethodPost, "/deposits", []byte(key.Key))
+		apply(i, command{
+			Op: opClaim, Key: key, Token: token, Node: "n1", Digest: digest[:],
+			Left: 10_000, Keep: (24 * time.Hour).Milliseconds(),
+		})
+		apply(i, command{Op: opComplete, Key: key, Token: token, Keep: (24 * time.Hour).Milliseconds(), Answer: &Answer{
+			Status: http.StatusOK, Body: make([]byte, 150),
+			Header: http.Header{"Content-Type": {"application/json"}, "Date": {"Fri, 04 Dec 2026 04:30:00 GMT"}, "Server": {"pedidos"}},
+		}})
+	}
+	require.Equal(b, n, m.Len())
+	return m
+}
+
+// BenchmarkSnapshot encodes the claims that are kept, which happens each 4,096 entries and holds up the applying of entries.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			m := filled(b, n)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			var size int
+			for b.Loop() {
+				data, err := m.Snapshot()
+				require.NoError(b, err)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size)/float64(n), "B/claim-stored")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/claim-heap")
+		})
+	}
+}
