--- a/internal/request/claim/bench_test.go
+++ b/internal/request/claim/bench_test.go
@@ -40,7 +40,7 @@
 	return m
 }
 
-// BenchmarkSnapshot encodes the claims that are kept, which happens each 4,096 entries and holds up the applying of entries.
+// BenchmarkSnapshot encodes the claims that are kept.
 func BenchmarkSnapshot(b *testing.B) {
 	for _, n := range []int{1000, 10_000, 100_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
@@ -61,3 +61,15 @@
 		})
 	}
 }
+
+// BenchmarkFreeze copies the claims that are kept, which alone holds up the applying of entries.
+func BenchmarkFreeze(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m := filled(b, n)
+			for b.Loop() {
+				m.Freeze()
+			}
+		})
+	}
+}
--- a/internal/request/claim/machine.go
+++ b/internal/request/claim/machine.go
@@ -223,19 +223,27 @@
 
 // snapshot is the encoded state; claims are sorted by key.
 type snapshot struct {
-	Claims []*held `json:"claims"`
-	Voids  []void  `json:"voids"`
+	Claims []held `json:"claims"`
+	Voids  []void `json:"voids"`
 }
 
 // Snapshot implements camphorhinge.Machine.
-func (m *Machine) Snapshot() ([]byte, error) {
+func (m *Machine) Snapshot() ([]byte, error) { return m.Freeze()() }
+
+// Freeze returns a function that encodes the state as of now; it may run beside later calls. A day's claims take seconds
+// to encode, and a copy of them some milliseconds.
+func (m *Machine) Freeze() func() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := snapshot{Claims: make([]*held, 0, len(m.claims)), Voids: m.voids}
+	s := snapshot{Claims: make([]held, 0, len(m.claims)), Voids: slices.Clone(m.voids)}
 	for _, h := range m.claims {
-		s.Claims = append(s.Claims, h)
+		s.Claims = append(s.Claims, *h)
 	}
-	slices.SortFunc(s.Claims, func(a, b *held) int {
+	return s.encode
+}
+
+func (s snapshot) encode() ([]byte, error) {
+	slices.SortFunc(s.Claims, func(a, b held) int {
 		return cmp.Or(cmp.Compare(a.Key.Workspace, b.Key.Workspace), cmp.Compare(a.Key.Service, b.Key.Service),
 			cmp.Compare(a.Key.Key, b.Key.Key))
 	})
@@ -258,7 +266,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.claims, m.due, m.bytes = make(map[Key]*held, len(s.Claims)), nil, 0
-	for _, h := range s.Claims {
+	for i := range s.Claims {
+		h := &s.Claims[i]
 		m.claims[h.Key] = h
 		m.due = append(m.due, expiry{h.Expiry, h.Key})
 		if h.Answer != nil {
--- a/internal/request/route/config.go
+++ b/internal/request/route/config.go
@@ -33,6 +33,12 @@
 	forgetAfter = time.Minute
 	// speedWeight is the weight of one result in the learned speed of a target.
 	speedWeight = 0.05
+	// speedPrior is the number of results that what is known of the service counts for, and speedCertain the greatest
+	// number that a target's own results count for.
+	speedPrior   = 200.0
+	speedCertain = 400
+	// serviceWeight is the weight of one target's speed in that of its service.
+	serviceWeight = 0.2
 	// speedOutput is the least number of output tokens of a result that counts for the speed.
 	speedOutput = 8
 	// historyWeight is the weight of one result in the output history of a service.
--- a/internal/request/route/cost.go
+++ b/internal/request/route/cost.go
@@ -14,8 +14,11 @@
 	since   camphorhinge.Instant
 	seen    camphorhinge.Instant
 	breaker breaker
-	// speed is the learned ratio of real to estimated durations.
+	// speed is the learned ratio of real to estimated durations, and measured the number of results in it.
 	speed    float64
+	measured int
+	// service is what was learned from all targets of the service.
+	service  *serviceSpeed
 	flights  []*flight
 	sums     sums
 	cacheSeq camphorhinge.Sequence
@@ -25,6 +28,17 @@
 	marked uint64
 }
 
+// serviceSpeed is the learned ratio of real to estimated durations over all targets of a service.
+type serviceSpeed struct{ ratio float64 }
+
+// rate is the ratio to reckon with. A target of which little is known is taken to be as fast as its service's others, when
+// those are faster than estimated: otherwise the first target that turns out faster would get all requests, and the others
+// would never be measured. When the others are slower, the target keeps the estimate until it is measured itself.
+func (t *targetState) rate() float64 {
+	n := float64(min(t.measured, speedCertain))
+	return (n*t.speed + speedPrior*min(1, t.service.ratio)) / (n + speedPrior)
+}
+
 // flight is one attempt of this node; it is kept until a load report is newer than its end.
 type flight struct {
 	incarnation camphorhinge.Incarnation
@@ -152,17 +166,17 @@
 	slower := token * c.BatchSlope * w.running
 	token += slower
 	return estimate{
-		load:     seconds((wait + slower*float64(output)) * s.speed),
-		wait:     seconds(wait * s.speed),
-		ready:    seconds((wait + prefill) * s.speed),
-		decode:   seconds(token * float64(output) * s.speed),
-		perToken: seconds(token * s.speed),
+		load:     seconds((wait + slower*float64(output)) * s.rate()),
+		wait:     seconds(wait * s.rate()),
+		ready:    seconds((wait + prefill) * s.rate()),
+		decode:   seconds(token * float64(output) * s.rate()),
+		perToken: seconds(token * s.rate()),
 	}
 }
 
 // plain estimates a request on a plain service.
 func (c *Config) plain(s *targetState, w work) estimate {
-	one := c.ServiceTime.Seconds() * s.speed
+	one := c.ServiceTime.Seconds() * s.rate()
 	return estimate{ready: seconds(one * (1 + w.running)), load: seconds(one * w.running)}
 }
 
--- a/internal/request/route/herding_test.go
+++ b/internal/request/route/herding_test.go
@@ -108,3 +108,43 @@
 		})
 	}
 }
+
+// Guards against engines that are faster than the first estimate: the first one that is measured must not get all
+// requests while the others keep the estimate for ever.
+func TestFastEnginesShareTheWork(t *testing.T) {
+	for seed := range uint64(20) {
+		for engine, n := range fastEngines(t, seed) {
+			require.LessOrEqual(t, n, fastRequests/2, "seed %d: %s got more than twice the even share", seed, engine)
+		}
+	}
+}
+
+// fastRequests is the number of requests to the four fast engines.
+const fastRequests = 1200
+
+// fastEngines counts the choices among four engines that take 1 ms a token where the estimate is 20 ms, with 8 requests
+// in flight.
+func fastEngines(t *testing.T, seed uint64) map[camphorhinge.TargetName]int {
+	t.Helper()
+	const fleet, window = 4, 8
+	c := &clock{now: camphorhinge.Instant(time.Hour)}
+	l := engines(fleet, c)
+	r := newRouter(t, l, c, seed)
+	got := map[camphorhinge.TargetName]int{}
+	var running []func(camphorhinge.AttemptResult)
+	for range fastRequests {
+		choice, ok := r.Pick(request)
+		require.True(t, ok)
+		running = append(running, r.Sent(choice, request))
+		got[choice.Target.Name]++
+		c.now = c.now.Add(250 * time.Millisecond / window)
+		if len(running) == window {
+			running[0](camphorhinge.AttemptResult{Class: camphorhinge.Run, Output: 200, FirstByte: 50 * time.Millisecond})
+			running = running[1:]
+		}
+		for _, e := range l {
+			e.Heard = c.now
+		}
+	}
+	return got
+}
--- a/internal/request/route/router.go
+++ b/internal/request/route/router.go
@@ -29,6 +29,7 @@
 	states  map[camphorhinge.TargetName]*targetState
 	index   *index
 	history map[camphorhinge.ServiceName]*history
+	speeds  map[camphorhinge.ServiceName]*serviceSpeed
 	started camphorhinge.Instant
 	swept   camphorhinge.Instant
 	// scratch buffers of one Pick, to allocate none.
@@ -67,6 +68,7 @@
 		cfg: c, started: c.Clock.Now(), rng: rand.New(rand.NewPCG(c.Seed, 1)), index: newIndex(c.IndexPairs),
 		rares:  map[rareKey]rareTargets{},
 		states: map[camphorhinge.TargetName]*targetState{}, history: map[camphorhinge.ServiceName]*history{},
+		speeds: map[camphorhinge.ServiceName]*serviceSpeed{},
 	}, nil
 }
 
@@ -422,7 +424,10 @@
 	if measured && expected > 0 && took > 0 {
 		// The clamp keeps one odd result from turning a target away for long.
 		ratio := min(4, max(0.25, float64(took)/float64(expected)))
-		s.speed = min(8, max(0.1, s.speed*(1+speedWeight*(ratio-1))))
+		s.measured++
+		weight := max(speedWeight, 1/float64(s.measured))
+		s.speed = min(8, max(0.05, s.speed+weight*(s.rate()*ratio-s.speed)))
+		s.service.ratio += serviceWeight * (s.speed - s.service.ratio)
 	}
 	if res.Output > 0 && !res.Moved {
 		h := r.history[req.Service]
@@ -435,11 +440,20 @@
 	}
 }
 
+func (r *Router) speedOf(service camphorhinge.ServiceName) *serviceSpeed {
+	s := r.speeds[service]
+	if s == nil {
+		s = &serviceSpeed{ratio: 1}
+		r.speeds[service] = s
+	}
+	return s
+}
+
 // state returns the bookkeeping of a target; a new incarnation starts slowly and with an empty cache.
 func (r *Router) state(t *camphorhinge.Target, now camphorhinge.Instant) *targetState {
 	s := r.states[t.Name]
 	if s == nil {
-		s = &targetState{name: t.Name, incarnation: t.Incarnation, since: now, seen: now, speed: 1, prefixes: map[uint64]struct{}{}}
+		s = &targetState{name: t.Name, incarnation: t.Incarnation, since: now, seen: now, speed: 1, service: r.speedOf(t.Service), prefixes: map[uint64]struct{}{}}
 		if now.Sub(r.started) < settleTime {
 			s.since = now.Add(-slowStart)
 		}
--- a/internal/standin/load/balancer.go
+++ b/internal/standin/load/balancer.go
@@ -27,15 +27,7 @@
 // run checks the nodes until ctx ends. When none is ready it keeps the last ones, as balancers do.
 func (b *balancer) run(ctx context.Context) error {
 	for {
-		var ready []string
-		for _, n := range b.nodes {
-			if b.check(ctx, n) {
-				ready = append(ready, n)
-			}
-		}
-		if len(ready) > 0 {
-			b.ready.Store(&ready)
-		}
+		b.look(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -44,6 +36,19 @@
 	}
 }
 
+// look checks all nodes once.
+func (b *balancer) look(ctx context.Context) {
+	var ready []string
+	for _, n := range b.nodes {
+		if b.check(ctx, n) {
+			ready = append(ready, n)
+		}
+	}
+	if len(ready) > 0 {
+		b.ready.Store(&ready)
+	}
+}
+
 func (b *balancer) check(ctx context.Context, node string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, node+"/readyz", http.NoBody)
 	if err != nil {
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -129,6 +129,8 @@
 	defer r.client.CloseIdleConnections()
 	watch, stop := context.WithCancel(ctx)
 	var background errgroup.Group
+	// The balancer knows the nodes before the first request; one that has just started gets none.
+	r.balancer.look(ctx)
 	background.Go(func() error { return r.balancer.run(watch) })
 
 	started := time.Now()
--- a/internal/state/replica/machine.go
+++ b/internal/state/replica/machine.go
@@ -55,19 +55,37 @@
 	return machine.Apply(entry, e.Data[headerBytes:]), nil
 }
 
-// snapshot encodes the stamp and the state of all machines.
-func (m *router) snapshot() ([]byte, error) {
-	b := binary.BigEndian.AppendUint64(nil, uint64(m.stamp))
-	for _, kind := range m.kinds {
+// freezer is an optional ability of a Machine with much state: Freeze returns a function that encodes the state as of now,
+// and that may run beside later calls. Without it the encoding would hold up heartbeats.
+type freezer interface {
+	Freeze() (encode func() ([]byte, error))
+}
+
+// freeze returns a function that encodes the stamp and the state of all machines as of now.
+func (m *router) freeze() func() ([]byte, error) {
+	stamp := m.stamp
+	encoders := make([]func() ([]byte, error), len(m.kinds))
+	for i, kind := range m.kinds {
+		if f, ok := m.machines[kind].(freezer); ok {
+			encoders[i] = f.Freeze()
+			continue
+		}
 		state, err := m.machines[kind].Snapshot()
-		if err != nil {
-			return nil, &Error{Op: "snapshot", Kind: KindCorrupt, Err: err}
+		encoders[i] = func() ([]byte, error) { return state, err }
+	}
+	return func() ([]byte, error) {
+		b := binary.BigEndian.AppendUint64(nil, uint64(stamp))
+		for i, kind := range m.kinds {
+			state, err := encoders[i]()
+			if err != nil {
+				return nil, &Error{Op: "snapshot", Kind: KindCorrupt, Err: err}
+			}
+			b = append(b, byte(kind))
+			b = binary.AppendUvarint(b, uint64(len(state)))
+			b = append(b, state...)
 		}
-		b = append(b, byte(kind))
-		b = binary.AppendUvarint(b, uint64(len(state)))
-		b = append(b, state...)
+		return b, nil
 	}
-	return b, nil
 }
 
 // restore replaces the state of all machines. A machine that the snapshot doesn't hold, since it is newer, is restored
--- a/internal/state/replica/snapshot.go
+++ b/internal/state/replica/snapshot.go
@@ -13,6 +13,8 @@
 const (
 	// chunkBytes is the size of a part of a snapshot.
 	chunkBytes = 256 << 10
+	// snapshotPart is the part of a large snapshot's size that the log must reach before the number of entries counts.
+	snapshotPart = 4
 	// snapshotPause is the wait after a failed sending, so that an unreachable replica costs little.
 	snapshotPause = 300 * time.Millisecond
 )
@@ -28,27 +30,50 @@
 	Last bool
 }
 
-// compact takes a snapshot when enough was applied since the last one.
+// compact takes a snapshot when enough was applied since the last one. The state is encoded beside the loop.
 func (r *Replica) compact() error {
 	applied := r.machines.applied
-	if r.saving || applied < r.snapshotDue && r.sinceBytes < r.cfg.SnapshotBytes || applied <= r.snapshot.meta.Index {
+	if r.saving || !r.enough() || applied <= r.snapshot.meta.Index {
 		return nil
 	}
 	meta, err := r.core.SnapshotMeta(applied)
 	if err != nil {
 		return &Error{Op: "snapshot", Kind: KindCorrupt, Err: err}
 	}
-	state, err := r.machines.snapshot()
-	if err != nil {
-		return err
-	}
-	s := stored{meta: meta, data: encodeSnapshot(meta, state)}
+	encode := r.machines.freeze()
 	r.saving, r.sinceBytes = true, 0
 	r.snapshotDue = applied + camphorhinge.Index(r.cfg.SnapshotEntries)
+	r.tasks.Go(func() error {
+		state, err := encode()
+		if err != nil {
+			return err
+		}
+		s := stored{meta: meta, data: encodeSnapshot(meta, state)}
+		r.inform(func(camphorhinge.Instant) { r.save(s) })
+		return nil
+	})
+	return nil
+}
+
+// enough reports whether the log since the last snapshot is worth a new one: it has many bytes, or many entries. With a
+// large state the entries count only when they are a fair part of it, so that it is not encoded for a few small ones.
+func (r *Replica) enough() bool {
+	if r.sinceBytes >= r.cfg.SnapshotBytes {
+		return true
+	}
+	size := len(r.snapshot.data)
+	return r.machines.applied >= r.snapshotDue && (size < r.cfg.SnapshotBytes || r.sinceBytes >= size/snapshotPart)
+}
+
+// save stores an encoded snapshot, unless one from the leader has come first.
+func (r *Replica) save(s stored) {
+	if s.meta.Index <= r.snapshot.meta.Index {
+		r.saving = false
+		return
+	}
 	r.writer.jobs.add(write{own: true, snapshot: &s, done: func(ok bool) {
 		r.inform(func(camphorhinge.Instant) { r.saved(s, ok) })
 	}})
-	return nil
 }
 
 func (r *Replica) saved(s stored, ok bool) {
