Probe a target that sends no first byte, and shorten the stale limit to 6 s

A request now has its target probed after 5 s, one probe for all that wait for it, and goes elsewhere when there is no answer within 2 s. Ruled out: a shorter first-byte limit, which would run long prompts twice. In virtual time a paused target costs 7 s instead of 20 s, a slow one is waited for as before (TestCheckedWait).

Cause: with 7.5 s an acceptance after the loss of the leader took up to 12.5 s, above the 11 s in which a change must be in force. With 6 s the bound is 8.8 s and 2 s for the successor. The price: a total loss of the voters stops new requests after 8 s instead of 9.5 s.

--- a/internal/node/config/config_test.go
+++ b/internal/node/config/config_test.go
@@ -35,7 +35,7 @@
 		node  camphorhinge.NodeID
 		pos   config.Position
 	}
-	const bound = 10450 * time.Millisecond // (lease 2 s + stale limit 7.5 s) with 10 % drift
+	const bound = 8800 * time.Millisecond // (lease 2 s + stale limit 6 s) with 10 % drift
 	tests := []struct {
 		name     string
 		members  []camphorhinge.NodeID
--- a/internal/node/config/leases.go
+++ b/internal/node/config/leases.go
@@ -11,9 +11,10 @@
 const (
 	// LeaseTime is the length of a configuration lease, counted on the node's clock from the sending of its renewal.
 	LeaseTime = 2 * time.Second
-	// StaleLimit is the default time for which a node serves new requests after its lease ended. With the lease and the
-	// assumed drift of clocks it leaves half a second for the commit below the 11 s in which a change must be in force.
-	StaleLimit = 7500 * time.Millisecond
+	// StaleLimit is the default time for which a node serves new requests after its lease ended. With the lease, the assumed
+	// drift of clocks and the 2 s in which a lost leader is replaced it stays below the 11 s in which a change must be in
+	// force.
+	StaleLimit = 6 * time.Second
 	// RenewHold is how long the leader holds a renewal that has nothing to answer yet.
 	RenewHold = 500 * time.Millisecond
 	// driftPercent is the assumed bound on the difference of two VMs' clock rates.
--- a/internal/node/control/server_test.go
+++ b/internal/node/control/server_test.go
@@ -135,7 +135,7 @@
 		},
 		{
 			name: "record not confirmed before the leases end", kind: camphorhinge.CommandRecord, outcome: OutcomeDone,
-			after: 10450 * time.Millisecond,
+			after: 8800 * time.Millisecond,
 		},
 		{
 			name: "deposed between the commit and the answer", kind: camphorhinge.CommandRecord, outcome: OutcomeUncertain,
--- a/internal/node/server/duty_test.go
+++ b/internal/node/server/duty_test.go
@@ -60,7 +60,7 @@
 		}},
 		{name: "isolated node can't serve any more", steps: []step{
 			{what: "hold", do: func(b *drainBench) { b.decide(true) }},
-			{what: "lease and stale limit have passed", after: 10450 * time.Millisecond},
+			{what: "lease and stale limit have passed", after: 8800 * time.Millisecond},
 			{what: "drained", after: drainMargin, do: report(0, 0, 0), want: true},
 		}},
 		{name: "report older than the hold", steps: []step{
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -21,6 +21,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"example.org/camphorhinge"
 )
@@ -71,6 +72,8 @@
 	cfg    Config
 	pool   *pool
 	probes errgroup.Group
+	// checks shares one probe among all requests that wait for one address.
+	checks singleflight.Group
 	mu     sync.Mutex
 	// probing holds the addresses with a probe under way.
 	probing map[string]struct{}
@@ -197,6 +200,9 @@
 		return nil, err
 	}
 	cn.begin(c.cfg.FirstByte+call.Wait, c.cfg.Between, headerLimit)
+	if call.Attempt != "" {
+		cn.alive = c.alive(call.Target.Address)
+	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	// Closing a body of net/http would read it to its end; here the connection is closed or kept instead.
 	resp, err := c.roundTrip(ctx, cn, call) //nolint:bodyclose // see above
@@ -206,7 +212,7 @@
 		c.suspect(err, call.Target.Address)
 		return nil, err
 	}
-	cn.header, cn.limit = math.MaxInt64, c.cfg.Between
+	cn.header, cn.limit, cn.alive = math.MaxInt64, c.cfg.Between, nil
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		client: c, ctx: ctx, conn: cn, resp: resp, span: span, stop: stop, began: began, first: time.Since(began),
--- a/internal/request/exchange/conn.go
+++ b/internal/request/exchange/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -26,14 +27,20 @@
 	// limit bounds the time of one read, between that of one write.
 	limit   time.Duration
 	between time.Duration
+	// alive, if set, is asked once when a read has waited for checkAfter; an error ends the read as silent.
+	alive func() error
 }
 
+// checkAfter is the wait for an answer after which its target is probed. A target that computes a long prompt answers the
+// probe; one that is paused, or can't be reached any more, does not, and the request need not wait for the whole limit.
+const checkAfter = 5 * time.Second
+
 var errHeader = errors.New("answer header exceeds the size limit")
 
 // begin resets the counters for a new request.
 func (c *conn) begin(first, between time.Duration, header int64) {
 	c.sent.Store(0)
-	c.limit, c.between, c.header = first, between, header
+	c.limit, c.between, c.header, c.alive = first, between, header, nil
 }
 
 // Write implements io.Writer; it fails after the between limit without progress.
@@ -46,12 +53,26 @@
 	return n, err
 }
 
-// Read implements io.Reader; it fails after limit without progress.
+// Read implements io.Reader; it fails after limit without progress, or sooner when the target does not answer a probe.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.header <= 0 {
 		return 0, errHeader
 	}
-	if err := c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
+	limit := c.limit
+	if c.alive != nil && limit > checkAfter {
+		alive := c.alive
+		c.alive = nil
+		n, err := c.readWithin(p, checkAfter)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || alive() != nil {
+			return n, err
+		}
+		limit -= checkAfter
+	}
+	return c.readWithin(p, limit)
+}
+
+func (c *conn) readWithin(p []byte, limit time.Duration) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
--- a/internal/request/exchange/exchange_test.go
+++ b/internal/request/exchange/exchange_test.go
@@ -333,3 +333,37 @@
 		require.Empty(t, x.pool.all, "the rest of the body is unread, so the connection can't be used again")
 	})
 }
+
+// TestCheckedWait guards against requests that wait for the whole first-byte limit on a target that is paused, and
+// against giving up one that only computes for long.
+func TestCheckedWait(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		alive bool
+		want  time.Duration
+	}{
+		{"paused target", false, checkAfter + DefaultProbe},
+		{"slow target", true, DefaultFirstByte},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &pipes{}
+				p.serve = func(n int, c net.Conn) {
+					if n > 0 && tc.alive {
+						echo(c, "")
+						return
+					}
+					_, _ = io.Copy(io.Discard, c)
+				}
+				x := client(Config{Dialer: p})
+				start := time.Now()
+				_, err := get(t.Context(), x, &camphorhinge.Target{Announcement: camphorhinge.Announcement{Address: "t"}}, "/")
+				var e *Error
+				require.ErrorAs(t, err, &e)
+				require.Equal(t, KindSilent, e.Kind)
+				require.Equal(t, tc.want, time.Since(start))
+				require.NoError(t, errors.Join(x.Close(), p.group.Wait()))
+			})
+		})
+	}
+}
--- a/internal/request/exchange/probe.go
+++ b/internal/request/exchange/probe.go
@@ -37,6 +37,14 @@
 	})
 }
 
+// alive returns a function that probes an address; calls at the same time share one probe.
+func (c *Client) alive(address string) func() error {
+	return func() error {
+		_, err, _ := c.checks.Do(address, func() (any, error) { return nil, c.Probe(c.base, address) })
+		return err
+	}
+}
+
 // Probe asks a target for its state on a new connection. Any HTTP answer shows that new connections work.
 func (c *Client) Probe(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Probe)
