Report a repair only when each voter has answered lately

Cause: right after a voter's disk was lost and its node started again, 'repaired' still held: the old voter had synced the membership before it died, and the new replica was not listed yet. scripts/faults took that for the end of the repair after 18 ms, killed a second voter and lost the majority (1 of 5 runs of that scenario; the others saw the repair after 0.9 s). Ruled out: a fault of the repair itself, since the learner was promoted in each run with a majority left.

The status test's node had a replica that was in no list; it is one of the voters now, and a row has the unlisted one.

--- a/internal/cli/command/command_test.go
+++ b/internal/cli/command/command_test.go
@@ -241,11 +241,12 @@
 		return list
 	}
 	healthy := status.Status{
-		Node: "n4", Zone: "caribe-a", Configuration: "fresh", Revision: 4, Leader: "n1", Repaired: true, Nodes: nodes("voter", "voter", "voter", ""),
+		Node: "n3", Zone: "caribe-a", Configuration: "fresh", Revision: 4, Leader: "n1", Repaired: true, Nodes: nodes("voter", "voter", "voter", ""),
 		Replica: &status.Replica{ID: 255, Role: "follower", Term: 3}, Targets: []status.Target{
 			{Name: "e1", Service: "s", Kind: "engine", Role: "mixed", Serving: true, Age: 30, Note: "unfenced"}, {Name: "e2", Kind: "engine"}, {Name: "p1", Serving: true, Leaving: true},
 		},
 	}
+	healthy.Nodes[2].Replica = 255
 	with := func(change func(*status.Status)) status.Status {
 		s := healthy
 		change(&s)
@@ -266,6 +267,10 @@
 		{name: "too few voters", line: "status --voters 3", status: with(func(s *status.Status) { s.Nodes = nodes("voter", "voter", "learner") }), code: ExitFailure, errs: []string{"--voters: expected a repaired cluster with 3 voters, got 2"}},
 		{name: "too many voters", line: "status --voters 3", status: with(func(s *status.Status) { s.Nodes = nodes("voter", "voter", "voter", "voter") }), code: ExitFailure, errs: []string{"got 4"}},
 		{name: "not repaired", line: "status --voters 3", status: with(func(s *status.Status) { s.Repaired = false }), code: ExitFailure, errs: []string{"repaired false"}},
+		{
+			name: "own replica not listed yet", line: "status --voters 3", code: ExitFailure, errs: []string{"expected the replica of node n3 to vote"},
+			status: with(func(s *status.Status) { s.Replica = &status.Replica{ID: 256} }),
+		},
 		{name: "too few targets", line: "status --targets 2", status: healthy, code: ExitFailure, errs: []string{"--targets: expected at least 2 targets that serve, got 1 of 3"}},
 		{name: "leader", line: "status --leader", status: healthy, out: []string{"n1\n"}},
 		{name: "no leader", line: "status --leader", status: with(func(s *status.Status) { s.Leader = "" }), code: ExitFailure, errs: []string{"no leader"}},
--- a/internal/cli/command/status.go
+++ b/internal/cli/command/status.go
@@ -21,7 +21,7 @@
 
 func (a *app) status(cmd *kingpin.CmdClause) func(context.Context) error {
 	conn, output := connectionFlags(cmd), outputFlag(cmd)
-	voters := cmd.Flag("voters", "Fail unless the cluster is repaired and has exactly this number of voters.").PlaceHolder("N").Int()
+	voters := cmd.Flag("voters", "Fail unless the cluster is repaired, has exactly this number of voters, and the node's own replica, if it has one, is among them.").PlaceHolder("N").Int()
 	targets := cmd.Flag("targets", "Fail unless the node sees at least this number of live targets that serve.").PlaceHolder("N").Int()
 	leader := cmd.Flag("leader", "Print only the name of the leader's node.").Bool()
 	follower := cmd.Flag("follower", "Print only the name of a voter's node that is not the leader's.").Bool()
@@ -83,14 +83,19 @@
 	missing := func(format string, args ...any) {
 		errs = append(errs, &Error{Op: "status", Kind: KindRun, Err: fmt.Errorf(format, args...)})
 	}
-	have := 0
+	// A node that has just joined in place of a lost disk is not listed with its own replica yet.
+	have, own := 0, s.Replica == nil
 	for _, n := range s.Nodes {
 		if n.Member == voter {
 			have++
+			own = own || n.Name == s.Node && n.Replica == s.Replica.ID
 		}
 	}
-	if voters > 0 && (have != voters || !s.Repaired) {
+	switch {
+	case voters > 0 && (have != voters || !s.Repaired):
 		missing("--voters: expected a repaired cluster with %d voters, got %d, repaired %t", voters, have, s.Repaired)
+	case voters > 0 && !own:
+		missing("--voters: expected the replica of node %s to vote", s.Node)
 	}
 	serving := 0
 	for _, t := range s.Targets {
--- a/internal/state/replica/control.go
+++ b/internal/state/replica/control.go
@@ -143,10 +143,12 @@
 	return id
 }
 
-// Repaired returns nil once the committed membership has three voters, all of which have synced the log up to the entry
-// of that membership, so that any one of them may be lost. It reads the leader's state.
+// Repaired returns nil once the committed membership has three voters, all of which answered within the shortest election
+// timeout and have synced the log up to the entry of that membership, so that any one of them may be lost. It reads the
+// leader's state.
 func (r *Replica) Repaired(ctx context.Context) error {
 	const op = "repaired"
+	now := r.cfg.Clock.Now()
 	if err := r.Barrier(ctx); err != nil {
 		return err
 	}
@@ -161,7 +163,11 @@
 		return failure(op, KindUnrepaired, "%d voters, want %d", len(voters), repairedVoters)
 	}
 	for _, p := range s.Progress {
-		if m, ok := s.Membership.Find(p.ID); ok && m.Voter && p.Match < s.MembershipIndex {
+		m, _ := s.Membership.Find(p.ID)
+		if silent := now.Sub(p.Heard); m.Voter && p.ID != s.ID && silent > r.cfg.Timing.ElectionMin {
+			return failure(op, KindUnrepaired, "replica %d has not answered for %v", p.ID, silent)
+		}
+		if m.Voter && p.Match < s.MembershipIndex {
 			return failure(op, KindUnrepaired, "replica %d has synced up to %d, the membership is at %d", p.ID, p.Match,
 				s.MembershipIndex)
 		}
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -151,6 +151,11 @@
 			}
 		}
 		behind.kill()
+		time.Sleep(2 * time.Second)
+		requireKind(t, v.r.Repaired(t.Context()), KindUnrepaired)
+		behind.restart()
+		l.repaired()
+		behind.kill()
 		require.NoError(t, v.r.AddLearner(t.Context(), 4, ""))
 		require.NoError(t, v.r.Remove(t.Context(), 4))
 		requireKind(t, v.r.Repaired(t.Context()), KindUnrepaired)
