Encode the decisions only for nodes that lack them, and look targets up by service

Each renewal, two a second from each node, encoded all decisions on engines and mostly threw them away; now only a renewal that needs them does. The wait for a drain sorted the targets of all services every 100 ms to find one; it looks in the engine's own service. Spans went to the trace file alone when a second writer was given, against the doc comment; they go to both. Behaviour is otherwise the same.

--- a/internal/node/control/server.go
+++ b/internal/node/control/server.go
@@ -295,10 +295,10 @@
 	resp := &peerpb.RenewResponse{
 		Changes: changes.Changes, Full: changes.Full, Revision: uint64(changes.Revision), Scores: s.cfg.Scores(),
 	}
-	engines, version := s.cfg.Holds.Encode()
-	resp.Holds = version
-	if full || version != p.Holds {
-		resp.Engines = engines
+	// The decisions are encoded only for a node that lacks them: most renewals bring no news.
+	resp.Holds = p.Holds
+	if full || s.cfg.Holds.Revision() != p.Holds {
+		resp.Engines, resp.Holds = s.cfg.Holds.Encode()
 	}
 	return resp
 }
--- a/internal/node/server/orders.go
+++ b/internal/node/server/orders.go
@@ -104,7 +104,7 @@
 	if !held || now.Sub(h.since) < drainMargin {
 		return false
 	}
-	t := o.server.target(name)
+	t := o.server.target(entry.Service, name)
 	if t == nil {
 		return false
 	}
@@ -116,9 +116,9 @@
 	return true
 }
 
-// target returns a live target by name, or nil.
-func (s *Server) target(name camphorhinge.TargetName) *camphorhinge.Target {
-	for _, t := range s.registry.All() {
+// target returns a live target of a service by name, or nil.
+func (s *Server) target(service camphorhinge.ServiceName, name camphorhinge.TargetName) *camphorhinge.Target {
+	for _, t := range s.registry.Live(service) {
 		if t.Name == name {
 			return t
 		}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -151,6 +151,9 @@
 		}
 		s.closers = append(s.closers, file)
 		lines = file
+		if extra != nil {
+			lines = io.MultiWriter(file, extra)
+		}
 	}
 	var err error
 	s.traces, err = trace.New(ctx, trace.Config{
