--- a/interfaces.go
+++ b/interfaces.go
@@ -56,6 +56,8 @@
 	CommandOrder CommandKind = 4
 	// CommandCrash counts crashes by request fingerprint.
 	CommandCrash CommandKind = 5
+	// CommandRouting replaces the routing configuration.
+	CommandRouting CommandKind = 6
 )
 
 // Entry describes the committed log entry that carries a command.
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -30,6 +30,13 @@
 	Clock camphorhinge.Clock
 	// Held reports whether the replicated decisions keep new work away from a target; nil means never.
 	Held func(*camphorhinge.Target) bool
+	// Expiry is how long a target stays live after its last renewal; 0 stands for camphorhinge.TargetExpiry.
+	Expiry time.Duration
+	// Exclusive tells that an address belongs to the target with the highest incarnation there. A late announcement of an
+	// earlier process at the address names no live target.
+	Exclusive bool
+	// Changed is called after a change that routing must see; nil means no observer.
+	Changed func()
 	// Observe is called for each accepted announcement; nil means no observer. Calls for one target may come out of order.
 	Observe func(*camphorhinge.Target)
 	Metrics *metrics.Set
@@ -45,6 +52,12 @@
 	targets  map[camphorhinge.TargetName]*entry
 	services map[camphorhinge.ServiceName]*serviceList
 	fresh    map[camphorhinge.TargetName]bool
+	// holders are the targets that hold an address, with Config.Exclusive.
+	holders map[string]camphorhinge.TargetName
+	// change numbers the last change that routing must see.
+	change uint64
+	// told is the change that Config.Changed was called for last.
+	told uint64
 
 	accepted, old, refused *metrics.Counter
 }
@@ -53,6 +66,12 @@
 	target *camphorhinge.Target
 	// polled is when the node last asked the target itself.
 	polled camphorhinge.Instant
+	// change numbers the entry's last change that routing must see.
+	change uint64
+	// left is set once the target has left for good; nothing more of the same incarnation is taken.
+	left bool
+	// displaced is set when another target holds the address.
+	displaced bool
 }
 
 type serviceList struct {
@@ -67,11 +86,15 @@
 
 // New returns an empty Registry.
 func New(cfg Config) *Registry {
+	if cfg.Expiry == 0 {
+		cfg.Expiry = camphorhinge.TargetExpiry
+	}
 	r := &Registry{
 		cfg:      cfg,
 		targets:  map[camphorhinge.TargetName]*entry{},
 		services: map[camphorhinge.ServiceName]*serviceList{},
 		fresh:    map[camphorhinge.TargetName]bool{},
+		holders:  map[string]camphorhinge.TargetName{},
 		accepted: cfg.Metrics.NewCounter(`camphorhinge_announcements_total{result="accepted"}`),
 		old:      cfg.Metrics.NewCounter(`camphorhinge_announcements_total{result="old"}`),
 		refused:  cfg.Metrics.NewCounter(`camphorhinge_announcements_total{result="refused"}`),
@@ -87,13 +110,28 @@
 	if t == nil || err != nil {
 		return false, err
 	}
-	// The observer is called without the lock, since it may ask for live targets.
+	// The observers are called without the lock, since they may ask for live targets.
 	if r.cfg.Observe != nil {
 		r.cfg.Observe(t)
 	}
+	r.tell()
 	return true, nil
 }
 
+// tell calls the observer of changes when there was one since the last call.
+func (r *Registry) tell() {
+	if r.cfg.Changed == nil {
+		return
+	}
+	r.mu.Lock()
+	told := r.told == r.change
+	r.told = r.change
+	r.mu.Unlock()
+	if !told {
+		r.cfg.Changed()
+	}
+}
+
 // take returns the new target, or nil for an announcement that is not newer.
 func (r *Registry) take(a camphorhinge.Announcement, age time.Duration, direct bool) (*camphorhinge.Target, error) {
 	now := r.cfg.Clock.Now()
@@ -101,7 +139,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.targets[a.Name]
-	if e != nil && !newer(&a, &e.target.Announcement) {
+	if e != nil && (!newer(&a, &e.target.Announcement) || e.left && a.Incarnation == e.target.Incarnation) {
 		r.old.Inc()
 		return nil, nil
 	}
@@ -158,7 +196,12 @@
 		}
 		urgent = changed(e.target, t)
 	}
-	e.target = t
+	e.target, e.left = t, t.Left
+	urgent = r.hold(e) || urgent
+	if urgent {
+		r.change++
+		e.change = r.change
+	}
 	s := r.services[t.Service]
 	if s == nil {
 		s = &serviceList{members: map[camphorhinge.TargetName]*entry{}}
@@ -169,10 +212,74 @@
 	s.urgent = s.urgent || urgent
 }
 
+// hold settles who holds the address of e. It reports whether that changed.
+func (r *Registry) hold(e *entry) bool {
+	if !r.cfg.Exclusive {
+		return false
+	}
+	was := e.displaced
+	other := r.targets[r.holders[e.target.Address]]
+	e.displaced = other != nil && other != e && other.target.Address == e.target.Address &&
+		other.target.Incarnation > e.target.Incarnation
+	if e.displaced {
+		return !was
+	}
+	r.holders[e.target.Address] = e.target.Name
+	if other != nil && other != e && other.target.Address == e.target.Address {
+		other.displaced = true
+		r.change++
+		other.change = r.change
+		if s := r.services[other.target.Service]; s != nil {
+			s.urgent = true
+		}
+		return true
+	}
+	return was
+}
+
+// Leave notes that a target has left for good; later announcements of the same incarnation don't bring it back. An
+// incarnation of 0 stands for the one that is known. It reports whether the target was known and had not left.
+func (r *Registry) Leave(name camphorhinge.TargetName, incarnation camphorhinge.Incarnation) bool {
+	r.mu.Lock()
+	e := r.targets[name]
+	if e == nil || e.left || incarnation != 0 && incarnation < e.target.Incarnation {
+		r.mu.Unlock()
+		return false
+	}
+	t := *e.target
+	t.Leaving = true
+	if incarnation > t.Incarnation {
+		t.Incarnation = incarnation
+	}
+	t.Seq++
+	t.Left = true
+	r.put(e, &t)
+	r.fresh[name] = true
+	r.mu.Unlock()
+	r.tell()
+	return true
+}
+
+// Changes returns the targets with a change after since, leaving ones included, and the number of the last change. Since
+// 0 returns all targets.
+func (r *Registry) Changes(since uint64) ([]Aged, uint64) {
+	now := r.cfg.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Aged
+	for _, e := range r.targets {
+		if e.change > since && !e.displaced {
+			out = append(out, Aged{Announcement: e.target.Announcement, Age: now.Sub(e.target.Heard)})
+		}
+	}
+	slices.SortFunc(out, func(a, b Aged) int { return cmp.Compare(a.Announcement.Name, b.Announcement.Name) })
+	return out, r.change
+}
+
 // changed reports whether routing must see the difference at once: anything but load and cache.
 func changed(old, t *camphorhinge.Target) bool {
 	return old.Incarnation != t.Incarnation || old.Leaving != t.Leaving || old.Busy != t.Busy ||
-		old.Address != t.Address || old.Role != t.Role || old.Revision != t.Revision ||
+		old.Address != t.Address || old.Slots != t.Slots || old.Service != t.Service || old.Role != t.Role || old.Revision != t.Revision ||
 		!slices.Equal(old.Models, t.Models) || !slices.Equal(old.Adapters, t.Adapters)
 }
 
@@ -180,6 +287,9 @@
 	s := r.services[e.target.Service]
 	delete(s.members, e.target.Name)
 	s.urgent = true
+	if r.holders[e.target.Address] == e.target.Name {
+		delete(r.holders, e.target.Address)
+	}
 	if len(s.members) == 0 {
 		delete(r.services, e.target.Service)
 	}
@@ -222,10 +332,10 @@
 
 func (r *Registry) rebuild(s *serviceList, now camphorhinge.Instant) {
 	live := make([]*camphorhinge.Target, 0, len(s.members))
-	s.expires = now.Add(camphorhinge.TargetExpiry)
+	s.expires = now.Add(r.cfg.Expiry)
 	for _, e := range s.members {
-		ends := e.target.Heard.Add(camphorhinge.TargetExpiry)
-		if now >= ends {
+		ends := e.target.Heard.Add(r.cfg.Expiry)
+		if now >= ends || e.displaced {
 			continue
 		}
 		s.expires = min(s.expires, ends)
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -46,6 +45,8 @@
 	Idle    int
 	Metrics *metrics.Set
 	Tracer  trace.Tracer
+	// Dialect is how the targets spell what an attempt says; nil stands for the project's own headers.
+	Dialect Dialect
 }
 
 // Defaults of Config.
@@ -99,6 +100,9 @@
 	if cfg.Dialer == nil {
 		cfg.Dialer = &net.Dialer{}
 	}
+	if cfg.Dialect == nil {
+		cfg.Dialect = native{}
+	}
 	base, stop := context.WithCancel(context.Background())
 	return &Client{
 		cfg: cfg, pool: newPool(cfg.Idle, keepIdle), probing: make(map[string]struct{}),
@@ -121,8 +125,10 @@
 	Target  *camphorhinge.Target
 	Attempt camphorhinge.AttemptID
 	Method  string
-	// Path is the request target with its query.
-	Path   string
+	// Path is the request target with its query; it is sent as it is.
+	Path string
+	// Host is the Host header; empty stands for the target's address.
+	Host   string
 	Header http.Header
 	// Body is read once; Length is its size in bytes, or -1 when it is not known.
 	Body   io.Reader
@@ -164,11 +170,7 @@
 
 // Class returns the class that the target's answer states: Run, unless an error status comes with another.
 func (a *Answer) Class() camphorhinge.RunClass {
-	v := a.Header.Get(camphorhinge.HeaderRun)
-	if a.Status >= http.StatusBadRequest && v == string(camphorhinge.Unknown) {
-		return camphorhinge.Unknown
-	}
-	return camphorhinge.Run
+	return a.client.cfg.Dialect.Class(a.Status, a.Header)
 }
 
 // FirstByte returns the time from the start of the attempt to the first byte of the answer.
@@ -200,7 +202,7 @@
 		return nil, err
 	}
 	cn.begin(c.cfg.FirstByte+call.Wait, c.cfg.Between, headerLimit)
-	if call.Attempt != "" {
+	if call.Attempt != "" && c.probePath() != "" {
 		cn.alive = c.alive(call.Target.Address)
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
@@ -217,18 +219,18 @@
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		client: c, ctx: ctx, conn: cn, resp: resp, span: span, stop: stop, began: began, first: time.Since(began),
 	}
-	if id := resp.Header.Get(camphorhinge.HeaderAttempt); id != "" && id != string(call.Attempt) {
+	if id := c.cfg.Dialect.Attempt(resp.Header); id != "" && id != call.Attempt {
 		a.finish()
 		return nil, fail(ctx, "open", cn, fmt.Errorf("%w: header %.80q", errAttempt, id))
 	}
-	if resp.StatusCode >= http.StatusBadRequest &&
-		resp.Header.Get(camphorhinge.HeaderRun) == string(camphorhinge.NotRun) {
+	cn.keepFor(resp.Header)
+	if a.Class() == camphorhinge.NotRun {
 		// The refusal is certain by its header; a cut body only shortens the message.
 		body, _ := io.ReadAll(io.LimitReader(a, refusalLimit))
 		a.finish()
 		return nil, &Error{
 			Op: "open", Kind: KindRefused, Run: camphorhinge.NotRun, Status: resp.StatusCode,
-			Body: body, Err: statusError(resp.StatusCode),
+			Header: resp.Header, Body: body, Err: statusError(resp.StatusCode),
 		}
 	}
 	return a, nil
@@ -313,29 +315,30 @@
 }
 
 func (c *Client) request(ctx context.Context, call Call) (*http.Request, *source, error) {
-	u, err := url.ParseRequestURI(call.Path)
-	if err != nil {
+	if _, err := url.ParseRequestURI(call.Path); err != nil {
 		return nil, nil, err
 	}
-	u.Scheme, u.Host = "http", call.Target.Address
+	// An opaque URL is written as it is; a parsed one might be escaped in another way.
+	u := &url.URL{Scheme: "http", Host: call.Target.Address, Opaque: call.Path}
 	h := make(http.Header, len(call.Header)+8)
 	for k, v := range call.Header {
 		h[k] = v
 	}
-	h.Set(camphorhinge.HeaderAttempt, string(call.Attempt))
-	h.Set(camphorhinge.HeaderPriority, strconv.Itoa(int(call.Priority)))
+	left := time.Duration(0)
 	if d, ok := ctx.Deadline(); ok {
-		h.Set(camphorhinge.HeaderDeadline, strconv.FormatInt(max(time.Until(d).Milliseconds(), 1), 10))
-	}
-	if call.Resume > 0 {
-		h.Set(camphorhinge.HeaderResume, strconv.Itoa(call.Resume))
+		left = max(time.Until(d), time.Millisecond)
 	}
+	c.cfg.Dialect.Prepare(h, &call, left)
 	if h.Get("User-Agent") == "" {
 		h.Set("User-Agent", "camphorhinge")
 	}
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(h))
+	host := call.Host
+	if host == "" {
+		host = call.Target.Address
+	}
 	req := &http.Request{
-		Method: call.Method, URL: u, Host: u.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: call.Method, URL: u, Host: host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if call.Body == nil || call.Length == 0 {
 		return req, nil, nil
@@ -362,7 +365,7 @@
 	if a.err != nil {
 		return 0, a.err
 	}
-	if !a.framed() {
+	if !a.framed() && !a.client.cfg.Dialect.Unframed() {
 		return 0, a.broken("read body", errFraming)
 	}
 	n, err := a.resp.Body.Read(p)
@@ -398,7 +401,7 @@
 func (a *Answer) finish() {
 	a.closed = true
 	// A stopped AfterFunc did not run, so the connection is still open.
-	if a.stop() && a.whole && a.err == nil && !a.resp.Close {
+	if a.stop() && a.whole && a.err == nil && !a.resp.Close && a.framed() {
 		a.client.pool.put(a.conn)
 		return
 	}
--- a/internal/request/exchange/conn.go
+++ b/internal/request/exchange/conn.go
@@ -4,7 +4,10 @@
 	"bufio"
 	"errors"
 	"net"
+	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -24,6 +27,8 @@
 	// suspect is set when a sibling fell silent; the connection is then not used again.
 	suspect atomic.Bool
 	idle    time.Time
+	// keep is how long the target keeps the idle connection, as it said last, or 0.
+	keep time.Duration
 	// limit bounds the time of one read, between that of one write.
 	limit   time.Duration
 	between time.Duration
@@ -43,6 +48,19 @@
 	c.limit, c.between, c.header, c.alive = first, between, header, nil
 }
 
+// keepShare is the part of a target's announced keep-alive time, in percent, for which an idle connection is used.
+const keepShare = 60
+
+// keepFor notes how long the target keeps the connection open while it is idle, as it says in whole seconds.
+func (c *conn) keepFor(h http.Header) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if n, err := strconv.Atoi(value); ok && err == nil && n >= 0 {
+			c.keep = max(time.Duration(n)*time.Second*keepShare/100, time.Millisecond)
+		}
+	}
+}
+
 // Write implements io.Writer; it fails after the between limit without progress.
 func (c *conn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.between)); err != nil {
--- a/internal/request/exchange/error.go
+++ b/internal/request/exchange/error.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 
@@ -45,6 +46,8 @@
 	Run camphorhinge.RunClass
 	// Status is the target's HTTP status, or 0 when there was none.
 	Status int
+	// Header is what came with an answer that states that the request did not run.
+	Header http.Header
 	// Body is what came with an error status, up to 64 KiB.
 	Body []byte
 	// Reset is true when the target reset or closed the connection during the request, as a crash does.
--- a/internal/request/exchange/pool.go
+++ b/internal/request/exchange/pool.go
@@ -34,7 +34,7 @@
 		}
 		c := list[len(list)-1]
 		p.setIdle(address, list[:len(list)-1])
-		if time.Since(c.idle) < p.keep && c.usable() {
+		if time.Since(c.idle) < p.keep && (c.keep == 0 || time.Since(c.idle) < c.keep) && c.usable() {
 			return c
 		}
 		p.forget(c)
--- a/internal/request/exchange/probe.go
+++ b/internal/request/exchange/probe.go
@@ -18,6 +18,10 @@
 	if !errors.As(err, &e) || e.Kind != KindSilent {
 		return
 	}
+	if c.probePath() == "" {
+		c.dropped.Add(c.pool.drop(address))
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, running := c.probing[address]; running || c.base.Err() != nil {
@@ -37,6 +41,8 @@
 	})
 }
 
+func (c *Client) probePath() string { return c.cfg.Dialect.Probe() }
+
 // alive returns a function that probes an address; calls at the same time share one probe.
 func (c *Client) alive(address string) func() error {
 	return func() error {
@@ -51,7 +57,7 @@
 	defer cancel()
 	a, err := c.Open(ctx, Call{
 		Target: &camphorhinge.Target{Announcement: camphorhinge.Announcement{Address: address}},
-		Method: http.MethodGet, Path: "/v1/target", Fresh: true,
+		Method: http.MethodGet, Path: c.probePath(), Fresh: true,
 	})
 	var e *Error
 	if errors.As(err, &e) && e.Kind == KindRefused {
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -70,7 +70,10 @@
 		return nil, a.broken("stream", errNoStream)
 	}
 	// A target may send the header before it has computed the first piece.
-	a.conn.limit, a.conn.alive = c.cfg.FirstByte, c.alive(call.Target.Address)
+	a.conn.limit = c.cfg.FirstByte
+	if c.probePath() != "" {
+		a.conn.alive = c.alive(call.Target.Address)
+	}
 	return &Stream{
 		answer: a, attempt: call.Attempt, lines: bufio.NewReaderSize(a, 16<<10), next: call.Resume,
 		finished: call.Finished,
--- a/internal/request/frontend/http_test.go
+++ b/internal/request/frontend/http_test.go
@@ -16,18 +16,17 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/request/exchange"
+	"example.org/camphorhinge/internal/request/ingress"
 )
 
 // fleet is a fixed view of targets: it picks the first that serves and is not excluded.
@@ -251,40 +250,22 @@
 	}
 }
 
-// slowConn gives one more byte of a header every 2 s.
-type slowConn struct {
-	network.Conn
-	sent []byte
-}
-
-func (c *slowConn) Peek(n int) ([]byte, error) {
-	time.Sleep(2 * time.Second)
-	return make([]byte, n), nil
-}
-
-func (c *slowConn) SetReadTimeout(time.Duration) error { return nil }
-
-func (c *slowConn) WriteBinary(b []byte) (int, error) {
-	c.sent = append(c.sent, b...)
-	return len(b), nil
-}
-
-// TestSlowHeader guards against a caller that holds a connection by sending a header byte by byte.
-func TestSlowHeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := &slowConn{}
-		g := &guard{Conn: c}
-		start := time.Now()
-		var err error
-		for n := 1; err == nil; n++ {
-			_, err = g.Peek(n)
-		}
-		require.LessOrEqual(t, time.Since(start), headerTimeout+4*time.Second)
-		_, err = g.WriteBinary([]byte("HTTP/1.1 400 Bad Request"))
-		require.NoError(t, err)
-		require.Contains(t, string(c.sent), "HTTP/1.1 408")
-		require.Contains(t, string(c.sent), "not-run")
-	})
+// TestReply guards against answers without a class to requests that could not be parsed.
+func TestReply(t *testing.T) {
+	for _, tc := range []struct {
+		fault  ingress.Fault
+		status int
+	}{
+		{ingress.FaultMalformed, 400},
+		{ingress.FaultSlow, 408},
+		{ingress.FaultHeader, 431},
+		{ingress.FaultBody, 413},
+	} {
+		status, header, body := reply(tc.fault)
+		require.Equal(t, tc.status, status)
+		require.Equal(t, "not-run", header.Get(camphorhinge.HeaderRun))
+		require.Contains(t, string(body), "not-run")
+	}
 }
 
 // TestCallerLeaves guards against work for nobody: when a caller closes its connection in the middle of a stream, the
--- a/internal/request/frontend/guard.go
+++ b/internal/request/ingress/guard.go
@@ -1,4 +1,4 @@
-package frontend
+package ingress
 
 import (
 	"bytes"
@@ -17,26 +17,30 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
-
-	"example.org/camphorhinge"
 )
 
 // guarded is hertz's transport over the standard library with a guard around each connection.
-type guarded struct{ network.Transporter }
+type guarded struct {
+	network.Transporter
+	limits Limits
+	reply  Reply
+}
 
 // rawKey is the context key of a connection's net.Conn.
 type rawKey struct{}
 
-func newGuarded(o *config.Options) network.Transporter {
-	accept := o.OnAccept
-	o.OnAccept = func(conn net.Conn) context.Context {
-		ctx := context.Background()
-		if accept != nil {
-			ctx = accept(conn)
+func transporter(l Limits, reply Reply) func(*config.Options) network.Transporter {
+	return func(o *config.Options) network.Transporter {
+		accept := o.OnAccept
+		o.OnAccept = func(conn net.Conn) context.Context {
+			ctx := context.Background()
+			if accept != nil {
+				ctx = accept(conn)
+			}
+			return context.WithValue(ctx, rawKey{}, conn)
 		}
-		return context.WithValue(ctx, rawKey{}, conn)
+		return &guarded{Transporter: standard.NewTransporter(o), limits: l, reply: reply}
 	}
-	return &guarded{standard.NewTransporter(o)}
 }
 
 // ListenAndServe implements network.Transporter.
@@ -45,7 +49,7 @@
 		c, ok := conn.(network.Conn)
 		raw, known := ctx.Value(rawKey{}).(net.Conn)
 		if ok && known {
-			conn = &guard{Conn: c, raw: raw}
+			conn = &guard{Conn: c, raw: raw, limits: g.limits, reply: g.reply}
 		}
 		return serve(ctx, conn)
 	})
@@ -64,16 +68,18 @@
 // parse, which state no class. Such an answer is one that is written before a handler ran.
 type guard struct {
 	network.Conn
-	raw   net.Conn
-	phase phase
+	raw    net.Conn
+	limits Limits
+	reply  Reply
+	phase  phase
 	// began is when the first byte of the header was seen, or zero.
 	began time.Time
 	slow  bool
 	told  bool
 }
 
-// mark is the middleware that tells the guard of the handlers.
-func mark(ctx context.Context, c *app.RequestContext) {
+// Mark is the middleware that tells the transport of the handlers; it comes before them.
+func Mark(ctx context.Context, c *app.RequestContext) {
 	if g, ok := c.GetConn().(*guard); ok {
 		g.phase = serving
 		defer func() { g.phase = answering }()
@@ -90,7 +96,7 @@
 		return g.Conn.Peek(n)
 	}
 	if !g.began.IsZero() {
-		left := headerTimeout - time.Since(g.began)
+		left := g.limits.HeaderTimeout - time.Since(g.began)
 		if left <= 0 {
 			g.slow = true
 			return nil, os.ErrDeadlineExceeded
@@ -102,7 +108,7 @@
 	b, err := g.Conn.Peek(n)
 	switch {
 	case err != nil:
-		g.slow = !g.began.IsZero() && time.Since(g.began) >= headerTimeout
+		g.slow = !g.began.IsZero() && time.Since(g.began) >= g.limits.HeaderTimeout
 	case g.began.IsZero():
 		g.began = time.Now()
 	}
@@ -113,7 +119,7 @@
 func (g *guard) WriteBinary(b []byte) (int, error) {
 	if g.phase != reading || bytes.HasPrefix(b, []byte("HTTP/1.1 100")) {
 		// A long buffer is written at once.
-		if err := g.SetWriteTimeout(writeTimeout); err != nil {
+		if err := g.SetWriteTimeout(g.limits.Write); err != nil {
 			return 0, err
 		}
 		return g.Conn.WriteBinary(b)
@@ -131,15 +137,22 @@
 
 // Flush implements network.Writer; it fails when the caller does not take what was written.
 func (g *guard) Flush() error {
-	if err := g.SetWriteTimeout(writeTimeout); err != nil {
+	if err := g.SetWriteTimeout(g.limits.Write); err != nil {
 		return err
 	}
 	return g.Conn.Flush()
 }
 
-// watch cancels a context when the caller closes its connection. It must be called after the request's body was read,
-// since hertz notices callers that leave only where bodies are not streamed. The returned function ends the watch and
-// must be called before hertz reads from the connection again.
+// Watch cancels a context when the caller of a request closes its connection. It must be called after the request's body
+// was read, since hertz notices callers that leave only where bodies are not streamed. The returned function ends the
+// watch and must be called before the handler returns.
+func Watch(c *app.RequestContext, group *errgroup.Group, cancel context.CancelFunc) (stop func()) {
+	if g, ok := c.GetConn().(*guard); ok {
+		return g.watch(group, cancel)
+	}
+	return func() {}
+}
+
 func (g *guard) watch(group *errgroup.Group, cancel context.CancelFunc) (stop func()) {
 	sc, ok := g.raw.(syscall.Conn)
 	if !ok {
@@ -179,21 +192,22 @@
 		return nil
 	}
 	g.told = true
-	err := refuse(KindInvalid, http.StatusBadRequest, "the request is not valid HTTP")
+	fault := FaultMalformed
 	switch {
 	case g.slow:
-		err = refuse(KindSlow, http.StatusRequestTimeout, "the header was not received in time")
+		fault = FaultSlow
 	case bytes.HasPrefix(original, []byte("HTTP/1.1 431")):
-		err = refuse(KindTooLarge, http.StatusRequestHeaderFieldsTooLarge, "the header exceeds %d bytes", maxHeader)
+		fault = FaultHeader
 	case bytes.HasPrefix(original, []byte("HTTP/1.1 413")):
-		err = refuse(KindTooLarge, http.StatusRequestEntityTooLarge, "the body is too large")
+		fault = FaultBody
 	}
-	body := err.body("")
-	head := "HTTP/1.1 " + strconv.Itoa(err.Status) + " " + http.StatusText(err.Status) +
-		"\r\nContent-Type: application/json\r\nConnection: close\r\n" + camphorhinge.HeaderRun + ": " + string(err.Run) +
-		"\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
-	_, werr := g.Conn.WriteBinary(append([]byte(head), body...))
-	return werr
+	status, header, body := g.reply(fault)
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nConnection: close\r\n")
+	_ = header.Write(&head) // Writes to a buffer don't fail.
+	head.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+	_, err := g.Conn.WriteBinary(append(head.Bytes(), body...))
+	return err
 }
 
 // HandleSpecificError implements network.HandleSpecificError.
--- /dev/null
+++ b/internal/request/ingress/guard_test.go
@@ -0,0 +1,51 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/stretchr/testify/require"
+)
+
+// slowConn gives one more byte of a header every 2 s.
+type slowConn struct {
+	network.Conn
+	sent []byte
+}
+
+func (c *slowConn) Peek(n int) ([]byte, error) {
+	time.Sleep(2 * time.Second)
+	return make([]byte, n), nil
+}
+
+func (c *slowConn) SetReadTimeout(time.Duration) error { return nil }
+
+func (c *slowConn) WriteBinary(b []byte) (int, error) {
+	c.sent = append(c.sent, b...)
+	return len(b), nil
+}
+
+// TestSlowHeader guards against a caller that holds a connection by sending a header byte by byte.
+func TestSlowHeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const headerTimeout = 5 * time.Second
+		c := &slowConn{}
+		g := &guard{Conn: c, limits: Limits{HeaderTimeout: headerTimeout, Write: time.Second}, reply: func(f Fault) (int, http.Header, []byte) {
+			require.Equal(t, FaultSlow, f)
+			return http.StatusRequestTimeout, http.Header{"X-Class": {"not-run"}}, []byte("late")
+		}}
+		start := time.Now()
+		var err error
+		for n := 1; err == nil; n++ {
+			_, err = g.Peek(n)
+		}
+		require.LessOrEqual(t, time.Since(start), headerTimeout+4*time.Second)
+		_, err = g.WriteBinary([]byte("HTTP/1.1 400 Bad Request"))
+		require.NoError(t, err)
+		require.Contains(t, string(c.sent), "HTTP/1.1 408")
+		require.Contains(t, string(c.sent), "not-run")
+	})
+}
--- /dev/null
+++ b/internal/request/ingress/ingress.go
@@ -0,0 +1,183 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+)
+
+// Limits bound what a caller sends and how long it may take.
+type Limits struct {
+	// Header is the largest header, in bytes.
+	Header int
+	// HeaderTimeout bounds the time from the first to the last byte of a request's header.
+	HeaderTimeout time.Duration
+	// Idle bounds the time between two requests on a connection.
+	Idle time.Duration
+	// Write bounds the time in which a caller takes a piece.
+	Write time.Duration
+}
+
+// Fault tells why a request could not be parsed.
+type Fault int
+
+const (
+	// FaultMalformed marks a request that is not valid HTTP.
+	FaultMalformed Fault = iota
+	// FaultSlow marks a header that was not received in time.
+	FaultSlow
+	// FaultHeader marks a header over the limit.
+	FaultHeader
+	// FaultBody marks a body over the limit.
+	FaultBody
+)
+
+// Reply returns the status, the header and the body of the answer to a request that could not be parsed.
+type Reply func(f Fault) (status int, header http.Header, body []byte)
+
+// Options returns the server options that Watch, Body and Sink rely on: streamed bodies, limits, and a transport that
+// notices callers that leave.
+func Options(l Limits, reply Reply) []config.Option {
+	return []config.Option{
+		server.WithTransport(transporter(l, reply)),
+		server.WithStreamBody(true),
+		server.WithMaxHeaderBytes(l.Header),
+		server.WithReadTimeout(l.HeaderTimeout),
+		server.WithIdleTimeout(l.Idle),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithDisablePrintRoute(true),
+		server.WithRedirectTrailingSlash(false),
+	}
+}
+
+// Target returns the request target as the caller sent it, from its path on.
+func Target(c *app.RequestContext) string {
+	target := string(c.Request.RequestURI())
+	if !strings.HasPrefix(target, "/") {
+		target = string(c.Request.URI().RequestURI())
+	}
+	return target
+}
+
+// Header returns a copy of the request's header.
+func Header(c *app.RequestContext) http.Header {
+	h := make(http.Header)
+	c.Request.Header.VisitAll(func(k, v []byte) { h.Add(string(k), string(v)) })
+	return h
+}
+
+// Body returns the request's body and its length in bytes, or -1 when it is not known. The caller must send it within
+// limit. The body is nil when there is none.
+func Body(c *app.RequestContext, limit time.Duration) (io.Reader, int64) {
+	length := int64(c.Request.Header.ContentLength())
+	if length < 0 && !strings.EqualFold(c.Request.Header.Get("Transfer-Encoding"), "chunked") {
+		length = 0
+	}
+	if length == 0 {
+		return nil, 0
+	}
+	return &body{r: c.RequestBodyStream(), conn: c.GetConn(), until: time.Now().Add(limit)}, length
+}
+
+// body bounds the time in which the caller sends the whole body.
+type body struct {
+	r     io.Reader
+	conn  network.Conn
+	until time.Time
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	left := time.Until(b.until)
+	if left <= 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if err := b.conn.SetReadTimeout(left); err != nil {
+		return 0, err
+	}
+	n, err := b.r.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && time.Until(b.until) <= 0 {
+		err = os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// Sink answers through hertz.
+type Sink struct {
+	c *app.RequestContext
+	w *chunks
+}
+
+// NewSink returns the Sink of a request.
+func NewSink(c *app.RequestContext) *Sink { return &Sink{c: c} }
+
+func (s *Sink) head(status int, header http.Header) {
+	s.c.SetStatusCode(status)
+	for k, values := range header {
+		for _, v := range values {
+			s.c.Response.Header.Add(k, v)
+		}
+	}
+	if t := header.Get("Content-Type"); t != "" {
+		s.c.Response.Header.SetContentType(t)
+	}
+	if s.c.Request.IsBodyStream() && status >= http.StatusBadRequest {
+		// The rest of a refused body is not read, so the connection can't carry another request.
+		s.c.SetConnectionClose()
+	}
+}
+
+// Whole sends a complete answer; hertz sends it after the handler.
+func (s *Sink) Whole(status int, header http.Header, body []byte) {
+	s.head(status, header)
+	s.c.Response.SetBodyRaw(body)
+}
+
+// Head starts an answer that is sent in pieces.
+func (s *Sink) Head(status int, header http.Header) {
+	s.head(status, header)
+	s.w = &chunks{ExtWriter: resp.NewChunkedBodyWriter(&s.c.Response, s.c.GetWriter())}
+	s.c.Response.HijackWriter(s.w)
+}
+
+// Write sends one piece at once; an error means that the caller is gone.
+func (s *Sink) Write(p []byte) (int, error) {
+	n, err := s.w.Write(p)
+	if err == nil {
+		err = s.w.Flush()
+	}
+	return n, err
+}
+
+// Abort cuts the connection, so that the caller can't take the pieces for the whole answer.
+func (s *Sink) Abort() {
+	if s.w != nil {
+		s.w.aborted = true
+	}
+	s.c.GetConn().Close()
+}
+
+// chunks is a chunked body whose last chunk is left out when the answer was cut.
+type chunks struct {
+	network.ExtWriter
+	aborted bool
+}
+
+// Finalize implements network.ExtWriter.
+func (c *chunks) Finalize() error {
+	if c.aborted {
+		return errAborted
+	}
+	return c.ExtWriter.Finalize()
+}
+
+var errAborted = errors.New("the answer was cut")
--- a/target.go
+++ b/target.go
@@ -83,7 +83,13 @@
 	Adapters    []AdapterName `json:"adapters,omitempty"`
 	Fencing     Fencing       `json:"fencing,omitempty"`
 	Orders      OrderProtocol `json:"orders,omitempty"`
-	Leaving     bool          `json:"leaving,omitempty"`
+	// Slots is the number of requests that the target runs at once; 0 when it does not say.
+	Slots int `json:"slots,omitempty"`
+	// Warming is how much longer the target is slow after its start, in milliseconds.
+	Warming int64 `json:"warming,omitempty"`
+	Leaving bool  `json:"leaving,omitempty"`
+	// Left tells that the target has left for good; a later announcement of the same incarnation is void.
+	Left bool `json:"left,omitempty"`
 	Busy        bool          `json:"busy,omitempty"`
 	Revision    uint64        `json:"revision,omitempty"`
 	Last        LastOrder     `json:"last"`
