--- a/internal/cli/command/commands.go
+++ b/internal/cli/command/commands.go
@@ -25,6 +25,7 @@
 // commands registers all commands.
 func (a *app) commands() {
 	a.command("serve", "Run a node.", a.serve)
+	a.command("node", "Run an entry node or a core node on the platform's machines.", a.node)
 	a.command("demo", "Run a node with an embedded stand-in engine and send one request through it.", a.demo)
 	a.command("apply", "Write records; files of one call are validated together before any record is sent.", a.apply)
 	a.command("withdraw", "Withdraw a record.", a.withdraw)
--- /dev/null
+++ b/internal/cli/command/node.go
@@ -0,0 +1,27 @@
+package command
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"example.org/camphorhinge/platform"
+)
+
+// node runs a process on the platform's machines: an entry node or a core node, as its settings file says.
+func (a *app) node(cmd *kingpin.CmdClause) func(context.Context) error {
+	var path, level string
+	cmd.Flag("settings", "The platform's settings file.").Envar(platform.SettingsVariable).Required().StringVar(&path)
+	cmd.Flag("log-level", "Lowest level of log lines.").Default("info").EnumVar(&level, "debug", "info", "warn", "error")
+	return func(ctx context.Context) error {
+		var l slog.Level
+		if err := l.UnmarshalText([]byte(level)); err != nil {
+			return &Error{Op: "node", Kind: KindUsage, Err: err}
+		}
+		if err := platform.Run(ctx, path, a.out, l); err != nil {
+			return startError("node", err)
+		}
+		return nil
+	}
+}
--- a/internal/node/peer/client.go
+++ b/internal/node/peer/client.go
@@ -31,6 +31,7 @@
 	Replica peerpb.Replica
 	Control peerpb.Control
 	Spread  peerpb.Spread
+	Feed    peerpb.Feed
 
 	transport *http.Transport
 }
@@ -87,6 +88,7 @@
 		Replica: peerpb.NewReplicaProtobufClient(scheme+address, client),
 		Control: peerpb.NewControlProtobufClient(scheme+address, client),
 		Spread:  peerpb.NewSpreadProtobufClient(scheme+address, client),
+		Feed:    peerpb.NewFeedProtobufClient(scheme+address, client),
 
 		transport: transport,
 	}
--- a/internal/node/peer/server.go
+++ b/internal/node/peer/server.go
@@ -29,6 +29,8 @@
 	Replica peerpb.Replica
 	Control peerpb.Control
 	Spread  peerpb.Spread
+	// Feed is nil on a node that is no core node.
+	Feed peerpb.Feed
 	// Tracer makes a span for each call that belongs to a trace; nil makes none.
 	Tracer oteltrace.Tracer
 }
@@ -78,6 +80,10 @@
 	mux.Handle(replica.PathPrefix(), replica)
 	mux.Handle(control.PathPrefix(), control)
 	mux.Handle(spread.PathPrefix(), spread)
+	if svc.Feed != nil {
+		feed := peerpb.NewFeedServer(svc.Feed)
+		mux.Handle(feed.PathPrefix(), feed)
+	}
 	s.http.Handler = traced(svc.Tracer, http.MaxBytesHandler(mux, MaxBody))
 
 	stop := context.AfterFunc(ctx, func() {
--- a/internal/node/server/control.go
+++ b/internal/node/server/control.go
@@ -75,6 +75,9 @@
 // services returns what the peer port offers.
 func (s *Server) services() peer.Services {
 	svc := peer.Services{Replica: noReplica{}, Control: s.control, Spread: s.spreader, Tracer: s.traces.Tracer("peer")}
+	if s.source != nil {
+		svc.Feed = s.source
+	}
 	if s.durable != nil {
 		svc.Replica = s.durable.transport
 	}
--- /dev/null
+++ b/internal/node/server/core.go
@@ -0,0 +1,244 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/registry"
+	"example.org/camphorhinge/internal/node/feed"
+	"example.org/camphorhinge/internal/node/setting"
+	"example.org/camphorhinge/internal/node/spread"
+	"example.org/camphorhinge/internal/node/web"
+	"example.org/camphorhinge/internal/record/routing"
+)
+
+const (
+	// coreExpiry is how long a core node counts a target as live after its last heartbeat. Entry nodes go by what requests
+	// see, so that a lost heartbeat takes no target away.
+	coreExpiry = 30 * time.Second
+	// applyPause is the time before a configuration of uncertain outcome is proposed again.
+	applyPause = 50 * time.Millisecond
+	// formTimeout bounds the wait for all voters before the first configuration is accepted.
+	formTimeout = 5 * time.Second
+	// controlBody bounds a body on the control port, in bytes; it holds a configuration of several thousand routes.
+	controlBody = 8 << 20
+)
+
+// queryRouting names the linearizable read of the routing configuration.
+const queryRouting = "routing"
+
+// CoreConfig holds what a core node needs besides its settings.
+type CoreConfig struct {
+	Settings setting.Core
+	// Decode parses the operator's routing configuration.
+	Decode routing.Decoder
+	// Peers returns the peer addresses of core nodes as the settings name them now.
+	Peers func() []string
+	// Register adds the handlers of the control port.
+	Register func(*web.Server, Control)
+	Log      *slog.Logger
+}
+
+// Control is what the control port of a core node offers to targets and the operator.
+type Control interface {
+	// Announce takes an announcement that came from the target itself. It reports false for one that names no service of
+	// the configuration.
+	Announce(a camphorhinge.Announcement) (known bool, err error)
+	// Leave notes that a target has left for good; an incarnation of 0 stands for the one that is known.
+	Leave(name camphorhinge.TargetName, incarnation camphorhinge.Incarnation)
+	// Apply commits a routing configuration. An error leaves open whether it takes effect.
+	Apply(ctx context.Context, document []byte) (routing.Result, error)
+	// Document returns the newest routing configuration as the operator wrote it, or nil. It fails when this node can't be
+	// sure which one is the newest.
+	Document(ctx context.Context) ([]byte, error)
+}
+
+// Core is a core node: it holds a replica of the durable state, takes announcements and configurations, and feeds the entry
+// nodes.
+type Core struct {
+	*Server
+	settings setting.Core
+	ports    *web.Server
+	metering *web.Server
+}
+
+var _ Control = (*Core)(nil)
+
+// NewCore checks the settings, opens the data folder and all ports.
+func NewCore(ctx context.Context, cfg CoreConfig) (*Core, error) {
+	if err := cfg.Settings.Check(); err != nil {
+		return nil, &Error{Op: "new", Kind: KindSetting, Err: err}
+	}
+	c := &Core{Server: newServer(cfg.Settings.Serve(), cfg.Log, cfg.Decode), settings: cfg.Settings}
+	c.seeds = cfg.Peers
+	steps := []func() error{
+		func() error { return c.openTraces(ctx, nil) },
+		c.openPeers,
+		func() error { return c.openDurable(ctx) },
+		c.buildCore,
+		func() error { return c.openControl(cfg.Register) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			c.close()
+			return nil, &Error{Op: "new", Kind: KindStart, Err: err}
+		}
+	}
+	return c, nil
+}
+
+func (c *Core) buildCore() error {
+	c.registry = registry.New(registry.Config{
+		Clock: c.clock, Expiry: coreExpiry, Exclusive: true, Changed: c.changed, Metrics: c.metrics,
+	})
+	c.spreader = spread.New(spread.Config{
+		Node: c.cfg.Node, Registry: c.registry, Pool: c.pool, Others: c.otherCores, Metrics: c.metrics,
+	})
+	c.source = feed.NewSource(feed.SourceConfig{
+		Registry: c.registry, Table: c.routes, Cores: c.durable.cores, Scores: c.durable.scores, Clock: c.clock,
+	})
+	c.buildControl()
+	return nil
+}
+
+// changed wakes the entry nodes' watches.
+func (c *Core) changed() { c.source.Changed() }
+
+// cores returns the peer addresses of the nodes with a replica.
+func (d *durable) cores() []string {
+	var out []string
+	for _, n := range d.members.Nodes() {
+		if n.Replica != 0 {
+			out = append(out, n.Address)
+		}
+	}
+	return out
+}
+
+func (c *Core) otherCores() []string {
+	var out []string
+	for _, address := range c.durable.cores() {
+		if address != c.self.GetAddress() {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+func (c *Core) openControl(register func(*web.Server, Control)) error {
+	var err error
+	if c.ports, err = web.New(web.Config{Address: c.settings.ControlListen, MaxBody: controlBody}); err != nil {
+		return err
+	}
+	register(c.ports, c)
+	c.metering, err = openMetrics(c.settings.MetricsListen, c.metrics)
+	return err
+}
+
+// Run serves until ctx ends, and then stops as planned: leadership moves, and calls under way run to their end.
+func (c *Core) Run(ctx context.Context) error {
+	defer c.close()
+	c.log.Info("core node serves", "node", c.cfg.Node, "zone", c.cfg.Zone, "control", c.ports.Address(), "peer", c.peers.Address())
+	base, halt := context.WithCancel(context.WithoutCancel(ctx))
+	defer halt()
+	g, work := errgroup.WithContext(base)
+	ports, closePorts := context.WithCancel(work)
+	defer closePorts()
+	g.Go(func() error { return c.peers.Serve(work, c.services()) })
+	g.Go(func() error { return c.spreader.Share(work) })
+	g.Go(func() error { return c.durable.run(work) })
+	g.Go(func() error {
+		defer halt()
+		return c.ports.Serve(ports, controlGrace)
+	})
+	if c.metering != nil {
+		g.Go(func() error { return c.metering.Serve(work, 0) })
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+			return nil // Another part has failed; its error ends the process.
+		}
+		c.log.Info("planned stop begins", "node", c.cfg.Node)
+		c.durable.transfer()
+		closePorts()
+		return nil
+	})
+	err := g.Wait()
+	c.pool.Close()
+	c.log.Info("core node stopped", "node", c.cfg.Node, "error", err)
+	return err
+}
+
+// Announce implements Control.
+func (c *Core) Announce(a camphorhinge.Announcement) (bool, error) {
+	current := c.routes.Current()
+	if current == nil || current.Service(a.Service) == nil {
+		return false, nil
+	}
+	news, err := c.registry.Announce(a, 0, true)
+	if err == nil && news && a.Leaving {
+		c.log.Info("target leaves", "target", a.Name, "service", a.Service, "incarnation", a.Incarnation, "seq", a.Seq)
+	}
+	return true, err
+}
+
+// Leave implements Control.
+func (c *Core) Leave(name camphorhinge.TargetName, incarnation camphorhinge.Incarnation) {
+	if c.registry.Leave(name, incarnation) {
+		c.log.Info("target left", "target", name, "incarnation", incarnation)
+	}
+}
+
+// errForming marks a group whose voters are not complete yet.
+var errForming = errors.New("the group of voters is still forming")
+
+// mayAccept reports whether the first configuration may be accepted: with fewer voters than wanted, a loss that the
+// settings allow could lose it.
+func (c *Core) mayAccept() bool {
+	if _, version := c.routes.Document(); version > 0 {
+		return true
+	}
+	return len(c.durable.replica.Membership().Voters()) >= c.durable.voters || time.Since(c.started) > formTimeout
+}
+
+// Apply implements Control. A proposal whose answer was lost is sent again: the same document has the same result.
+func (c *Core) Apply(ctx context.Context, document []byte) (routing.Result, error) {
+	var r routing.Result
+	if !c.mayAccept() {
+		return r, errForming
+	}
+	for {
+		data, err := c.client.Propose(ctx, camphorhinge.CommandRouting, document)
+		if err == nil {
+			err = json.Unmarshal(data, &r)
+			c.log.Info("configuration committed", "outcome", r.Outcome, "version", r.Version, "message", r.Message, "error", err)
+			return r, err
+		}
+		c.log.Warn("configuration not committed yet", "error", err)
+		select {
+		case <-ctx.Done():
+			return r, err
+		case <-time.After(applyPause):
+		}
+	}
+}
+
+// Document implements Control.
+func (c *Core) Document(ctx context.Context) ([]byte, error) {
+	return c.client.Read(ctx, queryRouting, nil)
+}
+
+// routingQuery answers the linearizable read of the routing configuration.
+func (s *Server) routingQuery([]byte) ([]byte, error) {
+	document, _ := s.routes.Document()
+	return bytes.Clone(document), nil
+}
--- a/internal/node/server/durable.go
+++ b/internal/node/server/durable.go
@@ -62,6 +62,10 @@
 	// mix collects the nodes' reports while this replica leads.
 	mix     *mix.Collector
 	control *control.Server
+	// voters is the number of voters that the leader keeps, lostAfter how long one may stay away before a spare learner takes
+	// its place.
+	voters    int
+	lostAfter time.Duration
 	// led is the term of the leadership that has begun, or 0.
 	led atomic.Uint64
 	// ledSince is when the present leadership began; only lead uses it.
@@ -82,16 +86,7 @@
 		return err
 	}
 	s.closers = append(s.closers, folder)
-	start := replica.Start{Bootstrap: s.cfg.Bootstrap, Address: s.self.GetAddress()}
-	log, err := replica.Open(folder, wal.Config{}, start)
-	var failed *replica.Error
-	if s.cfg.Join && errors.As(err, &failed) && failed.Kind == replica.KindStart {
-		// Only an empty folder needs another node's answer: after a loss of all nodes none would answer first.
-		if start.Join, err = s.discover(ctx); err != nil {
-			return err
-		}
-		log, err = replica.Open(folder, wal.Config{}, start)
-	}
+	log, err := s.openLog(ctx, folder)
 	if err != nil {
 		return err
 	}
@@ -102,7 +97,13 @@
 		records: table.New(), members: member.New(), claims: claim.NewMachine(), crashes: quarantine.NewMachine(),
 		book: order.NewBook(), mix: mix.NewCollector(s.clock),
 		away:  map[camphorhinge.NodeID]camphorhinge.Instant{},
-		leads: make(chan camphorhinge.Term, 16),
+		leads: make(chan camphorhinge.Term, 16), voters: defaultVoters, lostAfter: defaultLostAfter,
+	}
+	if s.cfg.Voters > 0 {
+		d.voters = s.cfg.Voters
+	}
+	if s.cfg.LostAfter > 0 {
+		d.lostAfter = s.cfg.LostAfter
 	}
 	s.self.Replica = uint64(d.id)
 	book := transport.NewBook(d.address)
@@ -116,7 +117,8 @@
 		Machines: map[camphorhinge.CommandKind]camphorhinge.Machine{
 			camphorhinge.CommandRecord: notifying{d.records, s.applied}, camphorhinge.CommandMember: notifying{d.members, s.applied},
 			camphorhinge.CommandClaim: d.claims, camphorhinge.CommandCrash: d.crashes,
-			camphorhinge.CommandOrder: notifying{d.book, s.applied},
+			camphorhinge.CommandOrder:   notifying{d.book, s.applied},
+			camphorhinge.CommandRouting: notifying{s.routes, s.applied},
 		},
 		Seed: s.seed(), Log: s.log,
 		OnLeader:   func(t camphorhinge.Term) { d.leads <- t },
@@ -129,6 +131,28 @@
 	return nil
 }
 
+// openLog opens the log of the data folder, or makes one in an empty folder as the settings say.
+func (s *Server) openLog(ctx context.Context, folder *disk.Folder) (*wal.Log, error) {
+	start := replica.Start{Bootstrap: s.cfg.Bootstrap && !s.cfg.Resume, Address: s.self.GetAddress()}
+	log, err := replica.Open(folder, wal.Config{}, start)
+	var failed *replica.Error
+	if !errors.As(err, &failed) || failed.Kind != replica.KindStart {
+		return log, err
+	}
+	switch {
+	case s.cfg.Resume && s.cfg.Bootstrap:
+		start.Bootstrap = true
+	case s.cfg.Join:
+		// Only an empty folder needs another node's answer: after a loss of all nodes none would answer first.
+		if start.Join, err = s.discover(ctx); err != nil {
+			return nil, err
+		}
+	default:
+		return nil, err
+	}
+	return replica.Open(folder, wal.Config{}, start)
+}
+
 // notifying calls after each applied command.
 type notifying struct {
 	camphorhinge.Machine
@@ -147,6 +171,9 @@
 	if s.control != nil {
 		s.control.Applied()
 	}
+	if s.source != nil {
+		s.source.Changed()
+	}
 }
 
 // discover asks the other nodes for the cluster that a new replica joins.
@@ -155,7 +182,10 @@
 	defer cancel()
 	last := errors.New("no node answered")
 	for {
-		for _, address := range s.cfg.Peers {
+		for _, address := range s.seeds() {
+			if address == s.self.GetAddress() {
+				continue
+			}
 			one, stop := context.WithTimeout(ctx, time.Second)
 			resp, err := s.pool.Get(address).Control.Status(one, &peerpb.StatusRequest{})
 			stop()
--- /dev/null
+++ b/internal/node/server/entry.go
@@ -0,0 +1,232 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+	"go.opentelemetry.io/otel/trace/noop"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/registry"
+	"example.org/camphorhinge/internal/node/clock"
+	"example.org/camphorhinge/internal/node/control"
+	"example.org/camphorhinge/internal/node/dial"
+	"example.org/camphorhinge/internal/node/feed"
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/setting"
+	"example.org/camphorhinge/internal/node/web"
+	"example.org/camphorhinge/internal/observe/decision"
+	"example.org/camphorhinge/internal/request/budget"
+	"example.org/camphorhinge/internal/request/exchange"
+	"example.org/camphorhinge/internal/request/forward"
+	"example.org/camphorhinge/internal/request/place"
+	"example.org/camphorhinge/internal/request/quarantine"
+)
+
+const (
+	// entryExpiry keeps targets that the core nodes don't renew at entry nodes: only a change is passed on, and a target
+	// that died is found out by its requests.
+	entryExpiry = 1000 * time.Hour
+	// connectTimeout bounds the connecting to a target: a few round trips between zones, or one lost packet.
+	connectTimeout = 400 * time.Millisecond
+	// answerTimeout bounds the silence of a target; the deadline of each request is shorter.
+	answerTimeout = time.Minute
+	// silentTimeout is how long sent bytes may stay unacknowledged on a connection to a target.
+	silentTimeout = 1500 * time.Millisecond
+	// entryIdle is the greatest number of idle connections to one target.
+	entryIdle = 8
+	// stopMargin is the part of the grace time in which the process ends.
+	stopMargin = 300 * time.Millisecond
+)
+
+// EntryConfig holds what an entry node needs besides its settings.
+type EntryConfig struct {
+	Settings setting.Entry
+	// Protocol and Dialect spell requests and attempts.
+	Protocol forward.Protocol
+	Dialect  exchange.Dialect
+	// Ready is the path at which the balancer asks whether the node is ready.
+	Ready string
+	// Peers returns the peer addresses of core nodes as the settings name them now.
+	Peers func() []string
+	Log   *slog.Logger
+}
+
+// Entry is an entry node: it takes callers' requests and passes them on to targets.
+type Entry struct {
+	cfg      EntryConfig
+	log      *slog.Logger
+	clock    camphorhinge.Clock
+	metrics  *metrics.Set
+	pool     *peer.Pool
+	registry *registry.Registry
+	follower *feed.Follower
+	exchange *exchange.Client
+	crashes  *quarantine.Client
+	forward  *forward.Forwarder
+	stopping atomic.Bool
+
+	callers, ready, metering *web.Server
+}
+
+// NewEntry checks the settings and opens all ports.
+func NewEntry(cfg EntryConfig) (*Entry, error) {
+	if err := cfg.Settings.Check(); err != nil {
+		return nil, &Error{Op: "new", Kind: KindSetting, Err: err}
+	}
+	e := &Entry{cfg: cfg, log: cfg.Log, clock: clock.New(), metrics: metrics.NewSet()}
+	if err := errors.Join(e.build(), e.openPorts()); err != nil {
+		return nil, &Error{Op: "new", Kind: KindStart, Err: err}
+	}
+	return e, nil
+}
+
+func (e *Entry) build() error {
+	pool, err := peer.NewPool(nil)
+	if err != nil {
+		return err
+	}
+	s := e.cfg.Settings
+	e.pool = pool
+	e.registry = registry.New(registry.Config{Clock: e.clock, Expiry: entryExpiry, Exclusive: true, Metrics: e.metrics, Observe: e.observe})
+	e.follower = feed.NewFollower(feed.FollowerConfig{
+		Node: s.Node, Pool: pool, Seeds: e.cfg.Peers, Registry: e.registry, Scores: e.learnScores, Clock: e.clock, Log: e.log,
+	})
+	e.exchange = exchange.New(exchange.Config{
+		Dialer:  dial.New(connectTimeout, nil),
+		Connect: connectTimeout, FirstByte: answerTimeout, Between: answerTimeout, Idle: entryIdle,
+		Metrics: e.metrics, Tracer: noop.NewTracerProvider().Tracer(""), Dialect: e.cfg.Dialect,
+	})
+	e.crashes = quarantine.New(quarantine.Config{
+		Proposer: control.NewClient(pool, e.follower.Cores), Node: s.Node, Clock: e.clock, Decisions: decision.New(ringSize), Metrics: e.metrics,
+	})
+	e.forward = forward.New(forward.Config{
+		Index: e.follower.Index, Targets: e.registry,
+		Placer:   place.New(place.Config{Zone: s.Zone, Seed: seedOf(s.Node)}),
+		Exchange: e.exchange,
+		Budget: budget.New(budget.Config{
+			Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindow, Start: e.clock.Now(),
+		}),
+		Quarantine: e.crashes, Protocol: e.cfg.Protocol, Nodes: e.follower.Entries, Clock: e.clock, Log: e.log, Metrics: e.metrics,
+	})
+	return nil
+}
+
+// observe tells the count of crashes that a target started again.
+func (e *Entry) observe(t *camphorhinge.Target) {
+	if e.crashes != nil {
+		e.crashes.Restarted(t.Name, t.Incarnation)
+	}
+}
+
+func (e *Entry) learnScores(encoded []byte) { learnScores(e.crashes, e.log, encoded) }
+
+func (e *Entry) openPorts() error {
+	s := e.cfg.Settings
+	var err error
+	if e.callers, err = web.New(web.Config{Address: s.CallerListen, MaxBody: controlBody, Options: forward.Options()}); err != nil {
+		return err
+	}
+	e.forward.Register(e.callers.Hertz.Engine)
+	if e.ready, err = web.New(web.Config{Address: s.ReadyListen, MaxBody: smallBody}); err != nil {
+		return err
+	}
+	e.ready.Hertz.GET(e.cfg.Ready, func(_ context.Context, c *app.RequestContext) {
+		if e.Ready() {
+			c.String(http.StatusOK, "ready\n")
+			return
+		}
+		c.String(http.StatusServiceUnavailable, "not ready\n")
+	})
+	e.metering, err = openMetrics(s.MetricsListen, e.metrics)
+	return err
+}
+
+// openMetrics opens a port that serves metrics; an empty address opens none.
+func openMetrics(address string, set *metrics.Set) (*web.Server, error) {
+	if address == "" {
+		return nil, nil
+	}
+	s, err := web.New(web.Config{Address: address, MaxBody: smallBody})
+	if err != nil {
+		return nil, err
+	}
+	s.Hertz.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
+		c.Response.Header.SetContentType("text/plain; version=0.0.4")
+		set.WritePrometheus(io.Writer(c.Response.BodyWriter()))
+		metrics.WriteProcessMetrics(c.Response.BodyWriter())
+	})
+	return s, nil
+}
+
+// Ready reports whether the node takes new callers: it knows a configuration and the targets, and does not stop.
+func (e *Entry) Ready() bool {
+	return !e.stopping.Load() && e.follower.Index() != nil && e.follower.Synced() && e.registry.Len() > 0
+}
+
+// Run serves until ctx ends, and then stops as planned: readiness fails, callers that come meanwhile are served, and
+// requests under way run to their end within the grace time.
+func (e *Entry) Run(ctx context.Context) error {
+	s := e.cfg.Settings
+	e.log.Info("entry node serves", "node", s.Node, "zone", s.Zone, "caller", e.callers.Address(), "ready", e.ready.Address())
+	base, halt := context.WithCancel(context.WithoutCancel(ctx))
+	defer halt()
+	g, work := errgroup.WithContext(base)
+	callers, closeCallers := context.WithCancel(work)
+	defer closeCallers()
+	g.Go(func() error { return e.follower.Run(work) })
+	g.Go(func() error { return e.ready.Serve(work, 0) })
+	if e.metering != nil {
+		g.Go(func() error { return e.metering.Serve(work, 0) })
+	}
+	g.Go(func() error {
+		defer halt()
+		return e.callers.Serve(callers, s.Grace-s.StopDelay-stopMargin)
+	})
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+			return nil // Another part has failed; its error ends the process.
+		}
+		e.log.Info("planned stop begins", "node", s.Node, "delay", s.StopDelay, "grace", s.Grace)
+		e.stopping.Store(true)
+		e.callers.Drain()
+		time.Sleep(s.StopDelay)
+		e.leave()
+		closeCallers()
+		return nil
+	})
+	err := g.Wait()
+	e.pool.Close()
+	e.log.Info("entry node stopped", "node", s.Node, "error", err)
+	return err
+}
+
+func (e *Entry) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	e.follower.Leave(ctx)
+}
+
+// Addresses returns the addresses for callers and for the balancer.
+func (e *Entry) Addresses() (callers, ready net.Addr) {
+	return tcpAddr(e.callers.Address()), tcpAddr(e.ready.Address())
+}
+
+func tcpAddr(address string) net.Addr {
+	a, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil
+	}
+	return a
+}
--- a/internal/node/server/lead.go
+++ b/internal/node/server/lead.go
@@ -14,10 +14,11 @@
 const (
 	// upkeepInterval is how often the leader compares the membership with the list of nodes.
 	upkeepInterval = 300 * time.Millisecond
-	// voterCount is the number of voters that the leader keeps.
-	voterCount = 3
-	// lostAfter is how long a replica may stay away before a spare learner takes its place. It is above a restart of a VM.
-	lostAfter = 5 * time.Minute
+	// defaultVoters is the number of voters that the leader keeps unless the settings name another.
+	defaultVoters = 3
+	// defaultLostAfter is how long a replica may stay away before a spare learner takes its place. It is above a restart of
+	// a VM.
+	defaultLostAfter = 5 * time.Minute
 	// forgetAfter is how long a node without a replica may stay away before it leaves the list of nodes.
 	forgetAfter = 10 * time.Minute
 )
@@ -34,8 +35,12 @@
 		case term = <-d.leads:
 			d.changed(term)
 		case <-ticker.C:
-			if now, ok := d.replica.Authority(); ok && now == term {
-				d.upkeep(ctx)
+			// While a group forms or is repaired, one step follows the other.
+			for {
+				now, ok := d.replica.Authority()
+				if !ok || now != term || !d.upkeep(ctx) {
+					break
+				}
 			}
 		}
 	}
@@ -64,16 +69,17 @@
 // upkeep brings the membership closer to the list of nodes by at most one change: a listed replica becomes a learner, a
 // learner that has caught up becomes a voter while voters are missing, and a replica that no node has any more is
 // removed once three others vote. A replica that stayed away for long counts as if no node had it, when a spare learner
-// can take its place; it becomes a learner again, and a voter if one is missing, when it comes back.
-func (d *durable) upkeep(ctx context.Context) {
+// can take its place; it becomes a learner again, and a voter if one is missing, when it comes back. It reports whether it
+// changed something.
+func (d *durable) upkeep(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	nodes := d.members.Nodes()
 	if d.putSelf(ctx, nodes) || d.forget(ctx, nodes) {
-		return
+		return true
 	}
 	// A learner that does not catch up must not keep another from being promoted.
-	for _, change := range nextChanges(d.replica.Membership(), nodes, d.id, d.lost()) {
+	for _, change := range nextChanges(d.replica.Membership(), nodes, d.id, d.lost(), d.voters) {
 		err := d.apply(ctx, change)
 		if err == nil {
 			d.decisions.Note("member", strconv.FormatUint(uint64(change.ID), 16), changeName(change.Kind), map[string]string{
@@ -81,10 +87,11 @@
 			})
 		}
 		if err == nil || ctx.Err() != nil {
-			return
+			return err == nil
 		}
 		d.log.Debug("membership change waits", "replica", change.ID, "error", err)
 	}
+	return false
 }
 
 func changeName(k consensus.ChangeKind) string {
@@ -103,7 +110,7 @@
 	now := d.clock.Now()
 	out := map[camphorhinge.ReplicaID]bool{}
 	for _, p := range d.replica.Status().Progress {
-		if now.Sub(max(p.Heard, d.ledSince)) > lostAfter {
+		if now.Sub(max(p.Heard, d.ledSince)) > d.lostAfter {
 			out[p.ID] = true
 		}
 	}
@@ -125,6 +132,7 @@
 // the others are for when it is refused.
 func nextChanges(
 	m consensus.Membership, nodes []member.Node, self camphorhinge.ReplicaID, lost map[camphorhinge.ReplicaID]bool,
+	voters int,
 ) []consensus.Change {
 	var out []consensus.Change
 	listed := map[camphorhinge.ReplicaID]member.Node{}
@@ -150,9 +158,9 @@
 	for _, x := range m.Members {
 		_, ok := listed[x.ID]
 		switch {
-		case ok && !lost[x.ID] && !x.Voter && kept < voterCount:
+		case ok && !lost[x.ID] && !x.Voter && kept < voters:
 			out = append(out, consensus.Change{Kind: consensus.Promote, ID: x.ID})
-		case x.ID != self && (!ok && !x.Voter || (!ok || lost[x.ID]) && x.Voter && kept >= voterCount):
+		case x.ID != self && (!ok && !x.Voter || (!ok || lost[x.ID]) && x.Voter && kept >= voters):
 			out = append(out, consensus.Change{Kind: consensus.Remove, ID: x.ID})
 		}
 	}
--- a/internal/node/server/lead_test.go
+++ b/internal/node/server/lead_test.go
@@ -105,7 +105,7 @@
 			for _, id := range tt.lost {
 				lost[id] = true
 			}
-			require.Equal(t, tt.want, nextChanges(tt.members, tt.nodes, self, lost))
+			require.Equal(t, tt.want, nextChanges(tt.members, tt.nodes, self, lost, defaultVoters))
 		})
 	}
 }
--- a/internal/node/server/operator.go
+++ b/internal/node/server/operator.go
@@ -115,7 +115,8 @@
 			}
 			return json.Marshal(t.History(key))
 		},
-		queryStatus: func([]byte) ([]byte, error) { return json.Marshal(s.local()) },
+		queryRouting: s.routingQuery,
+		queryStatus:  func([]byte) ([]byte, error) { return json.Marshal(s.local()) },
 	}
 }
 
@@ -149,7 +150,7 @@
 func (s *Server) local() *status.Status {
 	st := &status.Status{
 		Node: s.cfg.Node, Zone: s.cfg.Zone, Configuration: string(s.holder.State()), Revision: s.mirror.View().Revision(),
-		Stale: s.holder.Age().Milliseconds(), Stopping: s.settings.stopping.Load(),
+		Stale: s.holder.Age().Milliseconds(), Stopping: s.settings != nil && s.settings.stopping.Load(),
 	}
 	now := s.clock.Now()
 	for _, t := range s.registry.All() {
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -23,6 +24,7 @@
 	"example.org/camphorhinge/internal/node/config"
 	"example.org/camphorhinge/internal/node/control"
 	"example.org/camphorhinge/internal/node/dial"
+	"example.org/camphorhinge/internal/node/feed"
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/node/setting"
@@ -30,6 +32,7 @@
 	"example.org/camphorhinge/internal/node/web"
 	"example.org/camphorhinge/internal/observe/decision"
 	"example.org/camphorhinge/internal/observe/trace"
+	"example.org/camphorhinge/internal/record/routing"
 	"example.org/camphorhinge/internal/record/table"
 	"example.org/camphorhinge/internal/request/admit"
 	"example.org/camphorhinge/internal/request/claim"
@@ -103,7 +106,15 @@
 	meter    *mix.Meter
 	reports  *admit.Reports
 	durable  *durable
-	orders   *orders
+	// routes is the routing configuration, in the replicated state of core nodes.
+	routes *routing.Table
+	// source feeds the entry nodes; nil unless this is a core node.
+	source *feed.Source
+	// seeds returns the peer addresses of the settings as they are now.
+	seeds func() []string
+	// started is when the process made this Server.
+	started time.Time
+	orders  *orders
 	// engines is this node's copy of the decisions on engines.
 	engines *order.Mirror
 
@@ -124,7 +135,7 @@
 	if err := cfg.Check(); err != nil {
 		return nil, &Error{Op: "new", Kind: KindSetting, Err: err}
 	}
-	s := &Server{cfg: cfg, log: log, clock: clock.New(), metrics: metrics.NewSet(), ring: decision.New(ringSize)}
+	s := newServer(cfg, log, noRouting)
 	steps := []func() error{
 		func() error { return s.openTraces(ctx, extra) },
 		s.openPeers,
@@ -142,6 +153,19 @@
 	return s, nil
 }
 
+func newServer(cfg setting.Serve, log *slog.Logger, decode routing.Decoder) *Server {
+	return &Server{
+		seeds: func() []string { return cfg.Peers },
+		cfg:   cfg, log: log, clock: clock.New(), metrics: metrics.NewSet(), ring: decision.New(ringSize),
+		routes: routing.NewTable(decode), started: time.Now(),
+	}
+}
+
+// noRouting refuses routing configurations on nodes that have none.
+func noRouting([]byte) (*routing.Config, error) {
+	return nil, &Error{Op: "decode", Kind: KindSetting, Err: errors.New("this node takes no routing configuration")}
+}
+
 func (s *Server) openTraces(ctx context.Context, extra io.Writer) error {
 	lines := extra
 	if s.cfg.TraceFile != "" {
@@ -265,9 +289,11 @@
 }
 
 // seed returns a number that differs between nodes, so that they don't all choose the same target.
-func (s *Server) seed() uint64 {
+func (s *Server) seed() uint64 { return seedOf(s.cfg.Node) }
+
+func seedOf(node camphorhinge.NodeID) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(s.cfg.Node)) // Writes to a hash don't fail.
+	_, _ = h.Write([]byte(node)) // Writes to a hash don't fail.
 	return h.Sum64()
 }
 
@@ -284,10 +310,13 @@
 
 // leaderCandidates returns the peer addresses at which the leader may be found.
 func (s *Server) leaderCandidates() []string {
-	addresses := append([]string{}, s.cfg.Peers...)
+	addresses := append([]string{}, s.seeds()...)
 	if s.durable != nil {
 		addresses = append(addresses, s.self.GetAddress())
 	}
+	if s.durable != nil && s.renewer == nil {
+		addresses = append(addresses, s.durable.cores()...)
+	}
 	if s.renewer != nil {
 		for _, n := range s.renewer.Nodes() {
 			if n.Replica != 0 {
--- a/internal/node/server/targets.go
+++ b/internal/node/server/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"log/slog"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/request/prefix"
@@ -28,13 +29,15 @@
 }
 
 // learnScores takes the crash counts that the leader sent.
-func (s *Server) learnScores(encoded []byte) {
+func (s *Server) learnScores(encoded []byte) { learnScores(s.quarantine, s.log, encoded) }
+
+func learnScores(crashes *quarantine.Client, log *slog.Logger, encoded []byte) {
 	var scores []quarantine.Score
 	if err := json.Unmarshal(encoded, &scores); err != nil {
-		s.log.Warn("crash counts not decoded", "error", err)
+		log.Warn("crash counts not decoded", "error", err)
 		return
 	}
-	s.quarantine.Learn(scores)
+	crashes.Learn(scores)
 }
 
 // maxPrefixes bounds the hashes of one prompt; 256 blocks are a prompt of 256,000 tokens.
--- /dev/null
+++ b/internal/node/setting/core.go
@@ -0,0 +1,123 @@
+package setting
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+// Core holds the settings of a core node: one with a replica of the durable state, which targets and the operator call.
+type Core struct {
+	Node camphorhinge.NodeID
+	Zone camphorhinge.Zone
+	// ControlListen is the IP:port for targets and the operator, PeerListen that for other nodes, MetricsListen that for
+	// metrics, or empty.
+	ControlListen, PeerListen, MetricsListen string
+	// Data is the data folder.
+	Data string
+	// Form makes a new group of voters in an empty data folder; otherwise an empty folder joins the group of Peers.
+	Form bool
+	// Peers are peer addresses of other core nodes.
+	Peers []string
+	// Voters is the number of voters that the leader keeps.
+	Voters int
+	// LostAfter is how long a voter may stay away before a spare replica takes its place.
+	LostAfter time.Duration
+	// Grace bounds a planned stop.
+	Grace time.Duration
+}
+
+// Check returns all faults of the settings, joined.
+func (s *Core) Check() error {
+	return errors.Join(
+		checkNode(s.Node, s.Zone),
+		checkListen("control", s.ControlListen),
+		checkListen("peer", s.PeerListen),
+		checkOptional("metrics", s.MetricsListen),
+		check(s.Data != "", "data folder: expected one"),
+		check(s.Form || len(s.Peers) > 0, "peers: expected at least one address"),
+		check(s.Voters > 0 && s.Voters%2 == 1, "voters: expected an odd number, got %d", s.Voters),
+		check(s.LostAfter > 0, "time until a voter counts as lost: expected more than 0"),
+		check(s.Grace > 0, "grace time: expected more than 0"),
+	)
+}
+
+// Serve returns the settings of the parts that core nodes share with the serve process.
+func (s *Core) Serve() Serve {
+	return Serve{
+		Node: s.Node, Zone: s.Zone, PeerListen: s.PeerListen, PeerAddress: s.PeerListen, PeerSource: hostOf(s.PeerListen),
+		Data: s.Data, Bootstrap: s.Form, Join: !s.Form, Resume: true, Peers: s.Peers, PeerPlain: true,
+		Voters: s.Voters, LostAfter: s.LostAfter,
+	}
+}
+
+// Entry holds the settings of an entry node, which callers reach.
+type Entry struct {
+	Node camphorhinge.NodeID
+	Zone camphorhinge.Zone
+	// CallerListen is the IP:port for callers, ReadyListen that for the balancer, MetricsListen that for metrics, or empty.
+	CallerListen, ReadyListen, MetricsListen string
+	// Source is the IP address that connections come from.
+	Source string
+	// Peers are peer addresses of core nodes.
+	Peers []string
+	// RetryRatio, RetryAllowance and RetryWindow bound the repeated attempts of all nodes together: in each window at most
+	// RetryRatio times the requests plus RetryAllowance.
+	RetryRatio, RetryAllowance float64
+	RetryWindow                time.Duration
+	// StopDelay is the time between failing readiness and closing the caller port on a planned stop, Grace bounds the stop.
+	StopDelay, Grace time.Duration
+	// Memory bounds the process's memory, in bytes; 0 stands for no bound.
+	Memory int64
+}
+
+// Check returns all faults of the settings, joined.
+func (s *Entry) Check() error {
+	return errors.Join(
+		checkNode(s.Node, s.Zone),
+		checkListen("caller", s.CallerListen),
+		checkListen("readiness", s.ReadyListen),
+		checkOptional("metrics", s.MetricsListen),
+		check(len(s.Peers) > 0, "peers: expected at least one address"),
+		check(s.RetryRatio >= 0 && s.RetryAllowance >= 0, "retry budget: expected no negative number"),
+		check(s.RetryWindow > 0, "window of the retry budget: expected more than 0"),
+		check(s.StopDelay >= 0 && s.Grace > s.StopDelay, "grace time: expected more than the stop delay %v, got %v", s.StopDelay, s.Grace),
+	)
+}
+
+func check(ok bool, format string, args ...any) error {
+	if ok {
+		return nil
+	}
+	return fmt.Errorf(format, args...)
+}
+
+func checkNode(node camphorhinge.NodeID, zone camphorhinge.Zone) error {
+	return errors.Join(
+		check(node != "", "node: expected a name"),
+		check(zone != "", "zone: expected a name"),
+	)
+}
+
+func checkListen(what, address string) error {
+	_, err := netip.ParseAddrPort(address)
+	return check(err == nil, "%s address: expected IP:port, got %q", what, address)
+}
+
+func checkOptional(what, address string) error {
+	if address == "" {
+		return nil
+	}
+	return checkListen(what, address)
+}
+
+func hostOf(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return ""
+	}
+	return a.Addr().String()
+}
--- a/internal/node/setting/setting.go
+++ b/internal/node/setting/setting.go
@@ -29,6 +29,12 @@
 	Data      string
 	Bootstrap bool
 	Join      bool
+	// Resume makes Bootstrap and Join hold for an empty data folder only, and a folder with a log go on.
+	Resume bool
+	// Voters is the number of voters that the leader keeps, LostAfter how long one may stay away before a spare learner
+	// takes its place; 0 stands for the defaults.
+	Voters    int
+	LostAfter time.Duration
 	// Peers are peer addresses of other nodes, to find the leader.
 	Peers []string
 
--- a/internal/node/spread/spread.go
+++ b/internal/node/spread/spread.go
@@ -160,6 +160,14 @@
 	return g.Wait()
 }
 
+// Share passes announcements on until ctx ends, without polls of targets: for nodes that route no requests.
+func (s *Spreader) Share(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return each(ctx, batchInterval, s.spread) })
+	g.Go(func() error { return s.warmUp(ctx) })
+	return g.Wait()
+}
+
 func each(ctx context.Context, interval time.Duration, do func(context.Context)) error {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
--- /dev/null
+++ b/internal/observe/lines/writer_test.go
@@ -0,0 +1,61 @@
+package lines
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// stuck is an output that never takes a line.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// Guards against requests that wait for a log output that takes nothing.
+func TestWriteNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := stuck{release: make(chan struct{})}
+		w := New(out, 1e9, 1e9)
+		var g errgroup.Group
+		ctx, cancel := context.WithCancel(t.Context())
+		g.Go(func() error { return w.Run(ctx) })
+		start := time.Now()
+		for range 3 * queueLength {
+			_, err := w.Write([]byte("x\n"))
+			require.NoError(t, err)
+		}
+		require.Equal(t, start, time.Now())
+		require.Positive(t, w.Dropped())
+		close(out.release)
+		cancel()
+		require.NoError(t, g.Wait())
+	})
+}
+
+// Guards the bound on the volume under load, and the line that tells what is missing.
+func TestBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		w := New(&out, 10, 20)
+		var g errgroup.Group
+		ctx, cancel := context.WithCancel(t.Context())
+		g.Go(func() error { return w.Run(ctx) })
+		for range 100 {
+			_, err := w.Write([]byte("x\n"))
+			require.NoError(t, err)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		cancel()
+		require.NoError(t, g.Wait())
+		require.Equal(t, 20, bytes.Count(out.Bytes(), []byte("x\n")))
+		require.Contains(t, out.String(), `"lines":80`)
+	})
+}
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -137,6 +137,12 @@
 	Wait time.Duration
 	// Priority is passed on to the target.
 	Priority camphorhinge.Priority
+	// Role is camphorhinge.RolePrefill for a call that only has the prompt read; empty for all others.
+	Role camphorhinge.Role
+	// Source names the KV cache of the prompt that the target fetches, as its holder named it; empty when it fetches none.
+	Source string
+	// After is the id of the last event that the caller has, for a stream that goes on.
+	After string
 	// Resume is the offset at which a stream goes on, or 0 for a new one.
 	Resume int
 	// Finished is true when the event before Resume had a finish reason, so that only the end mark is left.
--- /dev/null
+++ b/internal/request/forward/job.go
@@ -0,0 +1,437 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/record/routing"
+	"example.org/camphorhinge/internal/request/exchange"
+	"example.org/camphorhinge/internal/request/place"
+)
+
+// job is one request under way.
+type job struct {
+	f       *Forwarder
+	in      *Request
+	out     Sink
+	ask     Ask
+	route   *routing.Route
+	service *routing.Service
+	// header is the part of the request's header that is passed on.
+	header http.Header
+	body   []byte
+	// print is the hash by which crashes of the request are counted.
+	print camphorhinge.Fingerprint
+	began camphorhinge.Instant
+
+	// arrivals is the number of attempts that reached a target, runs that of those which may have run.
+	arrivals, runs int
+	exclude        []camphorhinge.TargetName
+	// prefilled is set once a target has accepted to read the prompt, direct when no separate prefill is tried any more.
+	prefilled, direct bool
+	// headed is set once the answer's header was sent, after which after is the id of the last event that was sent.
+	headed bool
+	after  string
+
+	// plan is the last plan, and first is when the first event was sent.
+	plan  place.Plan
+	first camphorhinge.Instant
+	// status is that of the answer that was passed on.
+	status int
+}
+
+// attempts tries targets until one has answered or none may be tried.
+func (j *job) attempts(ctx context.Context) *Error {
+	j.print = j.fingerprint()
+	var last *exchange.Error
+	for try := 0; ; try++ {
+		if wait, refused := j.f.cfg.Quarantine.Refused(j.print); refused && j.runs == 0 {
+			return later(KindQuarantined, wait, "requests like this one crashed several targets")
+		}
+		if err := j.mayTry(ctx, try, last); err != nil {
+			return err
+		}
+		plan, ok := j.f.cfg.Placer.Pick(j.f.cfg.Clock.Now(), j.f.cfg.Targets.Live(j.service.Name), j.request())
+		if !ok && len(j.exclude) > 0 {
+			return j.failed(ctx, last)
+		}
+		if !ok {
+			return j.noTarget()
+		}
+		j.plan = plan
+		if last = j.attempt(ctx, plan); last == nil {
+			return nil
+		}
+	}
+}
+
+func (j *job) noTarget() *Error {
+	if j.runs > 0 {
+		return &Error{Op: "place", Kind: KindTarget, Run: camphorhinge.Unknown, Status: http.StatusBadGateway, Err: errNoOther}
+	}
+	return later(KindNoTarget, targetPause, "service %s has no target that can be reached", j.service.Name)
+}
+
+var (
+	errNoOther = errors.New("no other target may take the request")
+	errBudget  = errors.New("the retry budget is spent")
+)
+
+// mayTry returns nil when one more attempt is allowed after last, which is nil before the first one.
+func (j *job) mayTry(ctx context.Context, try int, last *exchange.Error) *Error {
+	if last == nil {
+		return nil
+	}
+	if ctx.Err() != nil || try >= tries || !j.repeatable(last) {
+		return j.failed(ctx, last)
+	}
+	if j.arrivals == 0 {
+		return nil
+	}
+	if !j.f.cfg.Budget.Take(j.f.cfg.Clock.Now(), j.service.Name, j.f.cfg.Nodes()) {
+		e := j.failed(ctx, last)
+		if e.Kind == KindTarget || e.Kind == KindNoTarget {
+			e.Kind, e.Err = KindBudget, errors.Join(errBudget, e.Err)
+		}
+		return e
+	}
+	return nil
+}
+
+// repeatable reports whether the request may be sent again after an attempt that failed.
+func (j *job) repeatable(last *exchange.Error) bool {
+	switch last.Kind {
+	case exchange.KindLeft, exchange.KindDeadline, exchange.KindBody:
+		return false
+	}
+	if last.Kind == exchange.KindRefused && last.Status == http.StatusBadRequest {
+		return false
+	}
+	if last.Run == camphorhinge.NotRun {
+		return j.runs == 0 || j.runs < j.limit()
+	}
+	if j.headed && (j.route.Repeat != routing.RepeatResume || j.after == "") {
+		return false
+	}
+	return j.route.Repeat != routing.RepeatNever && j.runs < j.limit()
+}
+
+// limit returns the number of targets that may run the request.
+func (j *job) limit() int { return max(j.route.Attempts, 1) }
+
+// failed returns the Error of a request whose last attempt ended with last.
+func (j *job) failed(ctx context.Context, last *exchange.Error) *Error {
+	e := &Error{Op: "exchange", Kind: KindTarget, Run: camphorhinge.Unknown, Status: http.StatusBadGateway, Err: last}
+	switch {
+	case last.Kind == exchange.KindLeft:
+		e.Kind = KindLeft
+	case last.Kind == exchange.KindDeadline || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		e.Kind, e.Status = KindDeadline, http.StatusGatewayTimeout
+	case last.Kind == exchange.KindRefused && last.Status == http.StatusBadRequest:
+		e.Kind, e.Status = KindInvalid, http.StatusBadRequest
+	}
+	if j.runs == 0 && last.Run == camphorhinge.NotRun && e.Kind != KindInvalid {
+		e.Run = camphorhinge.NotRun
+		if e.Kind == KindTarget {
+			e.Kind = KindNoTarget
+		}
+		e.Status, e.RetryAfter = http.StatusServiceUnavailable, targetPause
+	}
+	return e
+}
+
+// request returns what the Placer needs to know.
+func (j *job) request() place.Request {
+	return place.Request{
+		Service: j.service.Name, Engine: j.service.Engine, Parts: j.ask.Parts, Prompt: j.ask.Prompt, Output: j.ask.Output,
+		Exclude: j.exclude, Direct: j.direct || j.headed,
+	}
+}
+
+// call returns the attempt at a target.
+func (j *job) call(t *camphorhinge.Target) exchange.Call {
+	c := exchange.Call{
+		Target: t, Attempt: j.ask.Attempt, Method: j.in.Method, Path: j.in.Target, Host: j.in.Host, Header: j.header,
+		Priority: j.priority(), After: j.ask.After,
+	}
+	if len(j.body) > 0 {
+		c.Body, c.Length = bytes.NewReader(j.body), int64(len(j.body))
+	}
+	if j.after != "" {
+		c.After = j.after
+	}
+	return c
+}
+
+// priority returns the priority of the route, in which a higher number is more urgent.
+func (j *job) priority() camphorhinge.Priority {
+	rank := min(max(j.route.Rank, 0), int(camphorhinge.MaxPriority))
+	return camphorhinge.MaxPriority - camphorhinge.Priority(rank)
+}
+
+// attempt sends the request as planned. It returns nil once the answer was passed on.
+func (j *job) attempt(ctx context.Context, plan place.Plan) *exchange.Error {
+	call := j.call(plan.Serve)
+	unread := plan.Unread
+	if plan.Prefill != nil {
+		source, err := j.prefill(ctx, plan)
+		if err != nil {
+			j.direct = true
+			return err
+		}
+		call.Source, unread = source, 0
+	}
+	err := j.run(ctx, call, unread)
+	if err != nil && call.Source != "" {
+		j.direct = true
+		if err.Run == camphorhinge.NotRun {
+			// The engine may be free; only the KV cache was not to be had.
+			j.allow(plan.Serve.Name)
+		}
+		j.free(plan.Prefill, call.Source)
+	}
+	return err
+}
+
+func (j *job) allow(name camphorhinge.TargetName) {
+	for i, x := range j.exclude {
+		if x == name {
+			j.exclude = append(j.exclude[:i:i], j.exclude[i+1:]...)
+			return
+		}
+	}
+}
+
+func (j *job) work(unread camphorhinge.Tokens, expected time.Duration) place.Work {
+	w := place.Work{Expected: expected}
+	if e := j.service.Engine; e != nil {
+		w.Unread, w.Held, w.Parts, w.Memory = unread, j.ask.Prompt+j.ask.Output, j.ask.Parts, e.Memory
+	}
+	return w
+}
+
+// prefill has an engine read the prompt, and returns the name of the KV cache.
+func (j *job) prefill(ctx context.Context, plan place.Plan) (string, *exchange.Error) {
+	call := j.call(plan.Prefill)
+	call.Role = camphorhinge.RolePrefill
+	clock := j.f.cfg.Clock
+	flight := j.f.cfg.Placer.Sent(clock.Now(), plan.Prefill, j.service.Name, j.work(plan.Unread, plan.Expected))
+	counted := j.arrivals
+	answer, body, err := j.whole(ctx, call)
+	if err == nil {
+		if l, ok := j.f.cfg.Protocol.Load(answer.Header); ok {
+			flight.Load(clock.Now(), l)
+		}
+		var source string
+		var perr error
+		if answer.Status == http.StatusOK {
+			source, perr = j.f.cfg.Protocol.Prefilled(plan.Prefill, body)
+		} else {
+			perr = errors.New("status of a prefill: " + http.StatusText(answer.Status))
+		}
+		if perr == nil {
+			flight.First(clock.Now())
+			flight.End(clock.Now(), place.Served)
+			if !j.prefilled {
+				// The first accepted call of this kind is no arrival.
+				j.prefilled, j.arrivals = true, counted
+			}
+			return source, nil
+		}
+		err = &exchange.Error{Op: "prefill", Kind: exchange.KindProtocol, Run: camphorhinge.NotRun, Status: answer.Status, Err: perr}
+	}
+	// Reading the prompt is no run, however the call ended.
+	err.Run = camphorhinge.NotRun
+	flight.End(clock.Now(), outcome(err, ctx))
+	j.exclude = append(j.exclude, plan.Prefill.Name)
+	return "", err
+}
+
+// free frees a KV cache that no request takes.
+func (j *job) free(t *camphorhinge.Target, source string) {
+	f := j.f
+	f.after.TryGo(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		answer, err := f.cfg.Exchange.Open(ctx, f.cfg.Protocol.Free(t, source))
+		if err != nil {
+			f.cfg.Log.Debug("KV cache not freed", "target", t.Name, "error", err)
+			return nil
+		}
+		_, err = io.Copy(io.Discard, io.LimitReader(answer, maxAnswer))
+		answer.Close()
+		if err != nil {
+			f.cfg.Log.Debug("KV cache not freed", "target", t.Name, "error", err)
+		}
+		return nil
+	})
+}
+
+// whole runs an exchange whose answer is read to its end.
+func (j *job) whole(ctx context.Context, call exchange.Call) (*exchange.Answer, []byte, *exchange.Error) {
+	answer, err := j.open(ctx, call)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer answer.Close()
+	body, err := readAll(answer)
+	return answer, body, err
+}
+
+// open starts an exchange and counts its arrival.
+func (j *job) open(ctx context.Context, call exchange.Call) (*exchange.Answer, *exchange.Error) {
+	answer, err := j.f.cfg.Exchange.Open(ctx, call)
+	if err == nil {
+		j.arrivals++
+		return answer, nil
+	}
+	e := asExchange(err)
+	if e.Run != camphorhinge.NotRun || e.Kind == exchange.KindRefused {
+		j.arrivals++
+	}
+	return nil, e
+}
+
+func asExchange(err error) *exchange.Error {
+	var e *exchange.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &exchange.Error{Op: "exchange", Kind: exchange.KindProtocol, Run: camphorhinge.Unknown, Err: err}
+}
+
+// errTooLarge marks an answer over the limit.
+var errTooLarge = errors.New("the answer is too large")
+
+func readAll(answer *exchange.Answer) ([]byte, *exchange.Error) {
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswer+1))
+	if err != nil {
+		return nil, asExchange(err)
+	}
+	if len(body) > maxAnswer {
+		return nil, &exchange.Error{Op: "read body", Kind: exchange.KindProtocol, Run: camphorhinge.Unknown, Err: errTooLarge}
+	}
+	return body, nil
+}
+
+// outcome returns what a failed attempt says of its target.
+func outcome(e *exchange.Error, ctx context.Context) place.Outcome {
+	switch e.Kind {
+	case exchange.KindConnect:
+		return place.Unreachable
+	case exchange.KindRefused:
+		if e.Status == http.StatusMisdirectedRequest {
+			return place.Foreign
+		}
+		return place.Refused
+	case exchange.KindSilent:
+		return place.Silent
+	case exchange.KindLeft, exchange.KindBody:
+		return place.Abandoned
+	case exchange.KindDeadline:
+		return place.Abandoned
+	}
+	if ctx.Err() != nil {
+		return place.Abandoned
+	}
+	return place.Broken
+}
+
+// run sends the request to the target that runs it, and passes the answer on.
+func (j *job) run(ctx context.Context, call exchange.Call, unread camphorhinge.Tokens) *exchange.Error {
+	clock := j.f.cfg.Clock
+	flight := j.f.cfg.Placer.Sent(clock.Now(), call.Target, j.service.Name, j.work(unread, j.plan.Expected))
+	end := j.f.cfg.Quarantine.Begin(call.Target, j.print)
+	result, err := j.relay(ctx, call, flight)
+	if err != nil {
+		result = outcome(err, ctx)
+		j.exclude = append(j.exclude, call.Target.Name)
+		if err.Run != camphorhinge.NotRun {
+			j.runs++
+		}
+	}
+	end(err != nil && err.Reset, result == place.Served)
+	flight.End(clock.Now(), result)
+	return err
+}
+
+// relay passes the answer of one attempt on.
+func (j *job) relay(ctx context.Context, call exchange.Call, flight *place.Flight) (place.Outcome, *exchange.Error) {
+	answer, err := j.open(ctx, call)
+	if err != nil {
+		return place.Abandoned, err
+	}
+	defer answer.Close()
+	if l, ok := j.f.cfg.Protocol.Load(answer.Header); ok {
+		flight.Load(j.f.cfg.Clock.Now(), l)
+	}
+	if j.route.Stream && answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+		return place.Served, j.stream(answer, flight)
+	}
+	if j.headed {
+		return place.Errored, &exchange.Error{
+			Op: "resume", Kind: exchange.KindProtocol, Run: camphorhinge.Run, Status: answer.Status, Err: errNoStream,
+		}
+	}
+	body, err := readAll(answer)
+	if err != nil {
+		return place.Broken, err
+	}
+	flight.First(j.f.cfg.Clock.Now())
+	j.deliver(answer, body)
+	if answer.Status >= http.StatusInternalServerError {
+		return place.Errored, nil
+	}
+	return place.Served, nil
+}
+
+// errNoStream marks an answer to a stream that goes on which is no stream.
+var errNoStream = errors.New("the answer is not an event stream")
+
+// promises reports whether a status states that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// deliver passes a whole answer on. A status that promises that the request has not run becomes another one when the target
+// did not state that.
+func (j *job) deliver(answer *exchange.Answer, body []byte) {
+	header := passOn(answer.Header)
+	j.f.cfg.Protocol.Answer(header)
+	j.status = answer.Status
+	if promises(j.status) {
+		j.status = http.StatusBadGateway
+		j.f.cfg.Protocol.Unstamp(header)
+	}
+	j.out.Whole(j.status, header, body)
+}
+
+// hop are the headers that concern one connection only, or that the sender of a message sets itself.
+var hop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Host", "Expect",
+}
+
+// passOn returns the part of a header that is passed on.
+func passOn(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/request/forward/note.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"example.org/camphorhinge"
+)
+
+// meters counts requests by service and outcome.
+type meters struct{ set *metrics.Set }
+
+func newMeters(set *metrics.Set) *meters { return &meters{set: set} }
+
+func (m *meters) end(service camphorhinge.ServiceName, outcome string, took, first time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("camphorhinge_forward_requests_total{service=%q,outcome=%q}", service, outcome)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("camphorhinge_forward_seconds{service=%q}", service)).Update(took.Seconds())
+	if first > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("camphorhinge_forward_first_event_seconds{service=%q}", service)).Update(first.Seconds())
+	}
+}
+
+// note logs and counts the outcome of a request.
+func (f *Forwarder) note(j *job, err *Error) {
+	now := f.cfg.Clock.Now()
+	took := now.Sub(j.began)
+	var first time.Duration
+	if j.first > 0 {
+		first = j.first.Sub(j.began)
+	}
+	outcome := "served"
+	if err != nil {
+		outcome = string(err.Kind)
+	}
+	service := camphorhinge.ServiceName("")
+	if j.service != nil {
+		service = j.service.Name
+	}
+	f.meters.end(service, outcome, took, first)
+	attrs := []any{
+		"request", j.ask.Attempt, "outcome", outcome, "status", j.status, "took_ms", took.Milliseconds(),
+		"first_ms", first.Milliseconds(), "arrivals", j.arrivals,
+	}
+	if j.route != nil {
+		attrs = append(attrs, "route", j.route.Name, "service", service)
+	}
+	if t := j.plan.Serve; t != nil {
+		attrs = append(attrs, "target", t.Name, "plan", j.plan.Reason, "expected_ms", j.plan.Expected.Milliseconds(),
+			"prompt", j.ask.Prompt, "unread", j.plan.Unread)
+	}
+	if t := j.plan.Prefill; t != nil {
+		attrs = append(attrs, "prefill", t.Name)
+	}
+	level := slog.LevelInfo
+	if err != nil {
+		level = slog.LevelWarn
+		attrs = append(attrs, "run", err.Run, "retry_after_ms", err.RetryAfter.Milliseconds(), "error", err.Err)
+	}
+	f.cfg.Log.Log(nil, level, "request ended", attrs...) //nolint:staticcheck // No context carries anything for the log.
+}
--- /dev/null
+++ b/internal/request/place/types.go
@@ -0,0 +1,84 @@
+package place
+
+import (
+	"time"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/record/routing"
+)
+
+// Part is a part of a prompt. Requests whose first parts are the same share their KV cache.
+type Part struct {
+	// Hash names the content.
+	Hash   uint64
+	Tokens camphorhinge.Tokens
+}
+
+// Request is what a Placer knows of a request.
+type Request struct {
+	Service camphorhinge.ServiceName
+	// Engine describes the engines of the service; nil for a plain service.
+	Engine *routing.Engine
+	// Parts are the parts of the prompt in order; the last one belongs to this request or its session alone.
+	Parts []Part
+	// Prompt and Output are the numbers of tokens to read and at most to generate.
+	Prompt, Output camphorhinge.Tokens
+	// Exclude are targets that the request must not go to again.
+	Exclude []camphorhinge.TargetName
+	// Direct rules out a plan with a separate prefill engine.
+	Direct bool
+}
+
+// shared returns the parts that other requests have as well, and their size.
+func (r *Request) shared() ([]Part, camphorhinge.Tokens) {
+	if len(r.Parts) == 0 {
+		return nil, 0
+	}
+	parts := r.Parts[:len(r.Parts)-1]
+	var n camphorhinge.Tokens
+	for _, p := range parts {
+		n += p.Tokens
+	}
+	return parts, n
+}
+
+// Plan is where a request goes.
+type Plan struct {
+	// Prefill is the engine that reads the prompt first and hands its KV cache over; nil when Serve reads it itself.
+	Prefill *camphorhinge.Target
+	// Serve is the target that runs the request.
+	Serve *camphorhinge.Target
+	// Expected is the expected time to the first event, or to the answer of a plain service.
+	Expected time.Duration
+	// Unread is the number of prompt tokens that are expected to be read.
+	Unread camphorhinge.Tokens
+	// Reason tells why this plan was chosen.
+	Reason string
+}
+
+// Outcome is how an attempt at a target ended.
+type Outcome int
+
+const (
+	// Served marks a complete answer.
+	Served Outcome = iota
+	// Refused marks a target that stated that it did not run the request, because it was full.
+	Refused
+	// Errored marks an answer with a server error.
+	Errored
+	// Broken marks an answer that broke off or broke the protocol.
+	Broken
+	// Silent marks a target that did not answer in time although the connection was open.
+	Silent
+	// Unreachable marks a target to which no connection could be opened.
+	Unreachable
+	// Foreign marks an address that belongs to another process now.
+	Foreign
+	// Abandoned marks an attempt that ended for a reason of the caller's; it says nothing of the target.
+	Abandoned
+)
+
+// Load is a target's own word on its load.
+type Load struct {
+	Running, Waiting, Slots int
+}
