Place model requests at one core node that knows the work of all entry nodes

Cause: the six nodes' own estimates of an engine's backlog were half of what was measured (329 ms expected, 700 ms seen), since each knows a sixth of the work.

--- a/internal/node/feed/source.go
+++ b/internal/node/feed/source.go
@@ -29,7 +29,15 @@
 	Cores func() []string
 	// Scores returns the crash counts by request fingerprint, encoded; nil when there are none.
 	Scores func() []byte
-	Clock  camphorhinge.Clock
+	// Scheduler places the requests of entry nodes.
+	Scheduler Scheduler
+	Clock     camphorhinge.Clock
+}
+
+// Scheduler places the requests of entry nodes; *schedule.Scheduler implements it.
+type Scheduler interface {
+	// Place takes the caller's events and chooses where its request runs, if there is one.
+	Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error)
 }
 
 // Source answers the watches of entry nodes on a core node; it implements peerpb.Feed.
@@ -136,3 +144,8 @@
 	}
 	return &peerpb.RoutingResponse{Delta: d.Encode()}, nil
 }
+
+// Place passes a placement on to the Scheduler.
+func (s *Source) Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
+	return s.cfg.Scheduler.Place(ctx, req)
+}
--- /dev/null
+++ b/internal/node/schedule/client.go
@@ -0,0 +1,260 @@
+package schedule
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/request/place"
+)
+
+const (
+	// placeTimeout bounds the question to a core node: several round trips between zones. A request waits no longer.
+	placeTimeout = 25 * time.Millisecond
+	// flushEvery is the time between two calls that only bring events.
+	flushEvery = 20 * time.Millisecond
+	// flushTimeout bounds such a call.
+	flushTimeout = 300 * time.Millisecond
+	// avoidFor is how long a core node that did not answer in time is not asked, failuresAllowed the number of such
+	// failures in a row from which that holds.
+	avoidFor        = 3 * time.Second
+	failuresAllowed = 2
+	// maxEvents bounds the events that wait for a core node; the oldest are dropped, and the core node forgets their
+	// placements by itself.
+	maxEvents = 2048
+)
+
+// ClientConfig holds what a Client needs.
+type ClientConfig struct {
+	Node camphorhinge.NodeID
+	Pool *peer.Pool
+	// Cores returns the peer addresses of the core nodes, sorted.
+	Cores func() []string
+	// Local places requests when no core node answers, and those of plain services.
+	Local   *place.Placer
+	Clock   camphorhinge.Clock
+	Log     *slog.Logger
+	Metrics *metrics.Set
+}
+
+// Client places the requests of one entry node; it implements forward.Placer.
+type Client struct {
+	cfg   ClientConfig
+	start uint64
+
+	mu     sync.Mutex
+	next   uint64
+	core   string
+	events []*peerpb.PlaceEvent
+	ages   []camphorhinge.Instant
+	// failed counts failures in a row by core node, avoid tells until when one is not asked.
+	failed map[string]int
+	avoid  map[string]camphorhinge.Instant
+
+	asked, alone *metrics.Counter
+}
+
+// NewClient returns a Client; Run tells core nodes what happens to placements.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{
+		cfg: cfg, start: rand.Uint64() | 1, //nolint:gosec // The number only tells starts apart.
+		failed: map[string]int{}, avoid: map[string]camphorhinge.Instant{},
+		asked: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="core"}`),
+		alone: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="node"}`),
+	}
+}
+
+// Place chooses where a request goes; ok is false when no target may take it.
+func (c *Client) Place(ctx context.Context, live []*camphorhinge.Target, req place.Request) (*place.Placement, bool) {
+	if req.Engine != nil {
+		if p := c.ask(ctx, live, req); p != nil {
+			c.asked.Inc()
+			return p, true
+		}
+		c.alone.Inc()
+	}
+	return c.cfg.Local.Place(c.cfg.Clock.Now(), live, req)
+}
+
+// scheduler returns the core node to ask: the first that is not avoided. All entry nodes prefer the same one.
+func (c *Client) scheduler(now camphorhinge.Instant) string {
+	for _, address := range c.cfg.Cores() {
+		if now >= c.avoid[address] {
+			return address
+		}
+	}
+	return ""
+}
+
+// ask returns the placement by a core node, or nil.
+func (c *Client) ask(ctx context.Context, live []*camphorhinge.Target, req place.Request) *place.Placement {
+	now := c.cfg.Clock.Now()
+	c.mu.Lock()
+	address := c.scheduler(now)
+	c.next++
+	id := c.next
+	c.mu.Unlock()
+	if address == "" {
+		return nil
+	}
+	call := c.call(id, req)
+	for _, name := range c.cfg.Local.Closed(now, live) {
+		call.Exclude = append(call.Exclude, string(name))
+	}
+	call.Events = c.take(now, address)
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	resp, err := c.cfg.Pool.Get(address).Feed.Place(ctx, call)
+	c.heard(c.cfg.Clock.Now(), address, err)
+	if err != nil || resp.GetServe() == "" {
+		return nil
+	}
+	plan, ok := planOf(live, resp)
+	if !ok {
+		c.tell(address, id, false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
+		return nil
+	}
+	p := c.cfg.Local.Adopt(c.cfg.Clock.Now(), plan, req)
+	p.Server.Told = func(e place.Event) { c.tell(address, id, false, e) }
+	if p.Reader != nil {
+		p.Reader.Told = func(e place.Event) { c.tell(address, id, true, e) }
+	}
+	return p
+}
+
+func (c *Client) call(id uint64, req place.Request) *peerpb.PlaceRequest {
+	call := &peerpb.PlaceRequest{
+		Node: string(c.cfg.Node), Start: c.start, Placement: id, Service: string(req.Service),
+		Prompt: uint32(req.Prompt), Output: uint32(req.Output), Direct: req.Direct,
+	}
+	for _, p := range req.Parts {
+		call.Parts = append(call.Parts, p.Hash)
+		call.Sizes = append(call.Sizes, uint32(p.Tokens))
+	}
+	for _, name := range req.Exclude {
+		call.Exclude = append(call.Exclude, string(name))
+	}
+	return call
+}
+
+// planOf returns the plan that a core node named; ok is false when this node does not know its targets.
+func planOf(live []*camphorhinge.Target, resp *peerpb.PlaceResponse) (place.Plan, bool) {
+	find := func(name string) *camphorhinge.Target {
+		for _, t := range live {
+			if string(t.Name) == name && t.Serving {
+				return t
+			}
+		}
+		return nil
+	}
+	plan := place.Plan{
+		Serve: find(resp.GetServe()), Expected: time.Duration(resp.GetExpected()) * time.Microsecond,
+		Unread: camphorhinge.Tokens(resp.GetUnread()), Reason: resp.GetReason(),
+	}
+	if plan.Serve == nil {
+		return plan, false
+	}
+	if name := resp.GetPrefill(); name != "" {
+		if plan.Prefill = find(name); plan.Prefill == nil {
+			return plan, false
+		}
+	}
+	if name := resp.GetFetch(); name != "" {
+		plan.Fetch = find(name)
+	}
+	return plan, true
+}
+
+// heard notes whether a core node answered.
+func (c *Client) heard(now camphorhinge.Instant, address string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		if c.core != address {
+			c.cfg.Log.Info("core node places requests", "core", address, "before", c.core)
+			c.core = address
+		}
+		delete(c.failed, address)
+		return
+	}
+	c.failed[address]++
+	if c.failed[address] >= failuresAllowed {
+		c.avoid[address] = now.Add(avoidFor)
+		c.failed[address] = 0
+		c.cfg.Log.Warn("core node does not place requests", "core", address, "error", err, "pause_ms", avoidFor.Milliseconds())
+	}
+}
+
+// tell queues an event for the core node that made the placement. Events for a core node that is no longer asked are
+// dropped: it forgets the placement by itself.
+func (c *Client) tell(address string, id uint64, reader bool, e place.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address != c.core {
+		return
+	}
+	if len(c.events) >= maxEvents {
+		c.events, c.ages = c.events[1:], c.ages[1:]
+	}
+	c.events = append(c.events, &peerpb.PlaceEvent{
+		Placement: id, Reader: reader, First: e.First, Ended: e.Ended, Outcome: uint32(e.Outcome),
+	})
+	c.ages = append(c.ages, e.At)
+}
+
+// take returns the events that wait for a core node, with their ages.
+func (c *Client) take(now camphorhinge.Instant, address string) []*peerpb.PlaceEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address != c.core {
+		return nil
+	}
+	out := c.events
+	for i, e := range out {
+		e.Age = uint32(max(now.Sub(c.ages[i]).Milliseconds(), 0))
+	}
+	c.events, c.ages = nil, nil
+	return out
+}
+
+// Run brings events to the core node that no request takes along, until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(flushEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.flush(ctx)
+		}
+	}
+}
+
+func (c *Client) flush(ctx context.Context) {
+	now := c.cfg.Clock.Now()
+	c.mu.Lock()
+	address := c.core
+	avoided := now < c.avoid[address]
+	c.mu.Unlock()
+	if address == "" || avoided {
+		return
+	}
+	events := c.take(now, address)
+	if len(events) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	_, err := c.cfg.Pool.Get(address).Feed.Place(ctx, &peerpb.PlaceRequest{Node: string(c.cfg.Node), Start: c.start, Events: events})
+	if err != nil {
+		c.heard(c.cfg.Clock.Now(), address, err)
+	}
+}
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -13,6 +13,7 @@
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/feed"
+	"example.org/camphorhinge/internal/node/schedule"
 	"example.org/camphorhinge/internal/node/setting"
 	"example.org/camphorhinge/internal/node/spread"
 	"example.org/camphorhinge/internal/node/web"
@@ -103,6 +104,9 @@
 	})
 	c.source = feed.NewSource(feed.SourceConfig{
 		Registry: c.registry, Table: c.routes, Cores: c.durable.cores, Scores: c.durable.scores, Clock: c.clock,
+		Scheduler: schedule.New(schedule.Config{
+			Targets: c.registry, Configuration: c.routes.Current, Clock: c.clock, Seed: c.seed(),
+		}),
 	})
 	c.buildControl()
 	return nil
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -22,6 +22,7 @@
 	"example.org/camphorhinge/internal/node/dial"
 	"example.org/camphorhinge/internal/node/feed"
 	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/schedule"
 	"example.org/camphorhinge/internal/node/setting"
 	"example.org/camphorhinge/internal/node/web"
 	"example.org/camphorhinge/internal/observe/decision"
@@ -72,6 +73,7 @@
 	follower *feed.Follower
 	exchange *exchange.Client
 	crashes  *quarantine.Client
+	placer   *schedule.Client
 	forward  *forward.Forwarder
 	stopping atomic.Bool
 
@@ -109,9 +111,13 @@
 	e.crashes = quarantine.New(quarantine.Config{
 		Proposer: control.NewClient(pool, e.follower.Cores), Node: s.Node, Clock: e.clock, Decisions: decision.New(ringSize), Metrics: e.metrics,
 	})
+	e.placer = schedule.NewClient(schedule.ClientConfig{
+		Node: s.Node, Pool: pool, Cores: e.follower.Cores, Local: place.New(place.Config{Zone: s.Zone, Seed: seedOf(s.Node)}),
+		Clock: e.clock, Log: e.log, Metrics: e.metrics,
+	})
 	e.forward = forward.New(forward.Config{
 		Index: e.follower.Index, Targets: e.registry,
-		Placer:   place.New(place.Config{Zone: s.Zone, Seed: seedOf(s.Node)}),
+		Placer:   e.placer,
 		Exchange: e.exchange,
 		Budget: budget.New(budget.Config{
 			Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindow, Start: e.clock.Now(),
@@ -184,6 +190,7 @@
 	callers, closeCallers := context.WithCancel(work)
 	defer closeCallers()
 	g.Go(func() error { return e.follower.Run(work) })
+	g.Go(func() error { return e.placer.Run(work) })
 	g.Go(func() error { return e.ready.Serve(work, 0) })
 	if e.metering != nil {
 		g.Go(func() error { return e.metering.Serve(work, 0) })
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -141,6 +141,8 @@
 	Role camphorhinge.Role
 	// Source names the KV cache of the prompt that the target fetches, as its holder named it; empty when it fetches none.
 	Source string
+	// Fetch is the address of an engine from which the target fetches the parts of the prompt that it lacks; empty for none.
+	Fetch string
 	// After is the id of the last event that the caller has, for a stream that goes on.
 	After string
 	// Resume is the offset at which a stream goes on, or 0 for a new one.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -73,7 +73,7 @@
 	// Index returns the configuration in force, or nil.
 	Index      func() *routing.Index
 	Targets    camphorhinge.Targets
-	Placer     *place.Placer
+	Placer     Placer
 	Exchange   *exchange.Client
 	Budget     *budget.Budget
 	Quarantine Quarantine
@@ -87,6 +87,12 @@
 	Stopping <-chan struct{}
 }
 
+// Placer chooses where requests go; *schedule.Client implements it.
+type Placer interface {
+	// Place chooses where a request goes and notes the work; ok is false when no live target may take it.
+	Place(ctx context.Context, live []*camphorhinge.Target, req place.Request) (p *place.Placement, ok bool)
+}
+
 // Quarantine refuses requests that crash targets; *quarantine.Client implements it.
 type Quarantine interface {
 	// Refused reports whether a fingerprint is refused, and for how long.
--- a/internal/request/forward/http.go
+++ b/internal/request/forward/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -60,7 +61,15 @@
 		Watch: func(cancel context.CancelFunc) func() { return ingress.Watch(c, &f.watches, cancel) },
 	}
 	in.Body, in.Length = ingress.Body(c, receiveTimeout)
-	f.Serve(ctx, in, ingress.NewSink(c))
+	sink := ingress.NewSink(c)
+	defer func() {
+		// A bug that one request meets must not end the others.
+		if fault := recover(); fault != nil {
+			f.cfg.Log.Error("request handler failed", "fault", fault, "stack", string(debug.Stack()))
+			sink.Abort()
+		}
+	}()
+	f.Serve(ctx, in, sink)
 }
 
 // pathOf returns the path of a request target, as it was sent.
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -42,6 +42,8 @@
 	// plan is the last plan, and first is when the first event was sent.
 	plan  place.Plan
 	first camphorhinge.Instant
+	// read is how long the last separate prefill took.
+	read time.Duration
 	// status is that of the answer that was passed on.
 	status int
 }
@@ -57,15 +59,17 @@
 		if err := j.mayTry(ctx, try, last); err != nil {
 			return err
 		}
-		plan, ok := j.f.cfg.Placer.Pick(j.f.cfg.Clock.Now(), j.f.cfg.Targets.Live(j.service.Name), j.request())
+		placed, ok := j.f.cfg.Placer.Place(ctx, j.f.cfg.Targets.Live(j.service.Name), j.request())
 		if !ok && len(j.exclude) > 0 {
 			return j.failed(ctx, last)
 		}
 		if !ok {
 			return j.noTarget()
 		}
-		j.plan = plan
-		if last = j.attempt(ctx, plan); last == nil {
+		j.plan = placed.Plan
+		last = j.attempt(ctx, placed)
+		placed.Close(j.f.cfg.Clock.Now())
+		if last == nil {
 			return nil
 		}
 	}
@@ -176,18 +180,24 @@
 }
 
 // attempt sends the request as planned. It returns nil once the answer was passed on.
-func (j *job) attempt(ctx context.Context, plan place.Plan) *exchange.Error {
+func (j *job) attempt(ctx context.Context, placed *place.Placement) *exchange.Error {
+	plan := placed.Plan
 	call := j.call(plan.Serve)
-	unread := plan.Unread
-	if plan.Prefill != nil {
-		source, err := j.prefill(ctx, plan)
+	fetch := ""
+	if plan.Fetch != nil {
+		fetch = plan.Fetch.Address
+	}
+	if plan.Prefill == nil {
+		call.Fetch = fetch
+	} else {
+		source, err := j.prefill(ctx, placed, fetch)
 		if err != nil {
 			j.direct = true
 			return err
 		}
-		call.Source, unread = source, 0
+		call.Source = source
 	}
-	err := j.run(ctx, call, unread)
+	err := j.run(ctx, call, placed.Server)
 	if err != nil && call.Source != "" {
 		j.direct = true
 		if err.Run == camphorhinge.NotRun {
@@ -208,21 +218,13 @@
 	}
 }
 
-func (j *job) work(unread camphorhinge.Tokens, expected time.Duration) place.Work {
-	w := place.Work{Expected: expected}
-	if e := j.service.Engine; e != nil {
-		w.Unread, w.Held, w.Parts, w.Memory = unread, j.ask.Prompt+j.ask.Output, j.ask.Parts, e.Memory
-	}
-	return w
-}
-
 // prefill has an engine read the prompt, and returns the name of the KV cache.
-func (j *job) prefill(ctx context.Context, plan place.Plan) (string, *exchange.Error) {
+func (j *job) prefill(ctx context.Context, placed *place.Placement, fetch string) (string, *exchange.Error) {
+	plan, flight := placed.Plan, placed.Reader
 	call := j.call(plan.Prefill)
-	call.Role = camphorhinge.RolePrefill
+	call.Role, call.Fetch = camphorhinge.RolePrefill, fetch
 	clock := j.f.cfg.Clock
-	flight := j.f.cfg.Placer.Sent(clock.Now(), plan.Prefill, j.service.Name, j.work(plan.Unread, plan.Expected))
-	counted := j.arrivals
+	counted, began := j.arrivals, clock.Now()
 	answer, body, err := j.whole(ctx, call)
 	if err == nil {
 		if l, ok := j.f.cfg.Protocol.Load(answer.Header); ok {
@@ -238,6 +240,7 @@
 		if perr == nil {
 			flight.First(clock.Now())
 			flight.End(clock.Now(), place.Served)
+			j.read = clock.Now().Sub(began)
 			if !j.prefilled {
 				// The first accepted call of this kind is no arrival.
 				j.prefilled, j.arrivals = true, counted
@@ -344,9 +347,8 @@
 }
 
 // run sends the request to the target that runs it, and passes the answer on.
-func (j *job) run(ctx context.Context, call exchange.Call, unread camphorhinge.Tokens) *exchange.Error {
+func (j *job) run(ctx context.Context, call exchange.Call, flight *place.Flight) *exchange.Error {
 	clock := j.f.cfg.Clock
-	flight := j.f.cfg.Placer.Sent(clock.Now(), call.Target, j.service.Name, j.work(unread, j.plan.Expected))
 	end := j.f.cfg.Quarantine.Begin(call.Target, j.print)
 	result, err := j.relay(ctx, call, flight)
 	if err != nil {
--- a/internal/request/forward/note.go
+++ b/internal/request/forward/note.go
@@ -52,7 +52,10 @@
 			"prompt", j.ask.Prompt, "unread", j.plan.Unread)
 	}
 	if t := j.plan.Prefill; t != nil {
-		attrs = append(attrs, "prefill", t.Name)
+		attrs = append(attrs, "prefill", t.Name, "prefill_ms", j.read.Milliseconds())
+	}
+	if t := j.plan.Fetch; t != nil {
+		attrs = append(attrs, "fetch", t.Name)
 	}
 	level := slog.LevelInfo
 	if err != nil {
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -25,18 +25,46 @@
 }
 
 const (
-	// homeCount is the number of homes of a prompt part in each role.
-	homeCount = 2
-	// moveCost is the time by which a plan that moves a KV cache must be faster than one that does not.
-	moveCost = 30 * time.Millisecond
-	// missCost is the part of the time to read a shared part that counts against a plan, beside that time itself, since the
-	// read pushes out parts of others.
-	missCost = 0.5
-	// busyUnread is the share of other nodes' requests at a target that are taken to be reading their prompt.
-	busyUnread = 0.3
+	// separateCost is the time by which a plan with a separate prefill must be faster than one without.
+	separateCost = 20 * time.Millisecond
+	// displaceCost is the part of the time to read shared parts that counts against an engine which does not hold them yet,
+	// since they push out parts of others there.
+	displaceCost = 0.25
+	// homeDoubt is the part of the shared parts, in percent, that a home is taken to lack as long as this node has not sent
+	// them there.
+	homeDoubt = 50
+	// otherTime is the time that a request of another node at a target is taken to make a new one wait.
+	otherTime = 20 * time.Millisecond
+	// jitter bounds the random part of a cost, which keeps nodes that know the same from choosing the same target.
+	jitter = 10 * time.Millisecond
+	// runningCost is the time by which each running request makes the next one slower.
+	runningCost = 2 * time.Millisecond
+	// calmShare is the share of slots or memory up to which an engine counts as not crowded, crowdCost the cost of a full one.
+	calmShare = 0.7
+	crowdCost = 2 * time.Second
 )
 
-// pickEngine returns the plan with the least expected time to the first event.
+// scene is what one choice goes by.
+type scene struct {
+	now camphorhinge.Instant
+	req *Request
+	// shared are the parts that other requests have as well, size their tokens.
+	shared []Part
+	size   camphorhinge.Tokens
+	// home is the engine to which the first requests with these parts go, from all nodes that don't know of each other's
+	// work; nil without shared parts.
+	home *camphorhinge.Target
+	// holders are the engines that are known to hold the shared parts.
+	holders []*camphorhinge.Target
+}
+
+// option is a plan with its cost, which is its expected time with what it displaces.
+type option struct {
+	Plan
+	cost time.Duration
+}
+
+// pickEngine returns the plan with the least cost.
 func (p *Placer) pickEngine(now camphorhinge.Instant, targets []*camphorhinge.Target, req *Request) (Plan, bool) {
 	var readers, servers []*camphorhinge.Target
 	for _, t := range targets {
@@ -49,54 +77,96 @@
 	if len(servers) == 0 {
 		return Plan{}, false
 	}
-	best, ok := p.direct(now, servers, req)
-	if !req.Direct && len(readers) > 0 {
-		if plan, found := p.separate(now, readers, servers, req); found && (!ok || plan.cost < best.cost) {
-			best, ok = plan, true
+	c := &scene{now: now, req: req}
+	c.shared, c.size = req.shared()
+	p.findHolders(c, targets)
+
+	best := option{cost: -1}
+	better := func(o option) {
+		o.cost += time.Duration(p.random.Int64N(int64(jitter)))
+		if best.cost < 0 || o.cost < best.cost {
+			best = o
 		}
 	}
-	return best.Plan, ok
+	for _, t := range servers {
+		better(p.direct(c, t))
+	}
+	if !req.Direct {
+		for _, t := range readers {
+			better(p.separate(c, t, servers))
+		}
+	}
+	return best.Plan, true
 }
 
-// option is a plan with its cost, which is its expected time with what it displaces.
-type option struct {
-	Plan
-	cost time.Duration
+// findHolders finds the engines that hold the shared parts of a request.
+func (p *Placer) findHolders(c *scene, targets []*camphorhinge.Target) {
+	if len(c.shared) == 0 {
+		return
+	}
+	if !p.cfg.Whole {
+		c.home = homes(c.shared[len(c.shared)-1].Hash, targets, 1)[0]
+	}
+	for _, t := range targets {
+		if p.of(c.now, t).cache.ready(c.now, c.shared) == c.size {
+			c.holders = append(c.holders, t)
+		}
+	}
 }
 
-// key returns the hash by which the homes of a request are found.
-func key(req *Request) (uint64, bool) {
-	shared, _ := req.shared()
-	if len(shared) == 0 {
-		return 0, false
-	}
-	return shared[len(shared)-1].Hash, true
+// reading is the estimate of one engine that reads a prompt.
+type reading struct {
+	fetch  *camphorhinge.Target
+	unread camphorhinge.Tokens
+	took   time.Duration
+	cost   time.Duration
 }
 
-// nearest returns the engines that may hold the shared parts of a request; those that hold none if there are no homes.
-func nearest(req *Request, targets []*camphorhinge.Target) []*camphorhinge.Target {
-	k, ok := key(req)
-	if !ok {
-		return targets
+// read estimates the reading of the prompt at a target, which fetches the shared parts that it lacks from a holder.
+func (p *Placer) read(c *scene, t *camphorhinge.Target) reading {
+	s := p.of(c.now, t)
+	held := s.cache.leading(c.shared)
+	if t == c.home {
+		held = c.size // Other nodes send the parts there as well.
+	}
+	missing := c.size - held
+	var r reading
+	var move time.Duration
+	unknown := camphorhinge.Tokens(0)
+	if missing > 0 {
+		switch r.fetch = nearest(c.holders, t); {
+		case r.fetch == nil && c.home == nil:
+			unknown = missing
+		case r.fetch == nil:
+			// The home may not hold the parts yet.
+			r.fetch, unknown = c.home, missing*homeDoubt/100
+		}
+		if r.fetch != nil {
+			move = moveTime(missing, c.req.Engine, r.fetch, t) + p.cfg.Rates.Setup
+		}
 	}
-	return homes(k, targets, homeCount)
+	r.unread = max(c.req.Prompt-c.size, 1) + unknown
+	waiting := s.backlog(c.now) + time.Duration(p.others(s, c.now)*float64(otherTime))
+	// The transfer runs while the requests before this one are read.
+	r.took = max(waiting, move) + p.toRead(t, float64(r.unread)) + p.cfg.Rates.Step
+	r.cost = r.took + time.Duration(4*s.share*float64(r.took)) + p.toRead(t, displaceCost*float64(missing))
+	return r
 }
 
-// read estimates the reading of the prompt at a target: the tokens, and the time until they are read.
-func (p *Placer) read(
-	now camphorhinge.Instant, t *camphorhinge.Target, req *Request, home bool,
-) (unread, missed camphorhinge.Tokens, took time.Duration) {
-	s := p.of(now, t)
-	shared, size := req.shared()
-	held := s.cache.leading(shared)
-	if home {
-		held = size // Other nodes send the part there as well.
+// toRead returns the time in which a target reads some tokens.
+func (p *Placer) toRead(t *camphorhinge.Target, n float64) time.Duration {
+	return time.Duration(n / p.rate(t) * p.targets[t.Name].pace * float64(time.Millisecond))
+}
+
+// nearest returns one of the targets, if possible in the zone of t, or nil.
+func nearest(targets []*camphorhinge.Target, t *camphorhinge.Target) *camphorhinge.Target {
+	var best *camphorhinge.Target
+	for _, x := range targets {
+		if best == nil || x.Zone == t.Zone && best.Zone != t.Zone {
+			best = x
+		}
 	}
-	missed = size - held
-	unread = max(req.Prompt-held, 1)
-	waiting := float64(s.unread) + s.others(now)*busyUnread*p.unread[req.Service]
-	took = time.Duration((waiting+float64(unread))/p.rate(t)*s.pace*float64(time.Millisecond)) + p.cfg.Rates.Step
-	return unread, missed, took
+	return best
 }
 
 // rate returns the tokens per millisecond that a target reads.
@@ -107,65 +177,43 @@
 	return p.cfg.Rates.Prefill
 }
 
-// penalty returns the cost of missed tokens and of failures, beside the expected time.
-func (p *Placer) penalty(now camphorhinge.Instant, t *camphorhinge.Target, missed camphorhinge.Tokens, took time.Duration) time.Duration {
-	cost := time.Duration(missCost * float64(missed) / p.rate(t) * float64(time.Millisecond))
-	return cost + time.Duration(4*p.of(now, t).share*float64(took))
-}
-
-// direct returns the best plan in which one engine reads the prompt and generates.
-func (p *Placer) direct(now camphorhinge.Instant, servers []*camphorhinge.Target, req *Request) (option, bool) {
-	var best option
-	found := false
-	for i, t := range nearest(req, servers) {
-		unread, missed, took := p.read(now, t, req, i == 0)
-		cost := took + p.penalty(now, t, missed, took) + p.crowd(now, t, req)
-		if !found || cost < best.cost {
-			found = true
-			best = option{Plan{Serve: t, Expected: took, Unread: unread, Reason: reason("direct", i)}, cost}
-		}
+// direct returns the plan in which one engine reads the prompt and generates.
+func (p *Placer) direct(c *scene, t *camphorhinge.Target) option {
+	r := p.read(c, t)
+	return option{
+		Plan{Serve: t, Fetch: r.fetch, Expected: r.took, Unread: r.unread, Reason: reason("direct", r.fetch)},
+		r.cost + p.crowd(c, t),
 	}
-	return best, found
 }
 
-func reason(plan string, home int) string {
-	if home == 0 {
-		return plan + " at home"
+func reason(plan string, fetch *camphorhinge.Target) string {
+	if fetch != nil {
+		return plan + " with fetched parts"
 	}
-	return plan + " beside a busy home"
+	return plan
 }
 
-// separate returns the best plan in which an engine of the prefill role reads the prompt.
-func (p *Placer) separate(now camphorhinge.Instant, readers, servers []*camphorhinge.Target, req *Request) (option, bool) {
-	var best option
-	found := false
-	for i, reader := range nearest(req, readers) {
-		unread, missed, took := p.read(now, reader, req, i == 0)
-		server, move := p.receiver(now, reader, servers, req)
-		if server == nil {
-			continue
-		}
-		took += move + p.cfg.Rates.Step
-		cost := took + p.penalty(now, reader, missed, took) + moveCost + p.crowd(now, server, req)
-		if !found || cost < best.cost {
-			found = true
-			best = option{Plan{Prefill: reader, Serve: server, Expected: took, Unread: unread, Reason: reason("separate prefill", i)}, cost}
-		}
+// separate returns the plan in which an engine of the prefill role reads the prompt.
+func (p *Placer) separate(c *scene, reader *camphorhinge.Target, servers []*camphorhinge.Target) option {
+	r := p.read(c, reader)
+	server, move := p.receiver(c, reader, servers)
+	move += p.of(c.now, server).backlog(c.now.Add(r.took))
+	took := r.took + move + p.cfg.Rates.Step
+	return option{
+		Plan{Prefill: reader, Serve: server, Fetch: r.fetch, Expected: took, Unread: r.unread, Reason: reason("separate prefill", r.fetch)},
+		r.cost + move + p.cfg.Rates.Step + separateCost + p.crowd(c, server),
 	}
-	return best, found
 }
 
 // receiver returns the engine that takes a KV cache from reader, and the time of the move.
-func (p *Placer) receiver(
-	now camphorhinge.Instant, reader *camphorhinge.Target, servers []*camphorhinge.Target, req *Request,
-) (*camphorhinge.Target, time.Duration) {
+func (p *Placer) receiver(c *scene, reader *camphorhinge.Target, servers []*camphorhinge.Target) (*camphorhinge.Target, time.Duration) {
 	var best *camphorhinge.Target
 	var least, move time.Duration
 	for _, t := range servers {
-		s := p.of(now, t)
-		took := moveTime(req, req.Engine, reader, t)
-		busy := float64(s.unread)/p.rate(t) + (float64(s.running)+s.others(now))*float64(p.cfg.Rates.Step/time.Millisecond)
-		cost := 2*took + time.Duration(busy*s.pace*float64(time.Millisecond)) + p.crowd(now, t, req)
+		s := p.of(c.now, t)
+		took := moveTime(c.req.Prompt, c.req.Engine, reader, t)
+		busy := s.backlog(c.now) + time.Duration((float64(s.running)+p.others(s, c.now))*float64(runningCost))
+		cost := 2*took + busy + p.crowd(c, t)
 		if best == nil || cost < least {
 			best, least, move = t, cost, took+p.cfg.Rates.Setup
 		}
@@ -173,12 +221,12 @@
 	return best, move
 }
 
-// moveTime returns the time to move the KV cache of a prompt over an idle link. A move between zones takes twice as long.
-func moveTime(req *Request, e *routing.Engine, from, to *camphorhinge.Target) time.Duration {
+// moveTime returns the time to move the KV cache of some tokens over an idle link. A move between zones takes twice as long.
+func moveTime(n camphorhinge.Tokens, e *routing.Engine, from, to *camphorhinge.Target) time.Duration {
 	if e.Link <= 0 {
 		return 0
 	}
-	bits := float64(req.Prompt) * float64(e.TokenBytes) * 8
+	bits := float64(n) * float64(e.TokenBytes) * 8
 	took := time.Duration(bits / (e.Link * 1e6) * float64(time.Second))
 	if from.Zone != to.Zone {
 		took *= 2
@@ -186,19 +234,18 @@
 	return took
 }
 
-// crowd returns the cost of an engine whose slots or memory are nearly taken, by this node's share of the requests.
-func (p *Placer) crowd(now camphorhinge.Instant, t *camphorhinge.Target, req *Request) time.Duration {
-	s := p.of(now, t)
+// crowd returns the cost of an engine whose slots or memory are nearly taken, as far as this node knows.
+func (p *Placer) crowd(c *scene, t *camphorhinge.Target) time.Duration {
+	s := p.of(c.now, t)
 	full := 0.0
 	if t.Slots > 0 {
-		full = (float64(s.running) + s.others(now)) / float64(t.Slots)
+		full = (float64(s.running) + p.others(s, c.now)) / float64(t.Slots)
 	}
-	if req.Engine.Memory > 0 {
-		full = max(full, float64(s.held+req.Prompt)/float64(req.Engine.Memory))
+	if c.req.Engine.Memory > 0 {
+		full = max(full, float64(s.held+c.req.Prompt)/float64(c.req.Engine.Memory))
 	}
-	const calm = 0.7
-	if full <= calm {
+	if full <= calmShare {
 		return 0
 	}
-	return time.Duration((full - calm) * float64(2*time.Second))
+	return time.Duration((full - calmShare) * float64(crowdCost))
 }
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -30,6 +30,8 @@
 	Seed uint64
 	// Rates are the speeds of engines; the zero value stands for DefaultRates.
 	Rates Rates
+	// Whole tells that the Placer places the requests of all nodes, so that it knows all work.
+	Whole bool
 }
 
 // Placer chooses targets. It is safe for concurrent use.
@@ -43,8 +45,6 @@
 	swept   camphorhinge.Instant
 	// plain is the mean time of an answer by plain service.
 	plain map[camphorhinge.ServiceName]time.Duration
-	// unread is the mean number of tokens that a request of a service has to have read.
-	unread map[camphorhinge.ServiceName]float64
 }
 
 // New returns a Placer that knows nothing yet.
@@ -58,7 +58,6 @@
 		targets: map[camphorhinge.TargetName]*state{},
 		seen:    map[camphorhinge.TargetName]camphorhinge.Instant{},
 		plain:   map[camphorhinge.ServiceName]time.Duration{},
-		unread:  map[camphorhinge.ServiceName]float64{},
 	}
 }
 
@@ -106,18 +105,42 @@
 	return open
 }
 
-// Pick returns where a request goes; ok is false when no live target may take it.
-func (p *Placer) Pick(now camphorhinge.Instant, live []*camphorhinge.Target, req Request) (Plan, bool) {
+// Place chooses where a request goes and notes the work; ok is false when no live target may take it.
+func (p *Placer) Place(now camphorhinge.Instant, live []*camphorhinge.Target, req Request) (*Placement, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	targets := p.candidates(now, live, &req)
 	if len(targets) == 0 {
-		return Plan{}, false
+		return nil, false
 	}
-	if req.Engine == nil {
-		return p.pickPlain(now, targets, &req), true
+	plan, ok := p.pickPlain(now, targets, &req), true
+	if req.Engine != nil {
+		plan, ok = p.pickEngine(now, targets, &req)
 	}
-	return p.pickEngine(now, targets, &req)
+	if !ok {
+		return nil, false
+	}
+	return p.adopt(now, plan, &req), true
+}
+
+// Adopt notes the work of a plan that was made elsewhere.
+func (p *Placer) Adopt(now camphorhinge.Instant, plan Plan, req Request) *Placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.adopt(now, plan, &req)
+}
+
+// Closed returns the targets that failed lately, as far as this Placer knows.
+func (p *Placer) Closed(now camphorhinge.Instant, live []*camphorhinge.Target) []camphorhinge.TargetName {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []camphorhinge.TargetName
+	for _, t := range live {
+		if s := p.targets[t.Name]; s != nil && s.incarnation == t.Incarnation && now < s.until {
+			out = append(out, t.Name)
+		}
+	}
+	return out
 }
 
 // pickPlain returns the least busy target, with some preference for the node's own zone.
@@ -126,7 +149,7 @@
 	var least float64
 	for _, t := range targets {
 		s := p.of(now, t)
-		busy := (float64(s.running)+s.others(now))*s.pace + p.random.Float64()*0.1
+		busy := (float64(s.running)+p.others(s, now))*s.pace + p.random.Float64()*0.1
 		if t.Zone != p.cfg.Zone {
 			busy += zoneCost
 		}
@@ -148,86 +171,10 @@
 	return Plan{Serve: best, Expected: expected, Reason: "least busy"}
 }
 
-// Work is what one attempt asks of a target.
-type Work struct {
-	// Unread are the prompt tokens that the target is expected to read, Held those that it keeps in memory.
-	Unread, Held camphorhinge.Tokens
-	// Parts are what the target holds in its cache afterwards.
-	Parts []Part
-	// Memory is the size of the target's KV cache.
-	Memory camphorhinge.Tokens
-	// Expected is the estimated time to the first event.
-	Expected time.Duration
-}
-
-// Flight is one attempt under way.
-type Flight struct {
-	placer  *Placer
-	service camphorhinge.ServiceName
-	state   *state
-	target  *camphorhinge.Target
-	work    Work
-	sent    camphorhinge.Instant
-	read    bool
-	ended   bool
-}
-
-// Sent notes an attempt; End must be called once.
-func (p *Placer) Sent(now camphorhinge.Instant, t *camphorhinge.Target, service camphorhinge.ServiceName, w Work) *Flight {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.of(now, t)
-	s.running++
-	s.unread += w.Unread
-	s.held += w.Held
-	if s.share >= suspectShare {
-		s.trial = now
-	}
-	if len(w.Parts) > 0 {
-		s.cache.add(now, w.Parts, w.Memory)
-		p.unread[service] += paceWeight * (float64(w.Unread) - p.unread[service])
-	}
-	return &Flight{placer: p, service: service, state: s, target: t, work: w, sent: now}
-}
-
-// First notes that the prompt has been read: the first event came.
-func (f *Flight) First(now camphorhinge.Instant) {
-	f.placer.mu.Lock()
-	defer f.placer.mu.Unlock()
-	if f.read || f.ended {
-		return
-	}
-	f.read = true
-	f.state.unread -= f.work.Unread
-	f.state.measure(now.Sub(f.sent), f.work.Expected)
-}
-
-// Load takes the target's word on its load from an answer.
-func (f *Flight) Load(now camphorhinge.Instant, l Load) {
-	f.placer.mu.Lock()
-	defer f.placer.mu.Unlock()
-	f.state.load, f.state.loadAt, f.state.hasLoad, f.state.mine = l, now, true, f.state.running
-}
-
-// End notes how the attempt ended.
-func (f *Flight) End(now camphorhinge.Instant, o Outcome) {
-	f.placer.mu.Lock()
-	defer f.placer.mu.Unlock()
-	if f.ended {
-		return
-	}
-	f.ended = true
-	f.state.running--
-	f.state.held -= f.work.Held
-	if !f.read {
-		f.state.unread -= f.work.Unread
-	}
-	f.state.end(now, o)
-	if o == Served && f.work.Held == 0 {
-		mean := f.placer.plain[f.service]
-		if mean == 0 {
-			mean = plainTime
-		}
-		f.placer.plain[f.service] = mean + time.Duration(plainWeight*float64(now.Sub(f.sent)-mean))
+// others estimates the number of requests of other nodes at a target.
+func (p *Placer) others(s *state, now camphorhinge.Instant) float64 {
+	if p.cfg.Whole {
+		return 0
 	}
+	return s.others(now)
 }
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -25,20 +25,23 @@
 	paceWeight = 0.15
 	// slowestPace and fastestPace bound a target's pace.
 	slowestPace, fastestPace = 8.0, 0.5
-	// cacheShare is the part of an engine's memory, in percent, that is taken to hold cached parts; running requests hold
-	// the rest.
-	cacheShare = 70
+	// leastRead is the least time that a prompt which is being read is taken to need still.
+	leastRead = 10 * time.Millisecond
+	// cacheShare is the part, in percent, of the memory that running requests leave which is taken to hold cached parts.
+	cacheShare = 90
 )
 
 // state is what a node knows of one target in one incarnation.
 type state struct {
 	incarnation camphorhinge.Incarnation
 	address     string
-	// running is the number of own attempts under way, unread the prompt tokens that they have still to read, and held
-	// their tokens in memory.
+	// running is the number of attempts under way, reading that of those whose prompt is not read yet, and held their
+	// tokens in memory.
 	running int
-	unread  camphorhinge.Tokens
+	reading int
 	held    camphorhinge.Tokens
+	// free is when all prompts are expected to be read.
+	free camphorhinge.Instant
 
 	load   Load
 	loadAt camphorhinge.Instant
@@ -69,6 +72,34 @@
 	return max(n, 0) * math.Exp2(-float64(age)/float64(loadHalfLife))
 }
 
+// backlog returns the time until the prompts that are waiting now are expected to be read.
+func (s *state) backlog(now camphorhinge.Instant) time.Duration {
+	if s.reading == 0 {
+		return 0
+	}
+	return max(s.free.Sub(now), time.Duration(s.reading)*leastRead)
+}
+
+// begin notes an attempt whose prompt takes some time to read, and returns when it is expected to be read.
+func (s *state) begin(now camphorhinge.Instant, read time.Duration) camphorhinge.Instant {
+	s.free = now.Add(s.backlog(now) + read)
+	s.reading++
+	return s.free
+}
+
+// finish notes that a prompt which was expected to be read at due has been read. The prompts behind it follow as much
+// sooner or later.
+func (s *state) finish(now, due camphorhinge.Instant) {
+	s.reading--
+	s.free = s.free.Add(now.Sub(due))
+}
+
+// cancel notes that a prompt won't be read any further; read is the time that it takes as a whole.
+func (s *state) cancel(now, due camphorhinge.Instant, read time.Duration) {
+	s.reading--
+	s.free = s.free.Add(-min(max(due.Sub(now), 0), read))
+}
+
 // open reports whether the target may get a request now.
 func (s *state) open(now camphorhinge.Instant) bool {
 	if now < s.until {
@@ -118,21 +149,24 @@
 type cached struct {
 	tokens camphorhinge.Tokens
 	used   camphorhinge.Instant
+	// ready is when the part is expected to have been read.
+	ready camphorhinge.Instant
 }
 
-// add notes that the engine holds parts now.
-func (c *cache) add(now camphorhinge.Instant, parts []Part, memory camphorhinge.Tokens) {
+// add notes that the engine holds parts from ready on.
+func (c *cache) add(now, ready camphorhinge.Instant, parts []Part, memory camphorhinge.Tokens) {
 	if c.parts == nil {
 		c.parts = map[uint64]cached{}
 	}
 	for _, p := range parts {
 		if old, ok := c.parts[p.Hash]; ok {
 			c.tokens -= old.tokens
+			ready = min(ready, old.ready)
 		}
-		c.parts[p.Hash] = cached{tokens: p.Tokens, used: now}
+		c.parts[p.Hash] = cached{tokens: p.Tokens, used: now, ready: ready}
 		c.tokens += p.Tokens
 	}
-	for limit := memory * cacheShare / 100; c.tokens > limit && len(c.parts) > len(parts); {
+	for limit := max(memory, 0) * cacheShare / 100; c.tokens > limit && len(c.parts) > len(parts); {
 		var oldest uint64
 		first := true
 		for hash, x := range c.parts {
@@ -145,7 +179,29 @@
 	}
 }
 
-// leading returns the tokens of the leading parts that the engine holds.
+// read notes that parts have been read.
+func (c *cache) read(now camphorhinge.Instant, parts []Part) {
+	for _, p := range parts {
+		if x, ok := c.parts[p.Hash]; ok && x.ready > now {
+			x.ready = now
+			c.parts[p.Hash] = x
+		}
+	}
+}
+
+// ready returns the tokens of the leading parts that the engine holds already.
+func (c *cache) ready(now camphorhinge.Instant, parts []Part) camphorhinge.Tokens {
+	var n camphorhinge.Tokens
+	for _, p := range parts {
+		if x, ok := c.parts[p.Hash]; !ok || x.ready > now {
+			break
+		}
+		n += p.Tokens
+	}
+	return n
+}
+
+// leading returns the tokens of the leading parts that the engine holds, or will hold once it has read what it has to.
 func (c *cache) leading(parts []Part) camphorhinge.Tokens {
 	var n camphorhinge.Tokens
 	for _, p := range parts {
--- a/internal/request/place/types.go
+++ b/internal/request/place/types.go
@@ -48,6 +48,8 @@
 	Prefill *camphorhinge.Target
 	// Serve is the target that runs the request.
 	Serve *camphorhinge.Target
+	// Fetch is the engine from which the reading engine fetches the shared parts that it lacks; nil when it fetches none.
+	Fetch *camphorhinge.Target
 	// Expected is the expected time to the first event, or to the answer of a plain service.
 	Expected time.Duration
 	// Unread is the number of prompt tokens that are expected to be read.
@@ -56,7 +58,7 @@
 	Reason string
 }
 
-// Outcome is how an attempt at a target ended.
+// Outcome is how an attempt at a target ended. The numbers are part of the protocol between nodes.
 type Outcome int
 
 const (
@@ -74,7 +76,7 @@
 	Unreachable
 	// Foreign marks an address that belongs to another process now.
 	Foreign
-	// Abandoned marks an attempt that ended for a reason of the caller's; it says nothing of the target.
+	// Abandoned marks an attempt that ended for a reason of the caller's, or was not made; it says nothing of the target.
 	Abandoned
 )
 
