Queue model requests until an engine can begin with them

Cause: requests waited at the engines, where their order can't be changed, and half of the work went to callers that had left after 2.4 s. The core node that places requests now holds them, the most urgent rank first and then those that can still be on time, and refuses those that can't be served before their callers give up.

--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// placeTimeout bounds the question to a core node: several round trips between zones. A request waits no longer.
+	// placeTimeout bounds the way of a question to a core node and back: several round trips between zones.
 	placeTimeout = 25 * time.Millisecond
 	// flushEvery is the time between two calls that only bring events.
 	flushEvery = 20 * time.Millisecond
@@ -71,16 +71,24 @@
 	}
 }
 
-// Place chooses where a request goes; ok is false when no target may take it.
-func (c *Client) Place(ctx context.Context, live []*camphorhinge.Target, req place.Request) (*place.Placement, bool) {
+// Place chooses where a request goes, which may take until an engine can begin with it; ok is false when no target may
+// take it. A refusal, if there is one, tells that it can't be served in time.
+func (c *Client) Place(
+	ctx context.Context, live []*camphorhinge.Target, req place.Request,
+) (p *place.Placement, refusal time.Duration, ok bool) {
 	if req.Engine != nil {
-		if p := c.ask(ctx, live, req); p != nil {
+		p, refusal, ok = c.ask(ctx, live, req)
+		if ok || refusal > 0 {
 			c.asked.Inc()
-			return p, true
+			return p, refusal, ok
+		}
+		if ctx.Err() != nil {
+			return nil, 0, false
 		}
 		c.alone.Inc()
 	}
-	return c.cfg.Local.Place(c.cfg.Clock.Now(), live, req)
+	p, ok = c.cfg.Local.Place(c.cfg.Clock.Now(), live, req)
+	return p, 0, ok
 }
 
 // scheduler returns the core node to ask: the first that is not avoided. All entry nodes prefer the same one.
@@ -93,8 +101,10 @@
 	return ""
 }
 
-// ask returns the placement by a core node, or nil.
-func (c *Client) ask(ctx context.Context, live []*camphorhinge.Target, req place.Request) *place.Placement {
+// ask returns the placement by a core node, or its refusal, or neither when no core node decided.
+func (c *Client) ask(
+	ctx context.Context, live []*camphorhinge.Target, req place.Request,
+) (p *place.Placement, refusal time.Duration, ok bool) {
 	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	address := c.scheduler(now)
@@ -102,37 +112,63 @@
 	id := c.next
 	c.mu.Unlock()
 	if address == "" {
-		return nil
+		return nil, 0, false
 	}
-	call := c.call(id, req)
+	call := c.call(now, id, req)
 	for _, name := range c.cfg.Local.Closed(now, live) {
 		call.Exclude = append(call.Exclude, string(name))
 	}
-	call.Events = c.take(now, address)
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	resp, err := c.cfg.Pool.Get(address).Feed.Place(ctx, call)
-	c.heard(c.cfg.Clock.Now(), address, err)
-	if err != nil || resp.GetServe() == "" {
-		return nil
+	resp, err := c.decide(ctx, address, call)
+	switch {
+	case err != nil || ctx.Err() != nil:
+		c.tell(address, id, false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
+		return nil, 0, false
+	case resp.GetRefused() > 0:
+		return nil, time.Duration(resp.GetRefused()) * time.Millisecond, false
+	case resp.GetServe() == "":
+		return nil, 0, false
 	}
-	plan, ok := planOf(live, resp)
-	if !ok {
+	plan, known := planOf(live, resp)
+	if !known {
 		c.tell(address, id, false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
-		return nil
+		return nil, 0, false
 	}
-	p := c.cfg.Local.Adopt(c.cfg.Clock.Now(), plan, req)
+	p = c.cfg.Local.Adopt(c.cfg.Clock.Now(), plan, req)
 	p.Server.Told = func(e place.Event) { c.tell(address, id, false, e) }
 	if p.Reader != nil {
 		p.Reader.Told = func(e place.Event) { c.tell(address, id, true, e) }
 	}
-	return p
+	return p, 0, true
 }
 
-func (c *Client) call(id uint64, req place.Request) *peerpb.PlaceRequest {
+// decide calls a core node until it has decided.
+func (c *Client) decide(ctx context.Context, address string, call *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
+	for {
+		call.Events = c.take(c.cfg.Clock.Now(), address)
+		one, cancel := context.WithTimeout(ctx, holdTime+placeTimeout)
+		resp, err := c.cfg.Pool.Get(address).Feed.Place(one, call)
+		cancel()
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		c.heard(c.cfg.Clock.Now(), address, err)
+		if err != nil || !resp.GetWaiting() {
+			return resp, err
+		}
+		call.Again = true
+	}
+}
+
+func (c *Client) call(now camphorhinge.Instant, id uint64, req place.Request) *peerpb.PlaceRequest {
 	call := &peerpb.PlaceRequest{
 		Node: string(c.cfg.Node), Start: c.start, Placement: id, Service: string(req.Service),
-		Prompt: uint32(req.Prompt), Output: uint32(req.Output), Direct: req.Direct,
+		Prompt: uint32(req.Prompt), Output: uint32(req.Output), Direct: req.Direct, Rank: uint32(max(req.Rank, 0)),
+	}
+	if req.Due > 0 {
+		call.Objective = req.Due.Sub(now).Milliseconds()
+	}
+	if req.Until > 0 {
+		call.Patience = req.Until.Sub(now).Milliseconds()
 	}
 	for _, p := range req.Parts {
 		call.Parts = append(call.Parts, p.Hash)
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -18,6 +18,12 @@
 	placementExpiry = 30 * time.Second
 	// sweepEvery is the time between two looks for what has expired.
 	sweepEvery = 2 * time.Second
+	// holdTime is how long a call is held whose request waits for an engine; the caller then asks again.
+	holdTime = 150 * time.Millisecond
+	// runEvery is the time between two looks at the waiting requests.
+	runEvery = 10 * time.Millisecond
+	// askAgain is how long a waiting request is kept without a call of its caller.
+	askAgain = 300 * time.Millisecond
 )
 
 // Config holds what a Scheduler needs.
@@ -31,10 +37,11 @@
 
 // Scheduler places the requests of all entry nodes.
 type Scheduler struct {
-	cfg    Config
-	placer *place.Placer
+	cfg Config
 
 	mu      sync.Mutex
+	placer  *place.Placer
+	queue   *place.Queue
 	callers map[string]*caller
 	swept   camphorhinge.Instant
 }
@@ -44,6 +51,7 @@
 	start      uint64
 	heard      camphorhinge.Instant
 	placements map[uint64]held
+	waiting    map[uint64]*ticket
 }
 
 type held struct {
@@ -51,56 +59,144 @@
 	since camphorhinge.Instant
 }
 
-// New returns a Scheduler that knows of no work.
+// ticket is a request that was asked to be placed and whose caller has not got the answer.
+type ticket struct {
+	waiting *place.Waiting
+	// asked is when the caller asked last.
+	asked   camphorhinge.Instant
+	decided chan struct{}
+	answer  *peerpb.PlaceResponse
+}
+
+// New returns a Scheduler that knows of no work; Run decides on the requests that wait.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{
-		cfg: cfg, placer: place.New(place.Config{Seed: cfg.Seed, Whole: true}), callers: map[string]*caller{},
+	placer := place.New(place.Config{Seed: cfg.Seed, Whole: true})
+	return &Scheduler{cfg: cfg, placer: placer, queue: place.NewQueue(placer), callers: map[string]*caller{}}
+}
+
+// Run looks at the waiting requests until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) error {
+	ticker := time.NewTicker(runEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := s.cfg.Clock.Now()
+		s.mu.Lock()
+		if s.queue.Len() > 0 {
+			s.queue.Run(now)
+		}
+		if now.Sub(s.swept) >= sweepEvery {
+			s.sweep(now)
+		}
+		s.mu.Unlock()
 	}
 }
 
 // Place takes the caller's events and chooses where its request runs, if there is one.
-func (s *Scheduler) Place(_ context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
+func (s *Scheduler) Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
+	t := s.take(req)
+	if t == nil {
+		return &peerpb.PlaceResponse{}, nil
+	}
+	timer := time.NewTimer(holdTime)
+	defer timer.Stop()
+	select {
+	case <-t.decided:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.answer == nil {
+		return &peerpb.PlaceResponse{Waiting: true}, nil
+	}
+	if c := s.callers[req.GetNode()]; c != nil {
+		delete(c.waiting, req.GetPlacement())
+	}
+	return t.answer, nil
+}
+
+// take applies the events of a call and returns the ticket of its request, or nil.
+func (s *Scheduler) take(req *peerpb.PlaceRequest) *ticket {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.caller(now, req)
 	for _, e := range req.GetEvents() {
-		c.take(now, e)
+		s.event(now, c, e)
+	}
+	if len(req.GetEvents()) > 0 && s.queue.Len() > 0 {
+		s.queue.Run(now)
 	}
-	resp := &peerpb.PlaceResponse{}
 	if req.GetPlacement() == 0 {
-		return resp, nil
+		return nil
+	}
+	if t := c.waiting[req.GetPlacement()]; t != nil {
+		t.asked = now
+		return t
 	}
 	config := s.cfg.Configuration()
 	if config == nil {
-		return resp, nil
+		return nil
 	}
 	service := config.Service(camphorhinge.ServiceName(req.GetService()))
 	if service == nil || service.Engine == nil {
-		return resp, nil
+		return nil
 	}
-	r := request(req)
+	return s.enqueue(now, c, req, service)
+}
+
+// enqueue makes the ticket of a new request.
+func (s *Scheduler) enqueue(now camphorhinge.Instant, c *caller, req *peerpb.PlaceRequest, service *routing.Service) *ticket {
+	t := &ticket{asked: now, decided: make(chan struct{})}
+	r := request(now, req)
 	r.Engine = service.Engine
-	placed, ok := s.placer.Place(now, s.cfg.Targets.Live(service.Name), r)
-	if !ok {
-		return resp, nil
+	id := req.GetPlacement()
+	t.waiting = &place.Waiting{
+		Request: r, Live: func() []*camphorhinge.Target { return s.cfg.Targets.Live(service.Name) },
+		Decided: func(p *place.Placement, retry time.Duration) {
+			t.answer = answer(p, retry)
+			if p != nil {
+				c.placements[id] = held{p, s.cfg.Clock.Now()}
+			}
+			close(t.decided)
+		},
+	}
+	c.waiting[id] = t
+	s.queue.Add(now, t.waiting)
+	return t
+}
+
+func answer(p *place.Placement, retry time.Duration) *peerpb.PlaceResponse {
+	if p == nil {
+		return &peerpb.PlaceResponse{Refused: uint64(retry.Milliseconds())}
 	}
-	c.placements[req.GetPlacement()] = held{placed, now}
-	resp.Serve, resp.Reason = string(placed.Serve.Name), placed.Reason
-	resp.Expected, resp.Unread = uint64(placed.Expected.Microseconds()), uint32(placed.Unread)
-	if placed.Prefill != nil {
-		resp.Prefill = string(placed.Prefill.Name)
+	resp := &peerpb.PlaceResponse{
+		Serve: string(p.Serve.Name), Reason: p.Reason, Expected: uint64(p.Expected.Microseconds()), Unread: uint32(p.Unread),
 	}
-	if placed.Fetch != nil {
-		resp.Fetch = string(placed.Fetch.Name)
+	if p.Prefill != nil {
+		resp.Prefill = string(p.Prefill.Name)
 	}
-	return resp, nil
+	if p.Fetch != nil {
+		resp.Fetch = string(p.Fetch.Name)
+	}
+	return resp
 }
 
-func request(req *peerpb.PlaceRequest) place.Request {
+func request(now camphorhinge.Instant, req *peerpb.PlaceRequest) place.Request {
 	r := place.Request{
 		Service: camphorhinge.ServiceName(req.GetService()), Prompt: camphorhinge.Tokens(req.GetPrompt()),
-		Output: camphorhinge.Tokens(req.GetOutput()), Direct: req.GetDirect(),
+		Output: camphorhinge.Tokens(req.GetOutput()), Direct: req.GetDirect(), Rank: int(req.GetRank()),
+	}
+	if ms := req.GetObjective(); ms != 0 {
+		r.Due = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	if ms := req.GetPatience(); ms != 0 {
+		r.Until = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	for i, hash := range req.GetParts() {
 		if i < len(req.GetSizes()) {
@@ -115,27 +211,25 @@
 
 // caller returns what is held of the calling node; an earlier start of it has no work any more.
 func (s *Scheduler) caller(now camphorhinge.Instant, req *peerpb.PlaceRequest) *caller {
-	if now.Sub(s.swept) >= sweepEvery {
-		s.sweep(now)
-	}
 	c := s.callers[req.GetNode()]
 	if c == nil || c.start != req.GetStart() {
 		if c != nil {
-			c.close(now)
+			s.close(now, c)
 		}
-		c = &caller{start: req.GetStart(), placements: map[uint64]held{}}
+		c = &caller{start: req.GetStart(), placements: map[uint64]held{}, waiting: map[uint64]*ticket{}}
 		s.callers[req.GetNode()] = c
 	}
 	c.heard = now
 	return c
 }
 
-// sweep ends the placements of callers that are gone, and those whose end was not told.
+// sweep ends the placements of callers that are gone, and those whose end was not told, and forgets requests whose caller
+// does not ask any more.
 func (s *Scheduler) sweep(now camphorhinge.Instant) {
 	s.swept = now
 	for name, c := range s.callers {
 		if now.Sub(c.heard) > callerExpiry {
-			c.close(now)
+			s.close(now, c)
 			delete(s.callers, name)
 			continue
 		}
@@ -145,17 +239,30 @@
 				delete(c.placements, id)
 			}
 		}
+		for id, t := range c.waiting {
+			if now.Sub(t.asked) > holdTime+askAgain {
+				s.queue.Remove(t.waiting)
+				delete(c.waiting, id)
+			}
+		}
 	}
 }
 
-func (c *caller) close(now camphorhinge.Instant) {
+func (s *Scheduler) close(now camphorhinge.Instant, c *caller) {
 	for _, p := range c.placements {
 		p.Close(now)
 	}
+	for _, t := range c.waiting {
+		s.queue.Remove(t.waiting)
+	}
 }
 
-// take applies an event to the caller's placement.
-func (c *caller) take(now camphorhinge.Instant, e *peerpb.PlaceEvent) {
+// event applies what a caller tells of one of its placements.
+func (s *Scheduler) event(now camphorhinge.Instant, c *caller, e *peerpb.PlaceEvent) {
+	if t := c.waiting[e.GetPlacement()]; t != nil && e.GetEnded() {
+		s.queue.Remove(t.waiting)
+		delete(c.waiting, e.GetPlacement())
+	}
 	p, ok := c.placements[e.GetPlacement()]
 	if !ok {
 		return
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -65,9 +65,10 @@
 // nodes.
 type Core struct {
 	*Server
-	settings setting.Core
-	ports    *web.Server
-	metering *web.Server
+	settings  setting.Core
+	scheduler *schedule.Scheduler
+	ports     *web.Server
+	metering  *web.Server
 }
 
 var _ Control = (*Core)(nil)
@@ -102,11 +103,12 @@
 	c.spreader = spread.New(spread.Config{
 		Node: c.cfg.Node, Registry: c.registry, Pool: c.pool, Others: c.otherCores, Metrics: c.metrics,
 	})
+	c.scheduler = schedule.New(schedule.Config{
+		Targets: c.registry, Configuration: c.routes.Current, Clock: c.clock, Seed: c.seed(),
+	})
 	c.source = feed.NewSource(feed.SourceConfig{
 		Registry: c.registry, Table: c.routes, Cores: c.durable.cores, Scores: c.durable.scores, Clock: c.clock,
-		Scheduler: schedule.New(schedule.Config{
-			Targets: c.registry, Configuration: c.routes.Current, Clock: c.clock, Seed: c.seed(),
-		}),
+		Scheduler: c.scheduler,
 	})
 	c.buildControl()
 	return nil
@@ -157,6 +159,7 @@
 	defer closePorts()
 	g.Go(func() error { return c.peers.Serve(work, c.services()) })
 	g.Go(func() error { return c.spreader.Share(work) })
+	g.Go(func() error { return c.scheduler.Run(work) })
 	g.Go(func() error { return c.durable.run(work) })
 	g.Go(func() error {
 		defer halt()
--- a/internal/record/routing/config.go
+++ b/internal/record/routing/config.go
@@ -43,6 +43,8 @@
 	Objective time.Duration `json:"objective,omitempty"`
 	// Gap is the longest pause between two events that is still on time.
 	Gap time.Duration `json:"gap,omitempty"`
+	// Patience is how long a caller waits for the first event of a stream; 0 when it waits for the whole time-out.
+	Patience time.Duration `json:"patience,omitempty"`
 	// Rank orders routes by urgency; 0 is the most urgent.
 	Rank int `json:"rank"`
 	// Attempts is the greatest number of targets that one request may run on.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -89,8 +89,9 @@
 
 // Placer chooses where requests go; *schedule.Client implements it.
 type Placer interface {
-	// Place chooses where a request goes and notes the work; ok is false when no live target may take it.
-	Place(ctx context.Context, live []*camphorhinge.Target, req place.Request) (p *place.Placement, ok bool)
+	// Place chooses where a request goes and notes the work; ok is false when no live target may take it. A refusal above 0
+	// tells that it can't be served in time, and when its caller may come again.
+	Place(ctx context.Context, live []*camphorhinge.Target, req place.Request) (p *place.Placement, refusal time.Duration, ok bool)
 }
 
 // Quarantine refuses requests that crash targets; *quarantine.Client implements it.
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -59,7 +59,13 @@
 		if err := j.mayTry(ctx, try, last); err != nil {
 			return err
 		}
-		placed, ok := j.f.cfg.Placer.Place(ctx, j.f.cfg.Targets.Live(j.service.Name), j.request())
+		placed, refusal, ok := j.f.cfg.Placer.Place(ctx, j.f.cfg.Targets.Live(j.service.Name), j.request())
+		if !ok && ctx.Err() != nil {
+			return j.interrupted(ctx)
+		}
+		if refusal > 0 && j.runs == 0 {
+			return later(KindOverload, refusal, "the request can't be served before its caller gives up")
+		}
 		if !ok && len(j.exclude) > 0 {
 			return j.failed(ctx, last)
 		}
@@ -75,6 +81,18 @@
 	}
 }
 
+// interrupted returns the Error of a request whose time was over, or whose caller left, before it was sent.
+func (j *job) interrupted(ctx context.Context) *Error {
+	e := &Error{Op: "place", Kind: KindLeft, Run: camphorhinge.NotRun, Status: http.StatusServiceUnavailable, Err: ctx.Err()}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		e.Kind, e.RetryAfter = KindDeadline, targetPause
+	}
+	if j.runs > 0 {
+		e.Run, e.Status = camphorhinge.Unknown, http.StatusGatewayTimeout
+	}
+	return e
+}
+
 func (j *job) noTarget() *Error {
 	if j.runs > 0 {
 		return &Error{Op: "place", Kind: KindTarget, Run: camphorhinge.Unknown, Status: http.StatusBadGateway, Err: errNoOther}
@@ -152,10 +170,18 @@
 
 // request returns what the Placer needs to know.
 func (j *job) request() place.Request {
-	return place.Request{
+	r := place.Request{
+		Rank:    j.route.Rank,
 		Service: j.service.Name, Engine: j.service.Engine, Parts: j.ask.Parts, Prompt: j.ask.Prompt, Output: j.ask.Output,
 		Exclude: j.exclude, Direct: j.direct || j.headed,
 	}
+	if j.route.Objective > 0 {
+		r.Due = j.began.Add(j.route.Objective)
+	}
+	if patience := j.route.Patience; patience > 0 {
+		r.Until = j.began.Add(patience)
+	}
+	return r
 }
 
 // call returns the attempt at a target.
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -58,14 +58,15 @@
 	holders []*camphorhinge.Target
 }
 
-// option is a plan with its cost, which is its expected time with what it displaces.
+// option is a plan with its cost, which is its expected time with what it displaces, and the time until its first engine
+// begins.
 type option struct {
 	Plan
-	cost time.Duration
+	cost, wait time.Duration
 }
 
 // pickEngine returns the plan with the least cost.
-func (p *Placer) pickEngine(now camphorhinge.Instant, targets []*camphorhinge.Target, req *Request) (Plan, bool) {
+func (p *Placer) pickEngine(now camphorhinge.Instant, targets []*camphorhinge.Target, req *Request) (option, bool) {
 	var readers, servers []*camphorhinge.Target
 	for _, t := range targets {
 		if t.Role == camphorhinge.RolePrefill {
@@ -75,7 +76,7 @@
 		}
 	}
 	if len(servers) == 0 {
-		return Plan{}, false
+		return option{}, false
 	}
 	c := &scene{now: now, req: req}
 	c.shared, c.size = req.shared()
@@ -96,7 +97,7 @@
 			better(p.separate(c, t, servers))
 		}
 	}
-	return best.Plan, true
+	return best, true
 }
 
 // findHolders finds the engines that hold the shared parts of a request.
@@ -116,10 +117,9 @@
 
 // reading is the estimate of one engine that reads a prompt.
 type reading struct {
-	fetch  *camphorhinge.Target
-	unread camphorhinge.Tokens
-	took   time.Duration
-	cost   time.Duration
+	fetch            *camphorhinge.Target
+	unread           camphorhinge.Tokens
+	wait, took, cost time.Duration
 }
 
 // read estimates the reading of the prompt at a target, which fetches the shared parts that it lacks from a holder.
@@ -146,9 +146,9 @@
 		}
 	}
 	r.unread = max(c.req.Prompt-c.size, 1) + unknown
-	waiting := s.backlog(c.now) + time.Duration(p.others(s, c.now)*float64(otherTime))
+	r.wait = s.backlog(c.now) + time.Duration(p.others(s, c.now)*float64(otherTime))
 	// The transfer runs while the requests before this one are read.
-	r.took = max(waiting, move) + p.toRead(t, float64(r.unread)) + p.cfg.Rates.Step
+	r.took = max(r.wait, move) + p.toRead(t, float64(r.unread)) + p.cfg.Rates.Step
 	r.cost = r.took + time.Duration(4*s.share*float64(r.took)) + p.toRead(t, displaceCost*float64(missing))
 	return r
 }
@@ -182,7 +182,7 @@
 	r := p.read(c, t)
 	return option{
 		Plan{Serve: t, Fetch: r.fetch, Expected: r.took, Unread: r.unread, Reason: reason("direct", r.fetch)},
-		r.cost + p.crowd(c, t),
+		r.cost + p.crowd(c, t), r.wait,
 	}
 }
 
@@ -201,7 +201,7 @@
 	took := r.took + move + p.cfg.Rates.Step
 	return option{
 		Plan{Prefill: reader, Serve: server, Fetch: r.fetch, Expected: took, Unread: r.unread, Reason: reason("separate prefill", r.fetch)},
-		r.cost + move + p.cfg.Rates.Step + separateCost + p.crowd(c, server),
+		r.cost + move + p.cfg.Rates.Step + separateCost + p.crowd(c, server), r.wait,
 	}
 }
 
--- a/internal/request/place/placement.go
+++ b/internal/request/place/placement.go
@@ -135,6 +135,7 @@
 	if f.reading {
 		f.reading = false
 		f.state.cancel(now, f.due, f.read)
+		f.state.cache.drop(now, f.parts)
 	}
 	f.state.end(now, o)
 	if o == Served && f.held == 0 {
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -109,18 +109,23 @@
 func (p *Placer) Place(now camphorhinge.Instant, live []*camphorhinge.Target, req Request) (*Placement, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	targets := p.candidates(now, live, &req)
-	if len(targets) == 0 {
+	best, ok := p.pick(now, live, &req)
+	if !ok {
 		return nil, false
 	}
-	plan, ok := p.pickPlain(now, targets, &req), true
-	if req.Engine != nil {
-		plan, ok = p.pickEngine(now, targets, &req)
+	return p.adopt(now, best.Plan, &req), true
+}
+
+// pick returns the best plan of a request.
+func (p *Placer) pick(now camphorhinge.Instant, live []*camphorhinge.Target, req *Request) (option, bool) {
+	targets := p.candidates(now, live, req)
+	if len(targets) == 0 {
+		return option{}, false
 	}
-	if !ok {
-		return nil, false
+	if req.Engine != nil {
+		return p.pickEngine(now, targets, req)
 	}
-	return p.adopt(now, plan, &req), true
+	return option{Plan: p.pickPlain(now, targets, req)}, true
 }
 
 // Adopt notes the work of a plan that was made elsewhere.
--- /dev/null
+++ b/internal/request/place/queue.go
@@ -0,0 +1,108 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	// queueAhead is the work that an engine gets ahead, as time; it covers the way of a placement to the engine and of the
+	// word that a prompt has been read. More would only wait at the engine, in an order that can't be changed any more.
+	queueAhead = 60 * time.Millisecond
+	// refuseMargin is the part of a caller's patience that a request needs at least, besides its expected time.
+	refuseMargin = 50 * time.Millisecond
+	// leastRetry and mostRetry bound the time after which a refused caller may come again.
+	leastRetry, mostRetry = 200 * time.Millisecond, 2 * time.Second
+	// looksPerRound bounds the waiting requests that one round looks at.
+	looksPerRound = 64
+)
+
+// Queue holds model requests until an engine can begin with them. The most urgent rank goes first; within it the requests
+// that can still be on time, in the order of their arrival. A request that can't be served before its caller gives up is
+// refused as soon as that is known.
+//
+// It is not safe for concurrent use.
+type Queue struct {
+	placer  *Placer
+	waiting []*Waiting
+}
+
+// Waiting is a request in a Queue.
+type Waiting struct {
+	Request
+	// Live returns the live targets of the request's service.
+	Live func() []*camphorhinge.Target
+	// Decided is called once, with a placement, or with nil and the time after which the caller may come again; 0 for that
+	// time tells that there is no target.
+	Decided func(p *Placement, retry time.Duration)
+	arrived camphorhinge.Instant
+	late    bool
+	gone    bool
+}
+
+// NewQueue returns an empty Queue that places by p.
+func NewQueue(p *Placer) *Queue { return &Queue{placer: p} }
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return len(q.waiting) }
+
+// Add takes a request and decides what can be decided now.
+func (q *Queue) Add(now camphorhinge.Instant, w *Waiting) {
+	w.arrived = now
+	q.waiting = append(q.waiting, w)
+	q.Run(now)
+}
+
+// Remove forgets a request whose caller has left.
+func (q *Queue) Remove(w *Waiting) {
+	w.gone = true
+	if i := slices.Index(q.waiting, w); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+}
+
+// Run decides on the requests for which an engine can begin now, and on those that can't be served any more. It is called
+// after each change of an engine's work and from time to time.
+func (q *Queue) Run(now camphorhinge.Instant) {
+	slices.SortStableFunc(q.waiting, func(a, b *Waiting) int {
+		if a.late != b.late {
+			if a.late {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.arrived, b.arrived))
+	})
+	var ahead time.Duration
+	kept := q.waiting[:0]
+	for i, w := range q.waiting {
+		if i >= looksPerRound || !q.decide(now, w, ahead) {
+			kept = append(kept, w)
+			ahead += queueAhead / 4
+		}
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
+
+// decide reports whether it decided on w.
+func (q *Queue) decide(now camphorhinge.Instant, w *Waiting, ahead time.Duration) bool {
+	q.placer.mu.Lock()
+	defer q.placer.mu.Unlock()
+	best, ok := q.placer.pick(now, w.Live(), &w.Request)
+	switch {
+	case !ok:
+		w.Decided(nil, 0)
+	case w.Until > 0 && now.Add(best.Expected+refuseMargin) > w.Until:
+		w.Decided(nil, min(max(best.wait+ahead, leastRetry), mostRetry))
+	case best.wait <= queueAhead:
+		w.Decided(q.placer.adopt(now, best.Plan, &w.Request), 0)
+	default:
+		w.late = w.Due > 0 && now.Add(best.Expected) > w.Due
+		return false
+	}
+	return true
+}
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -189,6 +189,16 @@
 	}
 }
 
+// drop forgets parts that were to be read and were not.
+func (c *cache) drop(now camphorhinge.Instant, parts []Part) {
+	for _, p := range parts {
+		if x, ok := c.parts[p.Hash]; ok && x.ready > now {
+			c.tokens -= x.tokens
+			delete(c.parts, p.Hash)
+		}
+	}
+}
+
 // ready returns the tokens of the leading parts that the engine holds already.
 func (c *cache) ready(now camphorhinge.Instant, parts []Part) camphorhinge.Tokens {
 	var n camphorhinge.Tokens
--- a/internal/request/place/types.go
+++ b/internal/request/place/types.go
@@ -27,6 +27,10 @@
 	Exclude []camphorhinge.TargetName
 	// Direct rules out a plan with a separate prefill engine.
 	Direct bool
+	// Rank is that of the route; 0 is the most urgent.
+	Rank int
+	// Due is when the first event becomes late, Until when the caller gives up; 0 stands for no bound.
+	Due, Until camphorhinge.Instant
 }
 
 // shared returns the parts that other requests have as well, and their size.
