--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -35,13 +35,17 @@
 	exclude        []camphorhinge.TargetName
 	// prefilled is set once a target has accepted to read the prompt, direct when no separate prefill is tried any more.
 	prefilled, direct bool
+	// paid is set when the next attempt was taken from the retry budget already.
+	paid bool
 	// headed is set once the answer's header was sent, after which after is the id of the last event that was sent.
 	headed bool
 	after  string
 
 	// plan is the last plan, and first is when the first event was sent.
-	plan  place.Plan
-	first camphorhinge.Instant
+	plan place.Plan
+	// placed is when it was made.
+	placed camphorhinge.Instant
+	first  camphorhinge.Instant
 	// read is how long the last separate prefill took.
 	read time.Duration
 	// status is that of the answer that was passed on.
@@ -72,7 +76,7 @@
 		if !ok {
 			return j.noTarget()
 		}
-		j.plan = placed.Plan
+		j.plan, j.placed = placed.Plan, j.f.cfg.Clock.Now()
 		last = j.attempt(ctx, placed)
 		placed.Close(j.f.cfg.Clock.Now())
 		if last == nil {
@@ -113,7 +117,8 @@
 	if ctx.Err() != nil || try >= tries || !j.repeatable(last) {
 		return j.failed(ctx, last)
 	}
-	if j.arrivals == 0 {
+	if j.arrivals == 0 || j.paid {
+		j.paid = false
 		return nil
 	}
 	if !j.f.cfg.Budget.Take(j.f.cfg.Clock.Now(), j.service.Name, j.f.cfg.Nodes()) {
@@ -378,7 +383,9 @@
 	end := j.f.cfg.Quarantine.Begin(call.Target, j.print)
 	result, err := j.relay(ctx, call, flight)
 	if err != nil {
-		result = outcome(err, ctx)
+		if err.Kind != exchange.KindStatus {
+			result = outcome(err, ctx)
+		}
 		j.exclude = append(j.exclude, call.Target.Name)
 		if err.Run != camphorhinge.NotRun {
 			j.runs++
@@ -412,6 +419,11 @@
 		return place.Broken, err
 	}
 	flight.First(j.f.cfg.Clock.Now())
+	if answer.Status >= http.StatusInternalServerError && j.mayRepeatError(ctx) {
+		return place.Errored, &exchange.Error{
+			Op: "answer", Kind: exchange.KindStatus, Run: camphorhinge.Run, Status: answer.Status, Err: errStatus,
+		}
+	}
 	j.deliver(answer, body)
 	if answer.Status >= http.StatusInternalServerError {
 		return place.Errored, nil
@@ -419,6 +431,19 @@
 	return place.Served, nil
 }
 
+// errStatus marks a server error of a target.
+var errStatus = errors.New("the target answered with a server error")
+
+// mayRepeatError reports whether a request that got a server error goes to another target instead. The answer is kept from
+// the caller only when that attempt is sure to be made.
+func (j *job) mayRepeatError(ctx context.Context) bool {
+	if j.route.Repeat != routing.RepeatFreely || j.runs+1 >= j.limit() || ctx.Err() != nil || j.paid {
+		return false
+	}
+	j.paid = j.f.cfg.Budget.Take(j.f.cfg.Clock.Now(), j.service.Name, j.f.cfg.Nodes())
+	return j.paid
+}
+
 // errNoStream marks an answer to a stream that goes on which is no stream.
 var errNoStream = errors.New("the answer is not an event stream")
 
--- a/internal/request/forward/note.go
+++ b/internal/request/forward/note.go
@@ -48,7 +48,7 @@
 		attrs = append(attrs, "route", j.route.Name, "service", service)
 	}
 	if t := j.plan.Serve; t != nil {
-		attrs = append(attrs, "target", t.Name, "plan", j.plan.Reason, "expected_ms", j.plan.Expected.Milliseconds(),
+		attrs = append(attrs, "queued_ms", j.placed.Sub(j.began).Milliseconds(), "target", t.Name, "plan", j.plan.Reason, "expected_ms", j.plan.Expected.Milliseconds(),
 			"prompt", j.ask.Prompt, "unread", j.plan.Unread)
 	}
 	if t := j.plan.Prefill; t != nil {
--- a/internal/request/place/placement.go
+++ b/internal/request/place/placement.go
@@ -50,6 +50,8 @@
 	due     camphorhinge.Instant
 	read    time.Duration
 	reading bool
+	// began is set once the first event came.
+	began bool
 	// expected is the estimated time to the first event, or 0 when another engine reads the prompt.
 	expected time.Duration
 	ended    bool
@@ -95,11 +97,14 @@
 // First notes that the prompt has been read: the first event came.
 func (f *Flight) First(now camphorhinge.Instant) {
 	f.placer.mu.Lock()
-	was := f.reading && !f.ended
+	was := !f.began && !f.ended
 	if was {
+		f.began = true
+		f.state.cache.read(now, f.parts)
+	}
+	if was && f.reading {
 		f.reading = false
 		f.state.finish(now, f.due)
-		f.state.cache.read(now, f.parts)
 		f.state.measure(now.Sub(f.sent), f.expected)
 	}
 	f.placer.mu.Unlock()
@@ -135,6 +140,8 @@
 	if f.reading {
 		f.reading = false
 		f.state.cancel(now, f.due, f.read)
+	}
+	if !f.began {
 		f.state.cache.drop(now, f.parts)
 	}
 	f.state.end(now, o)
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -20,9 +20,10 @@
 	looksPerRound = 64
 )
 
-// Queue holds model requests until an engine can begin with them. The most urgent rank goes first; within it the requests
-// that can still be on time, in the order of their arrival. A request that can't be served before its caller gives up is
-// refused as soon as that is known.
+// Queue holds model requests until an engine can begin with them. Requests that can still be on time go first, the most
+// urgent rank first and in the order of their arrival. One that is too large to be on time keeps its place among them, so
+// that large requests are not left behind. A request that can't be served before its caller gives up is refused as soon as
+// that is known.
 //
 // It is not safe for concurrent use.
 type Queue struct {
@@ -39,8 +40,11 @@
 	// time tells that there is no target.
 	Decided func(p *Placement, retry time.Duration)
 	arrived camphorhinge.Instant
-	late    bool
-	gone    bool
+	// work is the time that the request needs of all engines together.
+	work time.Duration
+	// late is set once the request can't be on time any more, hopeless when it never could.
+	late, hopeless bool
+	gone           bool
 }
 
 // NewQueue returns an empty Queue that places by p.
@@ -76,12 +80,13 @@
 		}
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.arrived, b.arrived))
 	})
+	// ahead is the work of the requests that go first, divided among the engines.
 	var ahead time.Duration
 	kept := q.waiting[:0]
 	for i, w := range q.waiting {
 		if i >= looksPerRound || !q.decide(now, w, ahead) {
 			kept = append(kept, w)
-			ahead += queueAhead / 4
+			ahead += w.work
 		}
 	}
 	clear(q.waiting[len(kept):])
@@ -92,16 +97,22 @@
 func (q *Queue) decide(now camphorhinge.Instant, w *Waiting, ahead time.Duration) bool {
 	q.placer.mu.Lock()
 	defer q.placer.mu.Unlock()
-	best, ok := q.placer.pick(now, w.Live(), &w.Request)
+	live := w.Live()
+	best, ok := q.placer.pick(now, live, &w.Request)
+	if ok && w.work == 0 {
+		alone := best.Expected - best.wait
+		w.work = max(alone/time.Duration(len(live)), time.Microsecond)
+		w.hopeless = w.Due > 0 && now.Add(alone) > w.Due
+	}
 	switch {
 	case !ok:
 		w.Decided(nil, 0)
-	case w.Until > 0 && now.Add(best.Expected+refuseMargin) > w.Until:
+	case w.Until > 0 && now.Add(max(best.Expected, best.Expected-best.wait+ahead)+refuseMargin) > w.Until:
 		w.Decided(nil, min(max(best.wait+ahead, leastRetry), mostRetry))
 	case best.wait <= queueAhead:
 		w.Decided(q.placer.adopt(now, best.Plan, &w.Request), 0)
 	default:
-		w.late = w.Due > 0 && now.Add(best.Expected) > w.Due
+		w.late = !w.hopeless && w.Due > 0 && now.Add(best.Expected) > w.Due
 		return false
 	}
 	return true
