Give most engines the prefill role before there is load

Cause: an engine in the decode role reads prompts at less than half the speed, and two thirds of the engines had that role while decoding filled a few of their 64 slots.

--- /dev/null
+++ b/internal/fleet/balance/balancer.go
@@ -0,0 +1,243 @@
+package balance
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	// interval is the time between two plans.
+	interval = 250 * time.Millisecond
+	// orderTimeout bounds one call to an engine.
+	orderTimeout = time.Second
+	// restTime is how long an engine is left alone after an order that failed, and a service after a change under load.
+	restTime = 10 * time.Second
+	// changeTime bounds the time in which an announcement shows a change that was accepted.
+	changeTime = 15 * time.Second
+	// settleTime is how long the set of engines must not have grown before the first plan.
+	settleTime = 1500 * time.Millisecond
+)
+
+// State is what an engine says of itself when it is asked.
+type State struct {
+	Role camphorhinge.Role
+	// Accepted is the number of orders that it accepted since its start.
+	Accepted uint64
+	// Busy is true while an order is being carried out.
+	Busy bool
+}
+
+// Order is an order to an engine.
+type Order struct {
+	Role camphorhinge.Role
+	// Holder is the node that gives the order, Fence its fencing token.
+	Holder camphorhinge.NodeID
+	Fence  camphorhinge.Term
+	// Accepted is the number of accepted orders that the engine must have for this one to take effect.
+	Accepted uint64
+}
+
+// Engines carries orders to engines.
+type Engines interface {
+	// Read asks an engine for its state.
+	Read(ctx context.Context, t *camphorhinge.Target) (State, error)
+	// Order sends an order once. An *Error of KindRefused tells that it has no effect; after any other error it may.
+	Order(ctx context.Context, t *camphorhinge.Target, o Order) error
+}
+
+// Authority tells whether this process leads; *replica.Replica implements it.
+type Authority interface {
+	// Authority returns the term of the leader's lease; valid is false when no lease is held now.
+	Authority() (term camphorhinge.Term, valid bool)
+}
+
+// Config holds what a Balancer needs.
+type Config struct {
+	Node      camphorhinge.NodeID
+	Authority Authority
+	Targets   camphorhinge.Targets
+	// Services returns the services with engines.
+	Services func() []camphorhinge.ServiceName
+	// Load returns the measured load of a service.
+	Load    func(ctx context.Context, service camphorhinge.ServiceName) Load
+	Engines Engines
+	Clock   camphorhinge.Clock
+	// Handover is how long a new leader waits before its first order, so that holders don't take turns.
+	Handover time.Duration
+	Log      *slog.Logger
+	Metrics  *metrics.Set
+}
+
+// Balancer orders role changes while this process leads.
+type Balancer struct {
+	cfg  Config
+	term camphorhinge.Term
+	// since is when the present leadership was seen first.
+	since camphorhinge.Instant
+	// engines holds what is known of the engines that got orders, by name.
+	engines map[camphorhinge.TargetName]*known
+	// counts and grown tell when the set of a service's engines grew last.
+	counts map[camphorhinge.ServiceName]int
+	grown  map[camphorhinge.ServiceName]camphorhinge.Instant
+	rested map[camphorhinge.ServiceName]camphorhinge.Instant
+
+	orders, failures *metrics.Counter
+}
+
+// known is what the Balancer knows of an engine in one incarnation.
+type known struct {
+	incarnation camphorhinge.Incarnation
+	accepted    uint64
+	// unsure is set while the outcome of an order is unknown; the engine is asked before the next one.
+	unsure bool
+	to     camphorhinge.Role
+	// until is the end of a change under way, or of a rest.
+	until    camphorhinge.Instant
+	changing bool
+}
+
+// New returns a Balancer; Run starts it.
+func New(cfg Config) *Balancer {
+	return &Balancer{
+		cfg: cfg, engines: map[camphorhinge.TargetName]*known{}, counts: map[camphorhinge.ServiceName]int{},
+		grown:    map[camphorhinge.ServiceName]camphorhinge.Instant{},
+		rested:   map[camphorhinge.ServiceName]camphorhinge.Instant{},
+		orders:   cfg.Metrics.NewCounter(`camphorhinge_role_orders_total{result="accepted"}`),
+		failures: cfg.Metrics.NewCounter(`camphorhinge_role_orders_total{result="failed"}`),
+	}
+}
+
+// Run plans and orders until ctx ends. Without the lease it does nothing.
+func (b *Balancer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			b.step(ctx)
+		}
+	}
+}
+
+// may reports whether this process may give orders now.
+func (b *Balancer) may(now camphorhinge.Instant) bool {
+	term, ok := b.cfg.Authority.Authority()
+	if !ok {
+		b.term = 0
+		return false
+	}
+	if term != b.term {
+		b.term, b.since = term, now
+		clear(b.engines)
+	}
+	return now.Sub(b.since) >= b.cfg.Handover
+}
+
+func (b *Balancer) step(ctx context.Context) {
+	now := b.cfg.Clock.Now()
+	if !b.may(now) {
+		return
+	}
+	for _, service := range b.cfg.Services() {
+		live := b.cfg.Targets.Live(service)
+		if len(live) > b.counts[service] {
+			b.grown[service] = now
+		}
+		b.counts[service] = len(live)
+		if now.Sub(b.grown[service]) < settleTime || now < b.rested[service] {
+			continue
+		}
+		b.balance(ctx, now, service, live)
+	}
+}
+
+// balance orders the next changes of one service.
+func (b *Balancer) balance(ctx context.Context, now camphorhinge.Instant, service camphorhinge.ServiceName, live []*camphorhinge.Target) {
+	var engines []Engine
+	for _, t := range live {
+		k := b.engines[t.Name]
+		if k != nil && k.incarnation != t.Incarnation {
+			delete(b.engines, t.Name)
+			k = nil
+		}
+		e := Engine{Target: t}
+		if k != nil {
+			if k.changing && (t.Role == k.to || now >= k.until) {
+				k.changing, k.until = false, now
+			}
+			if e.Changing = k.changing; k.changing {
+				future := *t
+				future.Role = k.to
+				e.Target = &future
+			}
+			e.Resting = now < k.until
+		}
+		engines = append(engines, e)
+	}
+	load := b.cfg.Load(ctx, service)
+	changes := Plan(engines, load)
+	if len(changes) == 0 {
+		return
+	}
+	if load.Running >= 0 {
+		b.rested[service] = now.Add(restTime)
+	}
+	var g errgroup.Group
+	for _, c := range changes {
+		k := b.engines[c.Engine.Name]
+		if k == nil {
+			k = &known{incarnation: c.Engine.Incarnation}
+			b.engines[c.Engine.Name] = k
+		}
+		g.Go(func() error {
+			b.change(ctx, now, c, k, load)
+			return nil
+		})
+	}
+	_ = g.Wait() // The functions return no error.
+}
+
+// change orders one change. An engine whose last order has an unknown outcome is asked for its state first.
+func (b *Balancer) change(ctx context.Context, now camphorhinge.Instant, c Change, k *known, load Load) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if k.unsure {
+		state, err := b.cfg.Engines.Read(ctx, c.Engine)
+		if err != nil || state.Busy {
+			k.until = now.Add(restTime)
+			return
+		}
+		k.accepted, k.unsure = state.Accepted, false
+		if state.Role == c.To {
+			return
+		}
+	}
+	term, ok := b.cfg.Authority.Authority()
+	if !ok || term != b.term {
+		return
+	}
+	err := b.cfg.Engines.Order(ctx, c.Engine, Order{Role: c.To, Holder: b.cfg.Node, Fence: term, Accepted: k.accepted})
+	b.cfg.Log.Info("role ordered", "target", c.Engine.Name, "from", c.Engine.Role, "to", c.To, "fence", term,
+		"accepted", k.accepted, "running", load.Running, "error", err)
+	if err == nil {
+		b.orders.Inc()
+		k.accepted++
+		k.to, k.changing, k.until = c.To, true, now.Add(changeTime)
+		return
+	}
+	b.failures.Inc()
+	k.until, k.unsure = now.Add(restTime), true
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != KindRefused {
+		k.to, k.changing, k.until = c.To, true, now.Add(changeTime)
+	}
+}
--- /dev/null
+++ b/internal/fleet/balance/error.go
@@ -0,0 +1,28 @@
+package balance
+
+import "fmt"
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// KindNetwork marks a call without an answer; an order may have been accepted.
+	KindNetwork Kind = "network"
+	// KindRefused marks an order that the engine did not accept.
+	KindRefused Kind = "refused"
+	// KindAnswer marks an answer that can't be understood.
+	KindAnswer Kind = "answer"
+)
+
+// Error is an error of this package and of the implementations of Engines.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("balance %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/balance"
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/feed"
 	"example.org/camphorhinge/internal/node/schedule"
@@ -18,6 +19,7 @@
 	"example.org/camphorhinge/internal/node/spread"
 	"example.org/camphorhinge/internal/node/web"
 	"example.org/camphorhinge/internal/record/routing"
+	"example.org/camphorhinge/internal/request/exchange"
 )
 
 const (
@@ -42,6 +44,9 @@
 	Decode routing.Decoder
 	// Peers returns the peer addresses of core nodes as the settings name them now.
 	Peers func() []string
+	// Dialect spells calls to targets, Engines makes the carrier of orders to engines.
+	Dialect exchange.Dialect
+	Engines func(*exchange.Client) balance.Engines
 	// Register adds the handlers of the control port.
 	Register func(*web.Server, Control)
 	Log      *slog.Logger
@@ -67,6 +72,8 @@
 	*Server
 	settings  setting.Core
 	scheduler *schedule.Scheduler
+	exchange  *exchange.Client
+	balancer  *balance.Balancer
 	ports     *web.Server
 	metering  *web.Server
 }
@@ -85,6 +92,7 @@
 		c.openPeers,
 		func() error { return c.openDurable(ctx) },
 		c.buildCore,
+		func() error { return c.buildBalancer(cfg) },
 		func() error { return c.openControl(cfg.Register) },
 	}
 	for _, step := range steps {
@@ -114,6 +122,31 @@
 	return nil
 }
 
+func (c *Core) buildBalancer(cfg CoreConfig) error {
+	c.exchange = newExchange(c.metrics, cfg.Dialect)
+	c.balancer = balance.New(balance.Config{
+		Node: c.cfg.Node, Authority: c.durable.replica, Targets: c.registry, Services: c.engineServices,
+		Load:    func(context.Context, camphorhinge.ServiceName) balance.Load { return balance.Load{Running: -1} },
+		Engines: cfg.Engines(c.exchange), Clock: c.clock, Handover: c.settings.Handover, Log: c.log, Metrics: c.metrics,
+	})
+	return nil
+}
+
+// engineServices returns the services with engines.
+func (c *Core) engineServices() []camphorhinge.ServiceName {
+	current := c.routes.Current()
+	if current == nil {
+		return nil
+	}
+	var out []camphorhinge.ServiceName
+	for i := range current.Services {
+		if current.Services[i].Engine != nil {
+			out = append(out, current.Services[i].Name)
+		}
+	}
+	return out
+}
+
 // changed wakes the entry nodes' watches.
 func (c *Core) changed() { c.source.Changed() }
 
@@ -160,6 +193,7 @@
 	g.Go(func() error { return c.peers.Serve(work, c.services()) })
 	g.Go(func() error { return c.spreader.Share(work) })
 	g.Go(func() error { return c.scheduler.Run(work) })
+	g.Go(func() error { return c.balancer.Run(work) })
 	g.Go(func() error { return c.durable.run(work) })
 	g.Go(func() error {
 		defer halt()
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -103,11 +103,7 @@
 	e.follower = feed.NewFollower(feed.FollowerConfig{
 		Node: s.Node, Pool: pool, Seeds: e.cfg.Peers, Registry: e.registry, Scores: e.learnScores, Clock: e.clock, Log: e.log,
 	})
-	e.exchange = exchange.New(exchange.Config{
-		Dialer:  dial.New(connectTimeout, nil),
-		Connect: connectTimeout, FirstByte: answerTimeout, Between: answerTimeout, Idle: entryIdle,
-		Metrics: e.metrics, Tracer: noop.NewTracerProvider().Tracer(""), Dialect: e.cfg.Dialect,
-	})
+	e.exchange = newExchange(e.metrics, e.cfg.Dialect)
 	e.crashes = quarantine.New(quarantine.Config{
 		Proposer: control.NewClient(pool, e.follower.Cores), Node: s.Node, Clock: e.clock, Decisions: decision.New(ringSize), Metrics: e.metrics,
 	})
@@ -127,6 +123,15 @@
 	return nil
 }
 
+// newExchange returns the client of targets.
+func newExchange(set *metrics.Set, dialect exchange.Dialect) *exchange.Client {
+	return exchange.New(exchange.Config{
+		Dialer:  dial.New(connectTimeout, nil),
+		Connect: connectTimeout, FirstByte: answerTimeout, Between: answerTimeout, Idle: entryIdle,
+		Metrics: set, Tracer: noop.NewTracerProvider().Tracer(""), Dialect: dialect,
+	})
+}
+
 // observe tells the count of crashes that a target started again.
 func (e *Entry) observe(t *camphorhinge.Target) {
 	if e.crashes != nil {
--- a/internal/node/setting/core.go
+++ b/internal/node/setting/core.go
@@ -26,6 +26,8 @@
 	Voters int
 	// LostAfter is how long a voter may stay away before a spare replica takes its place.
 	LostAfter time.Duration
+	// Handover is how long a new leader waits before it orders engines.
+	Handover time.Duration
 	// Grace bounds a planned stop.
 	Grace time.Duration
 }
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -15,6 +15,8 @@
 	// longestPause.
 	firstPause   = 250 * time.Millisecond
 	longestPause = 4 * time.Second
+	// refusedPause is how long a target is left alone after it refused a request.
+	refusedPause = 300 * time.Millisecond
 	// failureWeight is the weight of the last attempt in a target's share of failures.
 	failureWeight = 0.12
 	// suspectShare is the share of failures from which a target gets only trial requests.
@@ -119,7 +121,10 @@
 		s.until = now.Add(pause)
 	case Foreign:
 		s.until = now.Add(longestPause)
-	case Served, Errored, Broken, Refused:
+	case Refused:
+		// It is full, or changes its role.
+		s.until = now.Add(refusedPause)
+	case Served, Errored, Broken:
 		s.failures, s.until = 0, 0
 	}
 	failed := 0.0
