Tell the core node that made a placement what became of it, and keep engines from filling up

Engines whose memory ran out stopped requests in the middle and read their prompts again, so full ones get nothing now.

--- a/internal/fleet/balance/plan.go
+++ b/internal/fleet/balance/plan.go
@@ -11,7 +11,7 @@
 const (
 	// startShare is the share of engines that get the decode role before any load was measured. Decoding runs in batches of
 	// many requests, and reading prompts does not, so that reading needs most engines.
-	startShare = 1.0 / 6
+	startShare = 0.25
 	// leastDecode is the least number of engines in the decode role, so that one may be lost.
 	leastDecode = 2
 	// calmBatch is the number of requests that an engine in the decode role is meant to run at once, as a share of its
--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/node/peer"
@@ -17,7 +18,7 @@
 
 const (
 	// placeTimeout bounds the way of a question to a core node and back: several round trips between zones.
-	placeTimeout = 25 * time.Millisecond
+	placeTimeout = 60 * time.Millisecond
 	// flushEvery is the time between two calls that only bring events.
 	flushEvery = 20 * time.Millisecond
 	// flushTimeout bounds such a call.
@@ -25,10 +26,12 @@
 	// avoidFor is how long a core node that did not answer in time is not asked, failuresAllowed the number of such
 	// failures in a row from which that holds.
 	avoidFor        = 3 * time.Second
-	failuresAllowed = 2
+	failuresAllowed = 3
 	// maxEvents bounds the events that wait for a core node; the oldest are dropped, and the core node forgets their
 	// placements by itself.
 	maxEvents = 2048
+	// presentEvery is the time between two calls to the preferred core node when nothing else is to be told.
+	presentEvery = time.Second
 )
 
 // ClientConfig holds what a Client needs.
@@ -49,11 +52,14 @@
 	cfg   ClientConfig
 	start uint64
 
-	mu     sync.Mutex
-	next   uint64
-	core   string
-	events []*peerpb.PlaceEvent
-	ages   []camphorhinge.Instant
+	mu   sync.Mutex
+	next uint64
+	// core is the core node that was asked last.
+	core string
+	// events wait for the core nodes that made the placements.
+	events map[string][]event
+	// called is when a core node was called last.
+	called map[string]camphorhinge.Instant
 	// failed counts failures in a row by core node, avoid tells until when one is not asked.
 	failed map[string]int
 	avoid  map[string]camphorhinge.Instant
@@ -61,11 +67,18 @@
 	asked, alone *metrics.Counter
 }
 
+// event is what happened to a placement, to be told with its age.
+type event struct {
+	*peerpb.PlaceEvent
+	at camphorhinge.Instant
+}
+
 // NewClient returns a Client; Run tells core nodes what happens to placements.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
 		cfg: cfg, start: rand.Uint64() | 1, //nolint:gosec // The number only tells starts apart.
 		failed: map[string]int{}, avoid: map[string]camphorhinge.Instant{},
+		events: map[string][]event{}, called: map[string]camphorhinge.Instant{},
 		asked: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="core"}`),
 		alone: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="node"}`),
 	}
@@ -91,12 +104,18 @@
 	return p, 0, ok
 }
 
-// scheduler returns the core node to ask: the first that is not avoided. All entry nodes prefer the same one.
+// scheduler returns the core node to ask: the first that is not avoided. All entry nodes prefer the same one. It is called
+// with the lock.
 func (c *Client) scheduler(now camphorhinge.Instant) string {
 	for _, address := range c.cfg.Cores() {
-		if now >= c.avoid[address] {
-			return address
+		if now < c.avoid[address] {
+			continue
+		}
+		if address != c.core {
+			c.cfg.Log.Info("core node places requests", "core", address, "before", c.core)
+			c.core = address
 		}
+		return address
 	}
 	return ""
 }
@@ -213,10 +232,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err == nil {
-		if c.core != address {
-			c.cfg.Log.Info("core node places requests", "core", address, "before", c.core)
-			c.core = address
-		}
 		delete(c.failed, address)
 		return
 	}
@@ -228,39 +243,34 @@
 	}
 }
 
-// tell queues an event for the core node that made the placement. Events for a core node that is no longer asked are
-// dropped: it forgets the placement by itself.
+// tell queues an event for the core node that made the placement.
 func (c *Client) tell(address string, id uint64, reader bool, e place.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if address != c.core {
-		return
+	queue := c.events[address]
+	if len(queue) >= maxEvents {
+		queue = queue[1:]
 	}
-	if len(c.events) >= maxEvents {
-		c.events, c.ages = c.events[1:], c.ages[1:]
-	}
-	c.events = append(c.events, &peerpb.PlaceEvent{
+	c.events[address] = append(queue, event{&peerpb.PlaceEvent{
 		Placement: id, Reader: reader, First: e.First, Ended: e.Ended, Outcome: uint32(e.Outcome),
-	})
-	c.ages = append(c.ages, e.At)
+	}, e.At})
 }
 
 // take returns the events that wait for a core node, with their ages.
 func (c *Client) take(now camphorhinge.Instant, address string) []*peerpb.PlaceEvent {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if address != c.core {
-		return nil
+	var out []*peerpb.PlaceEvent
+	for _, e := range c.events[address] {
+		e.Age = uint32(max(now.Sub(e.at).Milliseconds(), 0))
+		out = append(out, e.PlaceEvent)
 	}
-	out := c.events
-	for i, e := range out {
-		e.Age = uint32(max(now.Sub(c.ages[i]).Milliseconds(), 0))
-	}
-	c.events, c.ages = nil, nil
+	delete(c.events, address)
+	c.called[address] = now
 	return out
 }
 
-// Run brings events to the core node that no request takes along, until ctx ends.
+// Run brings events to the core nodes that no request takes along, until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	ticker := time.NewTicker(flushEvery)
 	defer ticker.Stop()
@@ -269,24 +279,39 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			c.flush(ctx)
+			var g errgroup.Group
+			for _, address := range c.due(c.cfg.Clock.Now()) {
+				g.Go(func() error {
+					c.flush(ctx, address)
+					return nil
+				})
+			}
+			_ = g.Wait() // The functions return no error.
 		}
 	}
 }
 
-func (c *Client) flush(ctx context.Context) {
-	now := c.cfg.Clock.Now()
+// due returns the core nodes that are to be called now. Events for one that does not answer are dropped; it forgets the
+// placements by itself.
+func (c *Client) due(now camphorhinge.Instant) []string {
 	c.mu.Lock()
-	address := c.core
-	avoided := now < c.avoid[address]
-	c.mu.Unlock()
-	if address == "" || avoided {
-		return
+	defer c.mu.Unlock()
+	var out []string
+	for address := range c.events {
+		if now < c.avoid[address] {
+			delete(c.events, address)
+			continue
+		}
+		out = append(out, address)
 	}
-	events := c.take(now, address)
-	if len(events) == 0 {
-		return
+	if c.core != "" && now >= c.avoid[c.core] && c.events[c.core] == nil && now.Sub(c.called[c.core]) >= presentEvery {
+		out = append(out, c.core)
 	}
+	return out
+}
+
+func (c *Client) flush(ctx context.Context, address string) {
+	events := c.take(c.cfg.Clock.Now(), address)
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	_, err := c.cfg.Pool.Get(address).Feed.Place(ctx, &peerpb.PlaceRequest{Node: string(c.cfg.Node), Start: c.start, Events: events})
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -13,11 +13,11 @@
 
 const (
 	// callerExpiry is how long the placements of an entry node that does not call are kept.
-	callerExpiry = 10 * time.Second
+	callerExpiry = 3 * time.Second
 	// placementExpiry bounds the age of a placement whose end was not told; it is above the longest request.
-	placementExpiry = 30 * time.Second
+	placementExpiry = 15 * time.Second
 	// sweepEvery is the time between two looks for what has expired.
-	sweepEvery = 2 * time.Second
+	sweepEvery = 500 * time.Millisecond
 	// holdTime is how long a call is held whose request waits for an engine; the caller then asks again.
 	holdTime = 150 * time.Millisecond
 	// runEvery is the time between two looks at the waiting requests.
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -39,6 +39,10 @@
 	jitter = 10 * time.Millisecond
 	// runningCost is the time by which each running request makes the next one slower.
 	runningCost = 2 * time.Millisecond
+	// fullShare is the share of slots or memory from which an engine counts as full, and fullWait the wait that is assumed
+	// when all are.
+	fullShare = 0.75
+	fullWait  = 150 * time.Millisecond
 	// calmShare is the share of slots or memory up to which an engine counts as not crowded, crowdCost the cost of a full one.
 	calmShare = 0.7
 	crowdCost = 2 * time.Second
@@ -78,6 +82,11 @@
 	if len(servers) == 0 {
 		return option{}, false
 	}
+	if roomy := p.roomy(now, servers, req); len(roomy) > 0 {
+		servers = roomy
+	} else if p.cfg.Whole {
+		return option{wait: fullWait, Plan: Plan{Serve: servers[0], Expected: fullWait}}, true
+	}
 	c := &scene{now: now, req: req}
 	c.shared, c.size = req.shared()
 	p.findHolders(c, targets)
@@ -90,7 +99,12 @@
 		}
 	}
 	for _, t := range servers {
-		better(p.direct(c, t))
+		o := p.direct(c, t)
+		if len(readers) > 0 && t.Role == camphorhinge.RoleDecode {
+			// The prompt is read between the tokens of all requests that run there.
+			o.cost += p.toRead(t, float64(o.Unread))
+		}
+		better(o)
 	}
 	if !req.Direct {
 		for _, t := range readers {
@@ -100,6 +114,22 @@
 	return best, true
 }
 
+// roomy returns the engines that have slots and memory left for a request. An engine whose memory runs out stops requests in
+// the middle and reads their prompts again, which takes the time of many others.
+func (p *Placer) roomy(now camphorhinge.Instant, servers []*camphorhinge.Target, req *Request) []*camphorhinge.Target {
+	var out []*camphorhinge.Target
+	for _, t := range servers {
+		s := p.of(now, t)
+		slots := t.Slots == 0 || float64(s.running) < fullShare*float64(t.Slots)
+		memory := req.Engine.Memory == 0 || s.running == 0 ||
+			float64(s.held+req.Prompt+req.Output) < fullShare*float64(req.Engine.Memory)
+		if slots && memory {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // findHolders finds the engines that hold the shared parts of a request.
 func (p *Placer) findHolders(c *scene, targets []*camphorhinge.Target) {
 	if len(c.shared) == 0 {
