--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -29,6 +29,7 @@
 	"example.org/camphorhinge/internal/request/budget"
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/forward"
+	"example.org/camphorhinge/internal/request/ingress"
 	"example.org/camphorhinge/internal/request/place"
 	"example.org/camphorhinge/internal/request/quarantine"
 )
@@ -45,6 +46,8 @@
 	silentTimeout = 1500 * time.Millisecond
 	// entryIdle is the greatest number of idle connections to one target.
 	entryIdle = 8
+	// closeEvery is the time between two looks for idle connections during a stop.
+	closeEvery = 50 * time.Millisecond
 	// stopMargin is the part of the grace time in which the process ends.
 	stopMargin = 300 * time.Millisecond
 )
@@ -76,6 +79,7 @@
 	placer   *schedule.Client
 	forward  *forward.Forwarder
 	stopping atomic.Bool
+	conns    *ingress.Conns
 
 	callers, ready, metering *web.Server
 }
@@ -85,7 +89,7 @@
 	if err := cfg.Settings.Check(); err != nil {
 		return nil, &Error{Op: "new", Kind: KindSetting, Err: err}
 	}
-	e := &Entry{cfg: cfg, log: cfg.Log, clock: clock.New(), metrics: metrics.NewSet()}
+	e := &Entry{conns: ingress.NewConns(), cfg: cfg, log: cfg.Log, clock: clock.New(), metrics: metrics.NewSet()}
 	if err := errors.Join(e.build(), e.openPorts()); err != nil {
 		return nil, &Error{Op: "new", Kind: KindStart, Err: err}
 	}
@@ -144,7 +148,7 @@
 func (e *Entry) openPorts() error {
 	s := e.cfg.Settings
 	var err error
-	if e.callers, err = web.New(web.Config{Address: s.CallerListen, MaxBody: controlBody, Options: forward.Options()}); err != nil {
+	if e.callers, err = web.New(web.Config{Address: s.CallerListen, MaxBody: controlBody, Options: forward.Options(e.conns)}); err != nil {
 		return err
 	}
 	e.forward.Register(e.callers.Hertz.Engine)
@@ -214,8 +218,10 @@
 		e.stopping.Store(true)
 		e.callers.Drain()
 		time.Sleep(s.StopDelay)
-		e.leave()
+		e.forward.Refuse()
 		closeCallers()
+		e.leave()
+		e.closeIdle(work)
 		return nil
 	})
 	err := g.Wait()
@@ -224,6 +230,20 @@
 	return err
 }
 
+// closeIdle closes connections as soon as they carry no request, until ctx ends. Callers would go on sending on them.
+func (e *Entry) closeIdle(ctx context.Context) {
+	ticker := time.NewTicker(closeEvery)
+	defer ticker.Stop()
+	for {
+		e.conns.CloseIdle()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func (e *Entry) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,6 +37,8 @@
 	// configuration, or no target for it.
 	configurationPause = 500 * time.Millisecond
 	targetPause        = 300 * time.Millisecond
+	// stopPause is the time after which a caller may come again that met a node which stops; it then meets another node.
+	stopPause = 100 * time.Millisecond
 	// freeTimeout bounds the call that frees a KV cache which is not taken.
 	freeTimeout = 2 * time.Second
 )
@@ -83,8 +86,6 @@
 	Clock   camphorhinge.Clock
 	Log     *slog.Logger
 	Metrics *metrics.Set
-	// Stopping is closed when requests under way must end for a planned stop; nil means never.
-	Stopping <-chan struct{}
 }
 
 // Placer chooses where requests go; *schedule.Client implements it.
@@ -137,6 +138,8 @@
 	meters *meters
 	// after frees KV caches that no request takes; no caller waits for it.
 	after errgroup.Group
+	// refusing is set once no more requests are taken.
+	refusing atomic.Bool
 	// watches wait for callers that leave, one for each request under way.
 	watches errgroup.Group
 }
@@ -154,6 +157,9 @@
 // Close waits for calls under way; the requests must have ended.
 func (f *Forwarder) Close() error { return errors.Join(f.watches.Wait(), f.after.Wait()) }
 
+// Refuse makes the Forwarder refuse further requests, for a planned stop; requests under way go on.
+func (f *Forwarder) Refuse() { f.refusing.Store(true) }
+
 // Serve answers one request.
 func (f *Forwarder) Serve(ctx context.Context, in *Request, out Sink) {
 	j := &job{f: f, in: in, out: out, began: f.cfg.Clock.Now(), ask: f.cfg.Protocol.Ask(in.Header), header: passOn(in.Header)}
@@ -170,6 +176,9 @@
 
 // serve answers the request, or returns why it could not.
 func (j *job) serve(ctx context.Context) *Error {
+	if j.f.refusing.Load() {
+		return later(KindStopping, stopPause, "this node stops")
+	}
 	index := j.f.cfg.Index()
 	if index == nil {
 		return later(KindConfiguration, configurationPause, "this node has no configuration yet")
--- a/internal/request/forward/http.go
+++ b/internal/request/forward/http.go
@@ -26,11 +26,11 @@
 	writeTimeout = 20 * time.Second
 )
 
-// Options returns the server options that the handlers rely on.
-func Options() []config.Option {
+// Options returns the server options that the handlers rely on. Conns holds the server's connections.
+func Options(conns *ingress.Conns) []config.Option {
 	return ingress.Options(ingress.Limits{
 		Header: maxHeader, HeaderTimeout: headerTimeout, Idle: idleTimeout, Write: writeTimeout,
-	}, reply)
+	}, reply, conns)
 }
 
 // reply answers a request that could not be parsed.
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -318,8 +318,25 @@
 	return answer, body, err
 }
 
+// errLeaving marks a target that takes no more requests since it was chosen.
+var errLeaving = errors.New("the target is leaving")
+
+// serving reports whether a target may still get requests: one that was chosen before a prompt was read may leave
+// meanwhile.
+func (j *job) serving(t *camphorhinge.Target) bool {
+	for _, x := range j.f.cfg.Targets.Live(j.service.Name) {
+		if x.Name == t.Name {
+			return x.Serving && x.Incarnation == t.Incarnation
+		}
+	}
+	return false
+}
+
 // open starts an exchange and counts its arrival.
 func (j *job) open(ctx context.Context, call exchange.Call) (*exchange.Answer, *exchange.Error) {
+	if !j.serving(call.Target) {
+		return nil, &exchange.Error{Op: "open", Kind: exchange.KindConnect, Run: camphorhinge.NotRun, Err: errLeaving}
+	}
 	answer, err := j.f.cfg.Exchange.Open(ctx, call)
 	if err == nil {
 		j.arrivals++
--- a/internal/request/frontend/http.go
+++ b/internal/request/frontend/http.go
@@ -29,7 +29,7 @@
 func Options() []config.Option {
 	return ingress.Options(ingress.Limits{
 		Header: maxHeader, HeaderTimeout: headerTimeout, Idle: idleTimeout, Write: writeTimeout,
-	}, reply)
+	}, reply, nil)
 }
 
 // reply answers a request that could not be parsed.
--- a/internal/request/ingress/guard.go
+++ b/internal/request/ingress/guard.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,12 +26,50 @@
 	network.Transporter
 	limits Limits
 	reply  Reply
+	conns  *Conns
+}
+
+// Conns are the open connections of a server.
+type Conns struct {
+	mu   sync.Mutex
+	open map[*guard]struct{}
+}
+
+// NewConns returns an empty Conns.
+func NewConns() *Conns { return &Conns{open: map[*guard]struct{}{}} }
+
+func (c *Conns) add(g *guard) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[g] = struct{}{}
+}
+
+func (c *Conns) remove(g *guard) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, g)
+}
+
+// CloseIdle closes the connections on which no byte of a request has come since the last answer, and returns their number.
+// A server that stops calls it, since callers would send requests on them for as long as they are open.
+func (c *Conns) CloseIdle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for g := range c.open {
+		if g.idle.Load() {
+			g.raw.Close()
+			delete(c.open, g)
+			n++
+		}
+	}
+	return n
 }
 
 // rawKey is the context key of a connection's net.Conn.
 type rawKey struct{}
 
-func transporter(l Limits, reply Reply) func(*config.Options) network.Transporter {
+func transporter(l Limits, reply Reply, conns *Conns) func(*config.Options) network.Transporter {
 	return func(o *config.Options) network.Transporter {
 		accept := o.OnAccept
 		o.OnAccept = func(conn net.Conn) context.Context {
@@ -39,7 +79,7 @@
 			}
 			return context.WithValue(ctx, rawKey{}, conn)
 		}
-		return &guarded{Transporter: standard.NewTransporter(o), limits: l, reply: reply}
+		return &guarded{Transporter: standard.NewTransporter(o), limits: l, reply: reply, conns: conns}
 	}
 }
 
@@ -49,7 +89,12 @@
 		c, ok := conn.(network.Conn)
 		raw, known := ctx.Value(rawKey{}).(net.Conn)
 		if ok && known {
-			conn = &guard{Conn: c, raw: raw, limits: g.limits, reply: g.reply}
+			guarded := &guard{Conn: c, raw: raw, limits: g.limits, reply: g.reply}
+			if g.conns != nil {
+				g.conns.add(guarded)
+				defer g.conns.remove(guarded)
+			}
+			conn = guarded
 		}
 		return serve(ctx, conn)
 	})
@@ -72,6 +117,8 @@
 	limits Limits
 	reply  Reply
 	phase  phase
+	// idle is true while no byte of a request has come since the last answer.
+	idle atomic.Bool
 	// began is when the first byte of the header was seen, or zero.
 	began time.Time
 	slow  bool
@@ -105,7 +152,9 @@
 			return nil, err
 		}
 	}
+	g.idle.Store(g.began.IsZero())
 	b, err := g.Conn.Peek(n)
+	g.idle.Store(false)
 	switch {
 	case err != nil:
 		g.slow = !g.began.IsZero() && time.Since(g.began) >= g.limits.HeaderTimeout
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -45,10 +45,10 @@
 type Reply func(f Fault) (status int, header http.Header, body []byte)
 
 // Options returns the server options that Watch, Body and Sink rely on: streamed bodies, limits, and a transport that
-// notices callers that leave.
-func Options(l Limits, reply Reply) []config.Option {
+// notices callers that leave. Conns holds the server's connections; it may be nil.
+func Options(l Limits, reply Reply, conns *Conns) []config.Option {
 	return []config.Option{
-		server.WithTransport(transporter(l, reply)),
+		server.WithTransport(transporter(l, reply, conns)),
 		server.WithStreamBody(true),
 		server.WithMaxHeaderBytes(l.Header),
 		server.WithReadTimeout(l.HeaderTimeout),
