Teach a core node that begins to place requests what engines hold, and let refused requests go first

Cause: when another core node took over, it knew of no cached part, and had the shared parts read once more.

--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -23,10 +23,10 @@
 	flushEvery = 20 * time.Millisecond
 	// flushTimeout bounds such a call.
 	flushTimeout = 300 * time.Millisecond
-	// avoidFor is how long a core node that did not answer in time is not asked, failuresAllowed the number of such
-	// failures in a row from which that holds.
-	avoidFor        = 3 * time.Second
+	// failuresAllowed is the number of failures in a row from which a core node is avoided. It is then probed each
+	// probeEvery, and asked again once it answers a probe.
 	failuresAllowed = 3
+	probeEvery      = 500 * time.Millisecond
 	// maxEvents bounds the events that wait for a core node; the oldest are dropped, and the core node forgets their
 	// placements by itself.
 	maxEvents = 2048
@@ -60,9 +60,11 @@
 	events map[string][]event
 	// called is when a core node was called last.
 	called map[string]camphorhinge.Instant
-	// failed counts failures in a row by core node, avoid tells until when one is not asked.
+	// failed counts failures in a row by core node. One in avoid is not asked until a probe at the time there is answered.
 	failed map[string]int
 	avoid  map[string]camphorhinge.Instant
+	// teach are the core nodes that did not know this node and get its holdings.
+	teach map[string]bool
 
 	asked, alone *metrics.Counter
 }
@@ -78,7 +80,7 @@
 	return &Client{
 		cfg: cfg, start: rand.Uint64() | 1, //nolint:gosec // The number only tells starts apart.
 		failed: map[string]int{}, avoid: map[string]camphorhinge.Instant{},
-		events: map[string][]event{}, called: map[string]camphorhinge.Instant{},
+		events: map[string][]event{}, called: map[string]camphorhinge.Instant{}, teach: map[string]bool{},
 		asked: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="core"}`),
 		alone: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="node"}`),
 	}
@@ -106,9 +108,9 @@
 
 // scheduler returns the core node to ask: the first that is not avoided. All entry nodes prefer the same one. It is called
 // with the lock.
-func (c *Client) scheduler(now camphorhinge.Instant) string {
+func (c *Client) scheduler() string {
 	for _, address := range c.cfg.Cores() {
-		if now < c.avoid[address] {
+		if _, avoided := c.avoid[address]; avoided {
 			continue
 		}
 		if address != c.core {
@@ -126,7 +128,7 @@
 ) (p *place.Placement, refusal time.Duration, ok bool) {
 	now := c.cfg.Clock.Now()
 	c.mu.Lock()
-	address := c.scheduler(now)
+	address := c.scheduler()
 	c.next++
 	id := c.next
 	c.mu.Unlock()
@@ -170,7 +172,7 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		c.heard(c.cfg.Clock.Now(), address, err)
+		c.heard(c.cfg.Clock.Now(), address, resp, err)
 		if err != nil || !resp.GetWaiting() {
 			return resp, err
 		}
@@ -228,18 +230,28 @@
 }
 
 // heard notes whether a core node answered.
-func (c *Client) heard(now camphorhinge.Instant, address string, err error) {
+func (c *Client) heard(now camphorhinge.Instant, address string, resp *peerpb.PlaceResponse, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err == nil {
+		if _, avoided := c.avoid[address]; avoided {
+			c.cfg.Log.Info("core node may place requests again", "core", address)
+		}
 		delete(c.failed, address)
+		delete(c.avoid, address)
+		if resp.GetUnknown() {
+			c.teach[address] = true
+		}
 		return
 	}
 	c.failed[address]++
-	if c.failed[address] >= failuresAllowed {
-		c.avoid[address] = now.Add(avoidFor)
-		c.failed[address] = 0
-		c.cfg.Log.Warn("core node does not place requests", "core", address, "error", err, "pause_ms", avoidFor.Milliseconds())
+	_, avoided := c.avoid[address]
+	if avoided || c.failed[address] >= failuresAllowed {
+		c.avoid[address] = now.Add(probeEvery)
+		delete(c.events, address)
+	}
+	if !avoided && c.failed[address] >= failuresAllowed {
+		c.cfg.Log.Warn("core node does not place requests", "core", address, "failures", c.failed[address], "error", err)
 	}
 }
 
@@ -291,31 +303,54 @@
 	}
 }
 
-// due returns the core nodes that are to be called now. Events for one that does not answer are dropped; it forgets the
-// placements by itself.
+// due returns the core nodes that are to be called now: those with events, the preferred one from time to time, and those
+// that are to be probed.
 func (c *Client) due(now camphorhinge.Instant) []string {
+	cores := c.cfg.Cores()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
-	for address := range c.events {
-		if now < c.avoid[address] {
-			delete(c.events, address)
-			continue
+	for _, address := range cores {
+		at, avoided := c.avoid[address]
+		switch {
+		case avoided && now < at:
+		case avoided:
+			c.avoid[address] = now.Add(probeEvery)
+			out = append(out, address)
+		case len(c.events[address]) > 0, c.teach[address],
+			address == c.core && now.Sub(c.called[address]) >= presentEvery:
+			out = append(out, address)
 		}
-		out = append(out, address)
-	}
-	if c.core != "" && now >= c.avoid[c.core] && c.events[c.core] == nil && now.Sub(c.called[c.core]) >= presentEvery {
-		out = append(out, c.core)
 	}
 	return out
 }
 
 func (c *Client) flush(ctx context.Context, address string) {
-	events := c.take(c.cfg.Clock.Now(), address)
+	now := c.cfg.Clock.Now()
+	call := &peerpb.PlaceRequest{Node: string(c.cfg.Node), Start: c.start, Events: c.take(now, address)}
+	c.mu.Lock()
+	teach := c.teach[address]
+	delete(c.teach, address)
+	c.mu.Unlock()
+	if teach {
+		call.Holdings = holdings(c.cfg.Local.Holdings(now))
+	}
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
-	_, err := c.cfg.Pool.Get(address).Feed.Place(ctx, &peerpb.PlaceRequest{Node: string(c.cfg.Node), Start: c.start, Events: events})
-	if err != nil {
-		c.heard(c.cfg.Clock.Now(), address, err)
+	resp, err := c.cfg.Pool.Get(address).Feed.Place(ctx, call)
+	c.heard(c.cfg.Clock.Now(), address, resp, err)
+}
+
+func holdings(known []place.Holding) []*peerpb.Holding {
+	out := make([]*peerpb.Holding, 0, len(known))
+	for _, h := range known {
+		x := &peerpb.Holding{Target: string(h.Target), Incarnation: uint64(h.Incarnation)}
+		for i, p := range h.Parts {
+			x.Parts = append(x.Parts, p.Hash)
+			x.Sizes = append(x.Sizes, uint32(p.Tokens))
+			x.Ages = append(x.Ages, uint32(h.Ages[i].Milliseconds()))
+		}
+		out = append(out, x)
 	}
+	return out
 }
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -98,9 +98,9 @@
 
 // Place takes the caller's events and chooses where its request runs, if there is one.
 func (s *Scheduler) Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
-	t := s.take(req)
+	t, unknown := s.take(req)
 	if t == nil {
-		return &peerpb.PlaceResponse{}, nil
+		return &peerpb.PlaceResponse{Unknown: unknown}, nil
 	}
 	timer := time.NewTimer(holdTime)
 	defer timer.Stop()
@@ -112,20 +112,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t.answer == nil {
-		return &peerpb.PlaceResponse{Waiting: true}, nil
+		return &peerpb.PlaceResponse{Waiting: true, Unknown: unknown}, nil
 	}
 	if c := s.callers[req.GetNode()]; c != nil {
 		delete(c.waiting, req.GetPlacement())
 	}
+	t.answer.Unknown = unknown
 	return t.answer, nil
 }
 
-// take applies the events of a call and returns the ticket of its request, or nil.
-func (s *Scheduler) take(req *peerpb.PlaceRequest) *ticket {
+// take applies the events of a call and returns the ticket of its request, or nil, and whether the caller was unknown.
+func (s *Scheduler) take(req *peerpb.PlaceRequest) (t *ticket, unknown bool) {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.caller(now, req)
+	c, unknown := s.caller(now, req)
+	s.learn(now, req.GetHoldings())
 	for _, e := range req.GetEvents() {
 		s.event(now, c, e)
 	}
@@ -133,21 +135,45 @@
 		s.queue.Run(now)
 	}
 	if req.GetPlacement() == 0 {
-		return nil
+		return nil, unknown
 	}
 	if t := c.waiting[req.GetPlacement()]; t != nil {
 		t.asked = now
-		return t
+		return t, unknown
 	}
 	config := s.cfg.Configuration()
 	if config == nil {
-		return nil
+		return nil, unknown
 	}
 	service := config.Service(camphorhinge.ServiceName(req.GetService()))
 	if service == nil || service.Engine == nil {
-		return nil
+		return nil, unknown
+	}
+	return s.enqueue(now, c, req, service), unknown
+}
+
+// learn takes over what a caller knows of the engines.
+func (s *Scheduler) learn(now camphorhinge.Instant, known []*peerpb.Holding) {
+	config := s.cfg.Configuration()
+	if len(known) == 0 || config == nil {
+		return
+	}
+	var holdings []place.Holding
+	for _, k := range known {
+		h := place.Holding{Target: camphorhinge.TargetName(k.GetTarget()), Incarnation: camphorhinge.Incarnation(k.GetIncarnation())}
+		for i, hash := range k.GetParts() {
+			if i < len(k.GetSizes()) && i < len(k.GetAges()) {
+				h.Parts = append(h.Parts, place.Part{Hash: hash, Tokens: camphorhinge.Tokens(k.GetSizes()[i])})
+				h.Ages = append(h.Ages, time.Duration(k.GetAges()[i])*time.Millisecond)
+			}
+		}
+		holdings = append(holdings, h)
+	}
+	for i := range config.Services {
+		if config.Services[i].Engine != nil {
+			s.placer.Learn(now, s.cfg.Targets.Live(config.Services[i].Name), holdings)
+		}
 	}
-	return s.enqueue(now, c, req, service)
 }
 
 // enqueue makes the ticket of a new request.
@@ -209,10 +235,11 @@
 	return r
 }
 
-// caller returns what is held of the calling node; an earlier start of it has no work any more.
-func (s *Scheduler) caller(now camphorhinge.Instant, req *peerpb.PlaceRequest) *caller {
-	c := s.callers[req.GetNode()]
-	if c == nil || c.start != req.GetStart() {
+// caller returns what is held of the calling node, and whether it was unknown; an earlier start of it has no work any more.
+func (s *Scheduler) caller(now camphorhinge.Instant, req *peerpb.PlaceRequest) (c *caller, unknown bool) {
+	c = s.callers[req.GetNode()]
+	unknown = c == nil || c.start != req.GetStart()
+	if unknown {
 		if c != nil {
 			s.close(now, c)
 		}
@@ -220,7 +247,7 @@
 		s.callers[req.GetNode()] = c
 	}
 	c.heard = now
-	return c
+	return c, unknown
 }
 
 // sweep ends the placements of callers that are gone, and those whose end was not told, and forgets requests whose caller
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,7 +16,9 @@
 	// refuseMargin is the part of a caller's patience that a request needs at least, besides its expected time.
 	refuseMargin = 50 * time.Millisecond
 	// leastRetry and mostRetry bound the time after which a refused caller may come again.
-	leastRetry, mostRetry = 200 * time.Millisecond, 2 * time.Second
+	leastRetry, mostRetry = time.Second, 2 * time.Second
+	// returnTime is how long a refused request is remembered, so that it goes first when it comes again.
+	returnTime = 6 * time.Second
 	// looksPerRound bounds the waiting requests that one round looks at.
 	looksPerRound = 64
 )
@@ -29,6 +32,9 @@
 type Queue struct {
 	placer  *Placer
 	waiting []*Waiting
+	// refused tells until when a request that was refused goes first, by its own part.
+	refused map[uint64]camphorhinge.Instant
+	swept   camphorhinge.Instant
 }
 
 // Waiting is a request in a Queue.
@@ -42,13 +48,15 @@
 	arrived camphorhinge.Instant
 	// work is the time that the request needs of all engines together.
 	work time.Duration
+	// returned is set for a request that was refused before.
+	returned bool
 	// late is set once the request can't be on time any more, hopeless when it never could.
 	late, hopeless bool
 	gone           bool
 }
 
 // NewQueue returns an empty Queue that places by p.
-func NewQueue(p *Placer) *Queue { return &Queue{placer: p} }
+func NewQueue(p *Placer) *Queue { return &Queue{placer: p, refused: map[uint64]camphorhinge.Instant{}} }
 
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.waiting) }
@@ -56,6 +64,13 @@
 // Add takes a request and decides what can be decided now.
 func (q *Queue) Add(now camphorhinge.Instant, w *Waiting) {
 	w.arrived = now
+	if n := len(w.Parts); n > 0 {
+		w.returned = now < q.refused[w.Parts[n-1].Hash]
+	}
+	if now.Sub(q.swept) > returnTime {
+		q.swept = now
+		maps.DeleteFunc(q.refused, func(_ uint64, until camphorhinge.Instant) bool { return now >= until })
+	}
 	q.waiting = append(q.waiting, w)
 	q.Run(now)
 }
@@ -78,6 +93,12 @@
 			}
 			return -1
 		}
+		if a.returned != b.returned && a.Rank == b.Rank {
+			if a.returned {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.arrived, b.arrived))
 	})
 	// ahead is the work of the requests that go first, divided among the engines.
@@ -108,6 +129,9 @@
 	case !ok:
 		w.Decided(nil, 0)
 	case w.Until > 0 && now.Add(max(best.Expected, best.Expected-best.wait+ahead)+refuseMargin) > w.Until:
+		if n := len(w.Parts); n > 0 {
+			q.refused[w.Parts[n-1].Hash] = now.Add(returnTime)
+		}
 		w.Decided(nil, min(max(best.wait+ahead, leastRetry), mostRetry))
 	case best.wait <= queueAhead:
 		w.Decided(q.placer.adopt(now, best.Plan, &w.Request), 0)
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -156,22 +156,44 @@
 	used   camphorhinge.Instant
 	// ready is when the part is expected to have been read.
 	ready camphorhinge.Instant
+	// own is true for a part that belongs to one request or session alone.
+	own bool
 }
 
-// add notes that the engine holds parts from ready on.
+// add notes that the engine holds parts from ready on; the last of them is the request's own.
 func (c *cache) add(now, ready camphorhinge.Instant, parts []Part, memory camphorhinge.Tokens) {
 	if c.parts == nil {
 		c.parts = map[uint64]cached{}
 	}
-	for _, p := range parts {
+	for i, p := range parts {
+		from := ready
 		if old, ok := c.parts[p.Hash]; ok {
 			c.tokens -= old.tokens
-			ready = min(ready, old.ready)
+			from = min(ready, old.ready)
 		}
-		c.parts[p.Hash] = cached{tokens: p.Tokens, used: now, ready: ready}
+		c.parts[p.Hash] = cached{tokens: p.Tokens, used: now, ready: from, own: i == len(parts)-1}
 		c.tokens += p.Tokens
 	}
-	for limit := max(memory, 0) * cacheShare / 100; c.tokens > limit && len(c.parts) > len(parts); {
+	c.yield(memory, len(parts))
+}
+
+// learn notes that the engine holds a part, as another node says.
+func (c *cache) learn(p Part, used camphorhinge.Instant) {
+	if c.parts == nil {
+		c.parts = map[uint64]cached{}
+	}
+	if old, ok := c.parts[p.Hash]; ok {
+		old.used = max(old.used, used)
+		c.parts[p.Hash] = old
+		return
+	}
+	c.parts[p.Hash] = cached{tokens: p.Tokens, used: used, ready: used}
+	c.tokens += p.Tokens
+}
+
+// yield forgets the parts that were not used for longest until the rest fits into memory; it keeps at least some.
+func (c *cache) yield(memory camphorhinge.Tokens, least int) {
+	for limit := max(memory, 0) * cacheShare / 100; c.tokens > limit && len(c.parts) > least; {
 		var oldest uint64
 		first := true
 		for hash, x := range c.parts {
