--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -33,8 +33,8 @@
 	// arrivals is the number of attempts that reached a target, runs that of those which may have run.
 	arrivals, runs int
 	exclude        []camphorhinge.TargetName
-	// prefilled is set once a target has accepted to read the prompt, direct when no separate prefill is tried any more.
-	prefilled, direct bool
+	// prefilled is set once a target has accepted to read the prompt.
+	prefilled bool
 	// paid is set when the next attempt was taken from the retry budget already.
 	paid bool
 	// headed is set once the answer's header was sent, after which after is the id of the last event that was sent.
@@ -178,7 +178,7 @@
 	r := place.Request{
 		Rank:    j.route.Rank,
 		Service: j.service.Name, Engine: j.service.Engine, Parts: j.ask.Parts, Prompt: j.ask.Prompt, Output: j.ask.Output,
-		Exclude: j.exclude, Direct: j.direct || j.headed,
+		Exclude: j.exclude, Direct: !j.mayPrefill(),
 	}
 	if j.route.Objective > 0 {
 		r.Due = j.began.Add(j.route.Objective)
@@ -189,6 +189,11 @@
 	return r
 }
 
+// mayPrefill reports whether a separate prefill may be planned. One after the first that was accepted is an extra arrival.
+func (j *job) mayPrefill() bool {
+	return !j.prefilled || j.f.cfg.Budget.Take(j.f.cfg.Clock.Now(), j.service.Name, j.f.cfg.Nodes())
+}
+
 // call returns the attempt at a target.
 func (j *job) call(t *camphorhinge.Target) exchange.Call {
 	c := exchange.Call{
@@ -223,14 +228,12 @@
 	} else {
 		source, err := j.prefill(ctx, placed, fetch)
 		if err != nil {
-			j.direct = true
 			return err
 		}
 		call.Source = source
 	}
 	err := j.run(ctx, call, placed.Server)
 	if err != nil && call.Source != "" {
-		j.direct = true
 		if err.Run == camphorhinge.NotRun {
 			// The engine may be free; only the KV cache was not to be had.
 			j.allow(plan.Serve.Name)
