--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -203,28 +203,28 @@
 
 // planOf returns the plan that a core node named; ok is false when this node does not know its targets.
 func planOf(live []*camphorhinge.Target, resp *peerpb.PlaceResponse) (place.Plan, bool) {
-	find := func(name string) *camphorhinge.Target {
+	find := func(name string, serving bool) *camphorhinge.Target {
 		for _, t := range live {
-			if string(t.Name) == name && t.Serving {
+			if string(t.Name) == name && (t.Serving || !serving) {
 				return t
 			}
 		}
 		return nil
 	}
 	plan := place.Plan{
-		Serve: find(resp.GetServe()), Expected: time.Duration(resp.GetExpected()) * time.Microsecond,
+		Serve: find(resp.GetServe(), true), Expected: time.Duration(resp.GetExpected()) * time.Microsecond,
 		Unread: camphorhinge.Tokens(resp.GetUnread()), Reason: resp.GetReason(),
 	}
 	if plan.Serve == nil {
 		return plan, false
 	}
 	if name := resp.GetPrefill(); name != "" {
-		if plan.Prefill = find(name); plan.Prefill == nil {
+		if plan.Prefill = find(name, true); plan.Prefill == nil {
 			return plan, false
 		}
 	}
 	if name := resp.GetFetch(); name != "" {
-		plan.Fetch = find(name)
+		plan.Fetch = find(name, false)
 	}
 	return plan, true
 }
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -70,7 +70,7 @@
 }
 
 // pickEngine returns the plan with the least cost.
-func (p *Placer) pickEngine(now camphorhinge.Instant, targets []*camphorhinge.Target, req *Request) (option, bool) {
+func (p *Placer) pickEngine(now camphorhinge.Instant, live, targets []*camphorhinge.Target, req *Request) (option, bool) {
 	var readers, servers []*camphorhinge.Target
 	for _, t := range targets {
 		if t.Role == camphorhinge.RolePrefill {
@@ -89,7 +89,7 @@
 	}
 	c := &scene{now: now, req: req}
 	c.shared, c.size = req.shared()
-	p.findHolders(c, targets)
+	p.findHolders(c, live, targets)
 
 	best := option{cost: -1}
 	better := func(o option) {
@@ -131,14 +131,15 @@
 }
 
 // findHolders finds the engines that hold the shared parts of a request.
-func (p *Placer) findHolders(c *scene, targets []*camphorhinge.Target) {
+// Engines that leave still hand their parts over.
+func (p *Placer) findHolders(c *scene, live, targets []*camphorhinge.Target) {
 	if len(c.shared) == 0 {
 		return
 	}
 	if !p.cfg.Whole {
 		c.home = homes(c.shared[len(c.shared)-1].Hash, targets, 1)[0]
 	}
-	for _, t := range targets {
+	for _, t := range live {
 		if p.of(c.now, t).cache.ready(c.now, c.shared) == c.size {
 			c.holders = append(c.holders, t)
 		}
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -123,7 +123,7 @@
 		return option{}, false
 	}
 	if req.Engine != nil {
-		return p.pickEngine(now, targets, req)
+		return p.pickEngine(now, live, targets, req)
 	}
 	return option{Plan: p.pickPlain(now, targets, req)}, true
 }
