Refuse by the measured rate of placements

Cause: requests of the least urgent rank waited 1.5 s in the queue before they were refused, since the wait was estimated from the work ahead, and more urgent requests keep coming.

--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -19,6 +19,8 @@
 	leastRetry, mostRetry = time.Second, 2 * time.Second
 	// returnTime is how long a refused request is remembered, so that it goes first when it comes again.
 	returnTime = 6 * time.Second
+	// rateWindow is the time over which placements are counted.
+	rateWindow = time.Second
 	// looksPerRound bounds the waiting requests that one round looks at.
 	looksPerRound = 64
 )
@@ -32,6 +34,8 @@
 type Queue struct {
 	placer  *Placer
 	waiting []*Waiting
+	// rates are the measured rates of placements by rank.
+	rates map[int]*rate
 	// refused tells until when a request that was refused goes first, by its own part.
 	refused map[uint64]camphorhinge.Instant
 	swept   camphorhinge.Instant
@@ -46,8 +50,8 @@
 	// time tells that there is no target.
 	Decided func(p *Placement, retry time.Duration)
 	arrived camphorhinge.Instant
-	// work is the time that the request needs of all engines together.
-	work time.Duration
+	// seen is set once the request was looked at.
+	seen bool
 	// returned is set for a request that was refused before.
 	returned bool
 	// late is set once the request can't be on time any more, hopeless when it never could.
@@ -56,7 +60,36 @@
 }
 
 // NewQueue returns an empty Queue that places by p.
-func NewQueue(p *Placer) *Queue { return &Queue{placer: p, refused: map[uint64]camphorhinge.Instant{}} }
+func NewQueue(p *Placer) *Queue {
+	return &Queue{placer: p, rates: map[int]*rate{}, refused: map[uint64]camphorhinge.Instant{}}
+}
+
+// rate counts the placements of one rank over the last rateWindow.
+type rate struct{ placed []camphorhinge.Instant }
+
+func (r *rate) add(now camphorhinge.Instant) { r.placed = append(r.placed, now) }
+
+// wait returns the time in which n more requests are placed at the measured rate.
+func (r *rate) wait(now camphorhinge.Instant, n int) time.Duration {
+	i := 0
+	for i < len(r.placed) && now.Sub(r.placed[i]) > rateWindow {
+		i++
+	}
+	r.placed = r.placed[i:]
+	if n == 0 {
+		return 0
+	}
+	return time.Duration(n) * rateWindow / time.Duration(max(len(r.placed), 1))
+}
+
+func (q *Queue) rate(rank int) *rate {
+	r := q.rates[rank]
+	if r == nil {
+		r = &rate{}
+		q.rates[rank] = r
+	}
+	return r
+}
 
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.waiting) }
@@ -101,13 +134,13 @@
 		}
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.arrived, b.arrived))
 	})
-	// ahead is the work of the requests that go first, divided among the engines.
-	var ahead time.Duration
+	// ahead counts the requests of each rank that go first.
+	ahead := map[int]int{}
 	kept := q.waiting[:0]
 	for i, w := range q.waiting {
-		if i >= looksPerRound || !q.decide(now, w, ahead) {
+		if i >= looksPerRound || !q.decide(now, w, q.rate(w.Rank).wait(now, ahead[w.Rank])) {
 			kept = append(kept, w)
-			ahead += w.work
+			ahead[w.Rank]++
 		}
 	}
 	clear(q.waiting[len(kept):])
@@ -120,9 +153,9 @@
 	defer q.placer.mu.Unlock()
 	live := w.Live()
 	best, ok := q.placer.pick(now, live, &w.Request)
-	if ok && w.work == 0 {
+	if ok && !w.seen {
+		w.seen = true
 		alone := best.Expected - best.wait
-		w.work = max(alone/time.Duration(len(live)), time.Microsecond)
 		w.hopeless = w.Due > 0 && now.Add(alone) > w.Due
 	}
 	switch {
@@ -134,6 +167,7 @@
 		}
 		w.Decided(nil, min(max(best.wait+ahead, leastRetry), mostRetry))
 	case best.wait <= queueAhead:
+		q.rate(w.Rank).add(now)
 		w.Decided(q.placer.adopt(now, best.Plan, &w.Request), 0)
 	default:
 		w.late = !w.hopeless && w.Due > 0 && now.Add(best.Expected) > w.Due
