--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -184,6 +184,7 @@
 	call := &peerpb.PlaceRequest{
 		Node: string(c.cfg.Node), Start: c.start, Placement: id, Service: string(req.Service),
 		Prompt: uint32(req.Prompt), Output: uint32(req.Output), Direct: req.Direct, Rank: uint32(max(req.Rank, 0)),
+		Zone: string(req.Zone), Bytes: uint32(req.Bytes),
 	}
 	if req.Due > 0 {
 		call.Objective = req.Due.Sub(now).Milliseconds()
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -217,6 +217,7 @@
 	r := place.Request{
 		Service: camphorhinge.ServiceName(req.GetService()), Prompt: camphorhinge.Tokens(req.GetPrompt()),
 		Output: camphorhinge.Tokens(req.GetOutput()), Direct: req.GetDirect(), Rank: int(req.GetRank()),
+		Zone: camphorhinge.Zone(req.GetZone()), Bytes: int(req.GetBytes()),
 	}
 	if ms := req.GetObjective(); ms != 0 {
 		r.Due = now.Add(time.Duration(ms) * time.Millisecond)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -81,6 +81,8 @@
 	Budget     *budget.Budget
 	Quarantine Quarantine
 	Protocol   Protocol
+	// Zone is the node's own.
+	Zone camphorhinge.Zone
 	// Nodes returns the number of nodes that share the retry budget.
 	Nodes   func() int
 	Clock   camphorhinge.Clock
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -176,7 +176,7 @@
 // request returns what the Placer needs to know.
 func (j *job) request() place.Request {
 	r := place.Request{
-		Rank:    j.route.Rank,
+		Rank: j.route.Rank, Zone: j.f.cfg.Zone, Bytes: len(j.body),
 		Service: j.service.Name, Engine: j.service.Engine, Parts: j.ask.Parts, Prompt: j.ask.Prompt, Output: j.ask.Output,
 		Exclude: j.exclude, Direct: !j.mayPrefill(),
 	}
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -43,6 +43,9 @@
 	// when all are.
 	fullShare = 0.75
 	fullWait  = 150 * time.Millisecond
+	// crossCost is the time by which a target in another zone must be faster, for each 1,024 bytes of the request: bytes
+	// between zones are paid for.
+	crossCost = 2 * time.Millisecond
 	// calmShare is the share of slots or memory up to which an engine counts as not crowded, crowdCost the cost of a full one.
 	calmShare = 0.7
 	crowdCost = 2 * time.Second
@@ -146,6 +149,14 @@
 	}
 }
 
+// cross returns the cost of sending the request to a target in another zone.
+func (c *scene) cross(t *camphorhinge.Target) time.Duration {
+	if t.Zone == c.req.Zone {
+		return 0
+	}
+	return time.Duration(c.req.Bytes) * crossCost / 1024
+}
+
 // reading is the estimate of one engine that reads a prompt.
 type reading struct {
 	fetch            *camphorhinge.Target
@@ -213,7 +224,7 @@
 	r := p.read(c, t)
 	return option{
 		Plan{Serve: t, Fetch: r.fetch, Expected: r.took, Unread: r.unread, Reason: reason("direct", r.fetch)},
-		r.cost + p.crowd(c, t), r.wait,
+		r.cost + p.crowd(c, t) + c.cross(t), r.wait,
 	}
 }
 
@@ -232,7 +243,7 @@
 	took := r.took + move + p.cfg.Rates.Step
 	return option{
 		Plan{Prefill: reader, Serve: server, Fetch: r.fetch, Expected: took, Unread: r.unread, Reason: reason("separate prefill", r.fetch)},
-		r.cost + move + p.cfg.Rates.Step + separateCost + p.crowd(c, server), r.wait,
+		r.cost + move + p.cfg.Rates.Step + separateCost + p.crowd(c, server) + c.cross(reader) + c.cross(server), r.wait,
 	}
 }
 
@@ -244,7 +255,7 @@
 		s := p.of(c.now, t)
 		took := moveTime(c.req.Prompt, c.req.Engine, reader, t)
 		busy := s.backlog(c.now) + time.Duration((float64(s.running)+p.others(s, c.now))*float64(runningCost))
-		cost := 2*took + busy + p.crowd(c, t)
+		cost := 2*took + busy + p.crowd(c, t) + c.cross(t)
 		if best == nil || cost < least {
 			best, least, move = t, cost, took+p.cfg.Rates.Setup
 		}
--- a/internal/request/place/types.go
+++ b/internal/request/place/types.go
@@ -27,6 +27,9 @@
 	Exclude []camphorhinge.TargetName
 	// Direct rules out a plan with a separate prefill engine.
 	Direct bool
+	// Zone is that of the entry node that sends the request, Bytes the request's size.
+	Zone  camphorhinge.Zone
+	Bytes int
 	// Rank is that of the route; 0 is the most urgent.
 	Rank int
 	// Due is when the first event becomes late, Until when the caller gives up; 0 stands for no bound.
