Probe connections to targets that wait for an answer, and satisfy the linter

Cause: a connection that goes silent after the request was acknowledged left the request waiting until its deadline.

--- /dev/null
+++ b/internal/node/dial/probing_test.go
@@ -0,0 +1,37 @@
+package dial_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"example.org/camphorhinge/internal/node/dial"
+)
+
+// Guards against a request that waits for ever for an answer on a connection which went silent after the request was
+// acknowledged: nothing is sent any more, so only keep-alive probes find out.
+func TestProbing(t *testing.T) {
+	const silent = 1500 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	c, err := dial.NewProbing(time.Second, silent).DialContext(t.Context(), "tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		option := func(level, name int) int {
+			v, err := unix.GetsockoptInt(int(fd), level, name)
+			require.NoError(t, err)
+			return v
+		}
+		require.EqualValues(t, silent.Milliseconds(), option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT))
+		require.Equal(t, 1, option(unix.SOL_SOCKET, unix.SO_KEEPALIVE))
+		require.LessOrEqual(t, option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), 2)
+		require.LessOrEqual(t, option(unix.IPPROTO_TCP, unix.TCP_KEEPCNT), 2)
+	}))
+}
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -42,7 +41,7 @@
 	connectTimeout = 400 * time.Millisecond
 	// answerTimeout bounds the silence of a target; the deadline of each request is shorter.
 	answerTimeout = time.Minute
-	// silentTimeout is how long sent bytes may stay unacknowledged on a connection to a target.
+	// silentTimeout is how long a connection to a target may stay without any sign of its other end while one is asked for.
 	silentTimeout = 1500 * time.Millisecond
 	// entryIdle is the greatest number of idle connections to one target.
 	entryIdle = 8
@@ -130,7 +129,7 @@
 // newExchange returns the client of targets.
 func newExchange(set *metrics.Set, dialect exchange.Dialect) *exchange.Client {
 	return exchange.New(exchange.Config{
-		Dialer:  dial.New(connectTimeout, nil),
+		Dialer:  dial.NewProbing(connectTimeout, silentTimeout),
 		Connect: connectTimeout, FirstByte: answerTimeout, Between: answerTimeout, Idle: entryIdle,
 		Metrics: set, Tracer: noop.NewTracerProvider().Tracer(""), Dialect: dialect,
 	})
@@ -177,7 +176,7 @@
 	}
 	s.Hertz.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
 		c.Response.Header.SetContentType("text/plain; version=0.0.4")
-		set.WritePrometheus(io.Writer(c.Response.BodyWriter()))
+		set.WritePrometheus(c.Response.BodyWriter())
 		metrics.WriteProcessMetrics(c.Response.BodyWriter())
 	})
 	return s, nil
--- a/internal/observe/lines/writer.go
+++ b/internal/observe/lines/writer.go
@@ -13,8 +13,9 @@
 const (
 	// queueLength is the number of lines that wait for the output.
 	queueLength = 1024
-	// DefaultRate and DefaultBurst bound the lines per second of one process: about one for each request of a small VM.
-	DefaultRate  = 150
+	// DefaultRate is the number of lines per second of one process, about one for each request of a small VM.
+	DefaultRate = 150
+	// DefaultBurst is the number of lines that may come at once.
 	DefaultBurst = 600
 	// reportEvery is the time between two lines that tell how many were left out.
 	reportEvery = time.Second
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -285,7 +285,7 @@
 	}
 	// Reading the prompt is no run, however the call ended.
 	err.Run = camphorhinge.NotRun
-	flight.End(clock.Now(), outcome(err, ctx))
+	flight.End(clock.Now(), outcome(ctx, err))
 	j.exclude = append(j.exclude, plan.Prefill.Name)
 	return "", err
 }
@@ -375,7 +375,7 @@
 }
 
 // outcome returns what a failed attempt says of its target.
-func outcome(e *exchange.Error, ctx context.Context) place.Outcome {
+func outcome(ctx context.Context, e *exchange.Error) place.Outcome {
 	switch e.Kind {
 	case exchange.KindConnect:
 		return place.Unreachable
@@ -404,7 +404,7 @@
 	result, err := j.relay(ctx, call, flight)
 	if err != nil {
 		if err.Kind != exchange.KindStatus {
-			result = outcome(err, ctx)
+			result = outcome(ctx, err)
 		}
 		j.exclude = append(j.exclude, call.Target.Name)
 		if err.Run != camphorhinge.NotRun {
@@ -489,12 +489,6 @@
 	j.out.Whole(j.status, header, body)
 }
 
-// hop are the headers that concern one connection only, or that the sender of a message sets itself.
-var hop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-	"Host", "Expect",
-}
-
 // passOn returns the part of a header that is passed on.
 func passOn(h http.Header) http.Header {
 	out := h.Clone()
@@ -503,7 +497,11 @@
 			out.Del(strings.TrimSpace(name))
 		}
 	}
-	for _, name := range hop {
+	// These concern one connection only, or are set by the sender of each message.
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+		"Host", "Expect",
+	} {
 		out.Del(name)
 	}
 	return out
--- a/target.go
+++ b/target.go
@@ -89,12 +89,12 @@
 	Warming int64 `json:"warming,omitempty"`
 	Leaving bool  `json:"leaving,omitempty"`
 	// Left tells that the target has left for good; a later announcement of the same incarnation is void.
-	Left bool `json:"left,omitempty"`
-	Busy        bool          `json:"busy,omitempty"`
-	Revision    uint64        `json:"revision,omitempty"`
-	Last        LastOrder     `json:"last"`
-	Load        Load          `json:"load"`
-	Cache       CacheReport   `json:"cache"`
+	Left     bool        `json:"left,omitempty"`
+	Busy     bool        `json:"busy,omitempty"`
+	Revision uint64      `json:"revision,omitempty"`
+	Last     LastOrder   `json:"last"`
+	Load     Load        `json:"load"`
+	Cache    CacheReport `json:"cache"`
 }
 
 // Kinds of targets in an Announcement.
