Order the queue by when a request must begin, and give each rank some of its requests

Cause: under a lasting overload the least urgent rank got 5 in 100 of its requests served, and the largest tenth of a rank was refused first.

--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -19,6 +19,9 @@
 	leastRetry, mostRetry = time.Second, 2 * time.Second
 	// returnTime is how long a refused request is remembered, so that it goes first when it comes again.
 	returnTime = 6 * time.Second
+	// leastShare is the share of its requests from which a rank gives way to more urgent ones. Under a lasting overload the
+	// least urgent rank would get nothing otherwise.
+	leastShare = 0.15
 	// rateWindow is the time over which placements are counted.
 	rateWindow = time.Second
 	// looksPerRound bounds the waiting requests that one round looks at.
@@ -26,8 +29,8 @@
 )
 
 // Queue holds model requests until an engine can begin with them. Requests that can still be on time go first, the most
-// urgent rank first and in the order of their arrival. One that is too large to be on time keeps its place among them, so
-// that large requests are not left behind. A request that can't be served before its caller gives up is refused as soon as
+// urgent rank first and in the order in which they must begin. One that is too large to be on time keeps its place among them, so
+// that large requests are not left behind. Each rank gets some of its requests served, however many urgent ones come. A request that can't be served before its caller gives up is refused as soon as
 // that is known.
 //
 // It is not safe for concurrent use.
@@ -50,8 +53,9 @@
 	// time tells that there is no target.
 	Decided func(p *Placement, retry time.Duration)
 	arrived camphorhinge.Instant
-	// seen is set once the request was looked at.
-	seen bool
+	// seen is set once the request was looked at; alone is then the time that it takes without a wait.
+	seen  bool
+	alone time.Duration
 	// returned is set for a request that was refused before.
 	returned bool
 	// late is set once the request can't be on time any more, hopeless when it never could.
@@ -59,23 +63,36 @@
 	gone           bool
 }
 
+// latest returns a time by which requests of one rank are ordered: the sooner one must begin, the earlier it is. So a large
+// request goes before small ones that came a little earlier.
+func (w *Waiting) latest() camphorhinge.Instant { return w.arrived.Add(-w.alone) }
+
 // NewQueue returns an empty Queue that places by p.
 func NewQueue(p *Placer) *Queue {
 	return &Queue{placer: p, rates: map[int]*rate{}, refused: map[uint64]camphorhinge.Instant{}}
 }
 
-// rate counts the placements of one rank over the last rateWindow.
-type rate struct{ placed []camphorhinge.Instant }
-
-func (r *rate) add(now camphorhinge.Instant) { r.placed = append(r.placed, now) }
+// rate counts the requests of one rank that came and that were placed over the last rateWindow.
+type rate struct{ came, placed []camphorhinge.Instant }
 
-// wait returns the time in which n more requests are placed at the measured rate.
-func (r *rate) wait(now camphorhinge.Instant, n int) time.Duration {
+// recent drops what is older than rateWindow.
+func recent(now camphorhinge.Instant, times []camphorhinge.Instant) []camphorhinge.Instant {
 	i := 0
-	for i < len(r.placed) && now.Sub(r.placed[i]) > rateWindow {
+	for i < len(times) && now.Sub(times[i]) > rateWindow {
 		i++
 	}
-	r.placed = r.placed[i:]
+	return times[i:]
+}
+
+// owed reports whether a smaller share of the rank's requests was placed than each rank gets.
+func (r *rate) owed(now camphorhinge.Instant) bool {
+	r.came, r.placed = recent(now, r.came), recent(now, r.placed)
+	return float64(len(r.placed)) < leastShare*float64(len(r.came))
+}
+
+// wait returns the time in which n more requests are placed at the measured rate.
+func (r *rate) wait(now camphorhinge.Instant, n int) time.Duration {
+	r.placed = recent(now, r.placed)
 	if n == 0 {
 		return 0
 	}
@@ -104,6 +121,8 @@
 		q.swept = now
 		maps.DeleteFunc(q.refused, func(_ uint64, until camphorhinge.Instant) bool { return now >= until })
 	}
+	r := q.rate(w.Rank)
+	r.came = append(r.came, now)
 	q.waiting = append(q.waiting, w)
 	q.Run(now)
 }
@@ -119,7 +138,17 @@
 // Run decides on the requests for which an engine can begin now, and on those that can't be served any more. It is called
 // after each change of an engine's work and from time to time.
 func (q *Queue) Run(now camphorhinge.Instant) {
+	owed := map[int]bool{}
+	for rank, r := range q.rates {
+		owed[rank] = r.owed(now)
+	}
 	slices.SortStableFunc(q.waiting, func(a, b *Waiting) int {
+		if a.Rank != b.Rank && owed[a.Rank] != owed[b.Rank] {
+			if owed[a.Rank] {
+				return -1
+			}
+			return 1
+		}
 		if a.late != b.late {
 			if a.late {
 				return 1
@@ -132,7 +161,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.arrived, b.arrived))
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.latest(), b.latest()))
 	})
 	// ahead counts the requests of each rank that go first.
 	ahead := map[int]int{}
@@ -155,8 +184,8 @@
 	best, ok := q.placer.pick(now, live, &w.Request)
 	if ok && !w.seen {
 		w.seen = true
-		alone := best.Expected - best.wait
-		w.hopeless = w.Due > 0 && now.Add(alone) > w.Due
+		w.alone = best.Expected - best.wait
+		w.hopeless = w.Due > 0 && now.Add(w.alone) > w.Due
 	}
 	switch {
 	case !ok:
@@ -167,7 +196,8 @@
 		}
 		w.Decided(nil, min(max(best.wait+ahead, leastRetry), mostRetry))
 	case best.wait <= queueAhead:
-		q.rate(w.Rank).add(now)
+		r := q.rate(w.Rank)
+		r.placed = append(r.placed, now)
 		w.Decided(q.placer.adopt(now, best.Plan, &w.Request), 0)
 	default:
 		w.late = !w.hopeless && w.Due > 0 && now.Add(best.Expected) > w.Due
