--- /dev/null
+++ b/internal/fleet/balance/balance_test.go
@@ -0,0 +1,285 @@
+package balance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+)
+
+func engine(i int, role camphorhinge.Role, zone string) Engine {
+	return Engine{Target: &camphorhinge.Target{Serving: true, Announcement: camphorhinge.Announcement{
+		Name: camphorhinge.TargetName(fmt.Sprintf("e%02d", i)), Service: "s", Role: role, Zone: camphorhinge.Zone(zone),
+		Incarnation: 1, Slots: 64, Kind: camphorhinge.KindEngine,
+	}}}
+}
+
+// engines returns prefill engines and then decode engines, spread over three zones.
+func engines(prefill, decode int) []Engine {
+	var out []Engine
+	for i := range prefill + decode {
+		role := camphorhinge.RolePrefill
+		if i >= prefill {
+			role = camphorhinge.RoleDecode
+		}
+		out = append(out, engine(i, role, fmt.Sprintf("z%d", i%3)))
+	}
+	return out
+}
+
+// TestPlan guards the division of the engines: enough for reading before there is load, few changes under load, none while
+// changes are under way, and never the last engines of a role.
+func TestPlan(t *testing.T) {
+	unknown, idle := Load{Running: -1}, Load{}
+	busy := Load{Running: 200}
+	changing := func(es []Engine, n int) []Engine {
+		for i := range n {
+			es[i].Changing = true
+		}
+		return es
+	}
+	resting := func(es []Engine) []Engine {
+		for i := range es {
+			es[i].Resting = true
+		}
+		return es
+	}
+	mixed := func(n int) []Engine {
+		out := engines(0, n)
+		for _, e := range out {
+			e.Role = camphorhinge.RoleMixed
+		}
+		return out
+	}
+	for _, tc := range []struct {
+		name      string
+		engines   []Engine
+		load      Load
+		toPrefill int
+		toDecode  int
+	}{
+		{"start: two thirds decode", engines(6, 12), unknown, 7, 0},
+		{"start: nine engines", engines(3, 6), unknown, 3, 0},
+		{"start: as wanted", engines(13, 5), unknown, 0, 0},
+		{"start: all prefill", engines(18, 0), unknown, 0, 5},
+		{"start: decode engines lost", engines(15, 1), unknown, 0, 3},
+		{"load: one too many is left alone", engines(15, 3), idle, 0, 0},
+		{"load: few at a time", engines(4, 14), idle, 1, 0},
+		{"load: long answers", engines(15, 3), busy, 0, 1},
+		{"load: one changes already", changing(engines(4, 14), 1), idle, 0, 0},
+		{"engines that rest", resting(engines(6, 12)), unknown, 0, 0},
+		{"engines of both roles", mixed(6), unknown, 0, 0},
+		{"one engine", engines(0, 1), unknown, 0, 0},
+		{"two engines", engines(0, 2), unknown, 1, 0},
+		{"none", nil, unknown, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := map[camphorhinge.Role]int{}
+			seen := map[camphorhinge.TargetName]bool{}
+			for _, c := range Plan(tc.engines, tc.load) {
+				got[c.To]++
+				require.NotEqual(t, c.To, c.Engine.Role)
+				require.False(t, seen[c.Engine.Name])
+				seen[c.Engine.Name] = true
+			}
+			require.Equal(t, tc.toPrefill, got[camphorhinge.RolePrefill], "to prefill")
+			require.Equal(t, tc.toDecode, got[camphorhinge.RoleDecode], "to decode")
+		})
+	}
+}
+
+// Guards against a zone that loses all its decode engines while another keeps several.
+func TestPlanSpreadsOverZones(t *testing.T) {
+	left := map[camphorhinge.Zone]int{}
+	es := engines(0, 18)
+	for _, e := range es {
+		left[e.Zone]++
+	}
+	for _, c := range Plan(es, Load{Running: -1}) {
+		left[c.Engine.Zone]--
+	}
+	for zone, n := range left {
+		require.Positive(t, n, zone)
+	}
+}
+
+// fakes are engines that carry orders out after a while.
+type fakes struct {
+	mu      sync.Mutex
+	live    []*camphorhinge.Target
+	orders  []Order
+	names   []camphorhinge.TargetName
+	lose    int
+	refuse  bool
+	applied bool
+}
+
+func (f *fakes) Live(camphorhinge.ServiceName) []*camphorhinge.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*camphorhinge.Target(nil), f.live...)
+}
+
+func (f *fakes) Read(_ context.Context, t *camphorhinge.Target) (State, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := uint64(0)
+	for _, name := range f.names {
+		if name == t.Name {
+			n++
+		}
+	}
+	return State{Role: t.Role, Accepted: n}, nil
+}
+
+func (f *fakes) Order(_ context.Context, t *camphorhinge.Target, o Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuse {
+		return &Error{Op: "order", Kind: KindRefused, Err: errors.New("no")}
+	}
+	f.orders, f.names = append(f.orders, o), append(f.names, t.Name)
+	if f.applied {
+		for i, x := range f.live {
+			if x.Name == t.Name {
+				changed := *x
+				changed.Role = o.Role
+				f.live[i] = &changed
+			}
+		}
+	}
+	if f.lose > 0 {
+		f.lose--
+		return &Error{Op: "order", Kind: KindNetwork, Err: errors.New("answer lost")}
+	}
+	return nil
+}
+
+// lease is an Authority that a test moves.
+type lease struct {
+	mu    sync.Mutex
+	term  camphorhinge.Term
+	valid bool
+}
+
+func (l *lease) Authority() (camphorhinge.Term, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term, l.valid
+}
+
+func (l *lease) set(term camphorhinge.Term, valid bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term, l.valid = term, valid
+}
+
+// bubble reads the virtual time.
+type bubble struct{ start time.Time }
+
+func (b bubble) Now() camphorhinge.Instant { return camphorhinge.Instant(time.Since(b.start) + time.Hour) }
+
+// play runs a Balancer for some time.
+func play(t *testing.T, f *fakes, l *lease, d time.Duration, during func()) {
+	t.Helper()
+	b := New(Config{
+		Node: "n", Authority: l, Targets: f, Services: func() []camphorhinge.ServiceName { return []camphorhinge.ServiceName{"s"} },
+		Load:    func(context.Context, camphorhinge.ServiceName) Load { return Load{Running: -1} },
+		Engines: f, Clock: bubble{time.Now()}, Handover: 3300 * time.Millisecond,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewSet(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return b.Run(ctx) })
+	if during != nil {
+		during()
+	}
+	time.Sleep(d)
+	cancel()
+	require.NoError(t, g.Wait())
+}
+
+func fleetOf(prefill, decode int) *fakes {
+	f := &fakes{}
+	for _, e := range engines(prefill, decode) {
+		f.live = append(f.live, e.Target)
+	}
+	return f
+}
+
+// TestBalancer guards the orders: one for each engine while its change is not announced, none without the lease or within
+// the time in which another holder may still give orders, and the engine's own count after an answer that was lost.
+func TestBalancer(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fleet  *fakes
+		prep   func(f *fakes)
+		lease  *lease
+		length time.Duration
+		orders int
+		check  func(t *testing.T, f *fakes)
+	}{
+		{"follower", fleetOf(6, 12), nil, &lease{term: 2}, 20 * time.Second, 0, nil},
+		{"new leader waits", fleetOf(6, 12), nil, &lease{term: 2, valid: true}, 3 * time.Second, 0, nil},
+		{"one order each", fleetOf(6, 12), func(f *fakes) { f.applied = true }, &lease{term: 2, valid: true}, 30 * time.Second, 7, nil},
+		{"changes that take long", fleetOf(6, 12), nil, &lease{term: 2, valid: true}, 12 * time.Second, 7, nil},
+		{"refused", fleetOf(6, 12), func(f *fakes) { f.refuse = true }, &lease{term: 2, valid: true}, 8 * time.Second, 0, nil},
+		{
+			"answers lost", fleetOf(0, 3), func(f *fakes) { f.lose = 1 }, &lease{term: 2, valid: true}, 25 * time.Second, 2,
+			func(t *testing.T, f *fakes) {
+				t.Helper()
+				// The first order counted although its answer was lost, so the next names a count of one.
+				require.Equal(t, []uint64{0, 1}, []uint64{f.orders[0].Accepted, f.orders[1].Accepted})
+			},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if tc.prep != nil {
+					tc.prep(tc.fleet)
+				}
+				play(t, tc.fleet, tc.lease, tc.length, nil)
+				require.Len(t, tc.fleet.orders, tc.orders)
+				for _, o := range tc.fleet.orders {
+					require.Equal(t, camphorhinge.Term(2), o.Fence)
+					require.Equal(t, camphorhinge.NodeID("n"), o.Holder)
+				}
+				if tc.check != nil {
+					tc.check(t, tc.fleet)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a deposed leader that goes on to order, and against a leader of a later term that does not wait.
+func TestBalancerLosesLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, l := fleetOf(6, 12), &lease{term: 2, valid: true}
+		f.refuse = true
+		play(t, f, l, 10*time.Second, func() {
+			time.Sleep(2 * time.Second)
+			l.set(3, false)
+			time.Sleep(5 * time.Second)
+			f.mu.Lock()
+			f.refuse = false
+			f.mu.Unlock()
+			l.set(4, true)
+			time.Sleep(3 * time.Second)
+			require.Empty(t, f.orders)
+		})
+		require.NotEmpty(t, f.orders)
+		require.Equal(t, camphorhinge.Term(4), f.orders[0].Fence)
+	})
+}
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -163,13 +163,17 @@
 	case last.Kind == exchange.KindRefused && last.Status == http.StatusBadRequest:
 		e.Kind, e.Status = KindInvalid, http.StatusBadRequest
 	}
-	if j.runs == 0 && last.Run == camphorhinge.NotRun && e.Kind != KindInvalid {
-		e.Run = camphorhinge.NotRun
-		if e.Kind == KindTarget {
-			e.Kind = KindNoTarget
-		}
-		e.Status, e.RetryAfter = http.StatusServiceUnavailable, targetPause
+	if j.runs > 0 || last.Run != camphorhinge.NotRun {
+		return e
+	}
+	e.Run = camphorhinge.NotRun
+	switch e.Kind {
+	case KindInvalid:
+		return e
+	case KindTarget:
+		e.Kind = KindNoTarget
 	}
+	e.Status, e.RetryAfter = http.StatusServiceUnavailable, targetPause
 	return e
 }
 
