--- /dev/null
+++ b/internal/node/schedule/schedule_test.go
@@ -0,0 +1,165 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/record/routing"
+)
+
+// fleet is a fixed set of engines.
+type fleet []*camphorhinge.Target
+
+func (f fleet) Live(camphorhinge.ServiceName) []*camphorhinge.Target { return f }
+
+// bubble reads the virtual time.
+type bubble struct{ start time.Time }
+
+func (b bubble) Now() camphorhinge.Instant {
+	return camphorhinge.Instant(time.Since(b.start) + time.Hour)
+}
+
+func newScheduler(prefill, decode int) *Scheduler {
+	var f fleet
+	for i := range prefill + decode {
+		role := camphorhinge.RolePrefill
+		if i >= prefill {
+			role = camphorhinge.RoleDecode
+		}
+		f = append(f, &camphorhinge.Target{Serving: true, Announcement: camphorhinge.Announcement{
+			Name: camphorhinge.TargetName(fmt.Sprintf("e%d", i)), Service: "s", Role: role, Incarnation: 1, Slots: 64,
+			Kind: camphorhinge.KindEngine, Zone: "z",
+		}})
+	}
+	config := &routing.Config{Version: 1, Services: []routing.Service{{
+		Name: "s", Engine: &routing.Engine{Slots: 64, Memory: 500_000, TokenBytes: 160_000, Link: 1.6e6},
+	}}}
+	return New(Config{Targets: f, Configuration: func() *routing.Config { return config }, Clock: bubble{time.Now()}})
+}
+
+// ask returns a request for one placement; subject names the shared part.
+func ask(node string, start, placement, subject uint64) *peerpb.PlaceRequest {
+	return &peerpb.PlaceRequest{
+		Node: node, Start: start, Placement: placement, Service: "s", Parts: []uint64{subject, 1e6 + placement},
+		Sizes: []uint32{10_000, 2000}, Prompt: 12_000, Output: 20, Objective: 600, Patience: 2400, Zone: "z",
+	}
+}
+
+// held returns the number of placements that the scheduler holds.
+func (s *Scheduler) held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, c := range s.callers {
+		n += len(c.placements) + len(c.waiting)
+	}
+	return n
+}
+
+func call(t *testing.T, s *Scheduler, req *peerpb.PlaceRequest) *peerpb.PlaceResponse {
+	t.Helper()
+	resp, err := s.Place(t.Context(), req)
+	require.NoError(t, err)
+	return resp
+}
+
+// TestPlacementsEnd guards against engines that count as busy for ever: the work of a placement ends when its end is told,
+// when its caller started again, when its caller is gone, and when its end was lost.
+func TestPlacementsEnd(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(t *testing.T, s *Scheduler)
+	}{
+		{"told", func(t *testing.T, s *Scheduler) {
+			t.Helper()
+			call(t, s, &peerpb.PlaceRequest{Node: "n", Start: 1, Events: []*peerpb.PlaceEvent{{Placement: 1, Ended: true}}})
+		}},
+		{"caller started again", func(t *testing.T, s *Scheduler) {
+			t.Helper()
+			call(t, s, &peerpb.PlaceRequest{Node: "n", Start: 2})
+		}},
+		{"caller gone", func(_ *testing.T, s *Scheduler) {
+			time.Sleep(callerExpiry + time.Second)
+			s.sweep(s.cfg.Clock.Now())
+		}},
+		{"end lost", func(t *testing.T, s *Scheduler) {
+			t.Helper()
+			for range int(placementExpiry/time.Second) + 1 {
+				time.Sleep(time.Second)
+				call(t, s, &peerpb.PlaceRequest{Node: "n", Start: 1})
+			}
+			s.sweep(s.cfg.Clock.Now())
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newScheduler(2, 1)
+				require.NotEmpty(t, call(t, s, ask("n", 1, 1, 7)).GetServe())
+				require.Equal(t, 1, s.held())
+				tc.end(t, s)
+				require.Zero(t, s.held())
+			})
+		})
+	}
+}
+
+// Guards against a caller whose request waits without an answer: a call is held for a while, and the same request asked
+// again keeps its place.
+func TestWaitingIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(1, 1)
+		first := call(t, s, ask("n", 1, 1, 1))
+		require.Equal(t, "e0", first.GetPrefill())
+		began := time.Now()
+		second := call(t, s, ask("n", 1, 2, 2))
+		require.True(t, second.GetWaiting())
+		require.Equal(t, holdTime, time.Since(began))
+		// The engine has read what came before.
+		call(t, s, &peerpb.PlaceRequest{Node: "n", Start: 1, Events: []*peerpb.PlaceEvent{
+			{Placement: 1, Reader: true, First: true}, {Placement: 1, Reader: true, Ended: true},
+		}})
+		again := call(t, s, ask("n", 1, 2, 2))
+		require.NotEmpty(t, again.GetServe())
+		require.Equal(t, 2, s.held())
+	})
+}
+
+// Guards against shared parts that are read again after another core node took over: it asks callers that it does not know
+// for what engines hold.
+func TestLearnsFromCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(2, 1)
+		resp := call(t, s, &peerpb.PlaceRequest{Node: "n", Start: 1})
+		require.True(t, resp.GetUnknown())
+		resp = call(t, s, &peerpb.PlaceRequest{Node: "n", Start: 1, Holdings: []*peerpb.Holding{{
+			Target: "e1", Incarnation: 1, Parts: []uint64{7}, Sizes: []uint32{10_000}, Ages: []uint32{500},
+		}, {
+			Target: "e0", Incarnation: 9, Parts: []uint64{8}, Sizes: []uint32{10_000}, Ages: []uint32{500},
+		}}})
+		require.False(t, resp.GetUnknown())
+		known := call(t, s, ask("n", 1, 1, 7))
+		require.Equal(t, uint32(2000), known.GetUnread())
+		// What an earlier incarnation held is gone.
+		gone := call(t, s, ask("n", 1, 2, 8))
+		require.Equal(t, uint32(12_000), gone.GetUnread())
+	})
+}
+
+// Guards against requests that are held although no engine could serve them in time.
+func TestRefusesHopeless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(1, 1)
+		req := ask("n", 1, 1, 7)
+		req.Patience = 100
+		resp := call(t, s, req)
+		require.Positive(t, resp.GetRefused())
+		require.Empty(t, resp.GetServe())
+		require.Zero(t, s.held())
+	})
+}
