--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -188,7 +188,9 @@
 // bubble reads the virtual time.
 type bubble struct{ start time.Time }
 
-func (b bubble) Now() camphorhinge.Instant { return camphorhinge.Instant(time.Since(b.start) + time.Hour) }
+func (b bubble) Now() camphorhinge.Instant {
+	return camphorhinge.Instant(time.Since(b.start) + time.Hour)
+}
 
 // play runs a Balancer for some time.
 func play(t *testing.T, f *fakes, l *lease, d time.Duration, during func()) {
--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -20,7 +20,7 @@
 	// placeTimeout bounds the way of a question to a core node and back: several round trips between zones.
 	placeTimeout = 60 * time.Millisecond
 	// flushEvery is the time between two calls that only bring events.
-	flushEvery = 20 * time.Millisecond
+	flushEvery = 30 * time.Millisecond
 	// flushTimeout bounds such a call.
 	flushTimeout = 300 * time.Millisecond
 	// failuresAllowed is the number of failures in a row from which a core node is avoided. It is then probed each
--- a/internal/node/schedule/schedule_test.go
+++ b/internal/node/schedule/schedule_test.go
@@ -1,12 +1,14 @@
 package schedule
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
@@ -114,6 +116,13 @@
 func TestWaitingIsAskedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newScheduler(1, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return s.Run(ctx) })
+		defer func() {
+			cancel()
+			require.NoError(t, g.Wait())
+		}()
 		first := call(t, s, ask("n", 1, 1, 1))
 		require.Equal(t, "e0", first.GetPrefill())
 		began := time.Now()
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -21,7 +21,7 @@
 	// holdTime is how long a call is held whose request waits for an engine; the caller then asks again.
 	holdTime = 150 * time.Millisecond
 	// runEvery is the time between two looks at the waiting requests.
-	runEvery = 10 * time.Millisecond
+	runEvery = 5 * time.Millisecond
 	// askAgain is how long a waiting request is kept without a call of its caller.
 	askAgain = 300 * time.Millisecond
 )
@@ -131,9 +131,6 @@
 	for _, e := range req.GetEvents() {
 		s.event(now, c, e)
 	}
-	if len(req.GetEvents()) > 0 && s.queue.Len() > 0 {
-		s.queue.Run(now)
-	}
 	if req.GetPlacement() == 0 {
 		return nil, unknown
 	}
--- /dev/null
+++ b/internal/request/place/bench_test.go
@@ -0,0 +1,21 @@
+package place
+
+import "testing"
+
+// BenchmarkPlace measures one choice among the engines of a large site.
+func BenchmarkPlace(b *testing.B) {
+	f := newFleet(68, 22, false)
+	for i := range 200 {
+		f.ask(i%3, Part{Hash: uint64(i % 50), Tokens: 13_000}, Part{Hash: uint64(1000 + i), Tokens: 3000})
+	}
+	req := Request{
+		Service: "s", Engine: f.engine, Parts: []Part{{Hash: 7, Tokens: 13_000}, {Hash: 5000, Tokens: 3000}}, Prompt: 16_000, Output: 20,
+	}
+	for b.Loop() {
+		p, ok := f.placer.Place(f.now, f.live, req)
+		if !ok {
+			b.Fatal("no target")
+		}
+		p.Close(f.now)
+	}
+}
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -63,6 +63,15 @@
 	home *camphorhinge.Target
 	// holders are the engines that are known to hold the shared parts.
 	holders []*camphorhinge.Target
+	// receivers are the best engines to take a KV cache, by the zone that it comes from.
+	receivers map[camphorhinge.Zone]receiver
+}
+
+// receiver is an engine that takes a KV cache, with the time of the move and the cost of the choice.
+type receiver struct {
+	target *camphorhinge.Target
+	move   time.Duration
+	cost   time.Duration
 }
 
 // option is a plan with its cost, which is its expected time with what it displaces, and the time until its first engine
@@ -90,7 +99,7 @@
 	} else if p.cfg.Whole {
 		return option{wait: fullWait, Plan: Plan{Serve: servers[0], Expected: fullWait}}, true
 	}
-	c := &scene{now: now, req: req}
+	c := &scene{now: now, req: req, receivers: map[camphorhinge.Zone]receiver{}}
 	c.shared, c.size = req.shared()
 	p.findHolders(c, live, targets)
 
@@ -238,8 +247,9 @@
 // separate returns the plan in which an engine of the prefill role reads the prompt.
 func (p *Placer) separate(c *scene, reader *camphorhinge.Target, servers []*camphorhinge.Target) option {
 	r := p.read(c, reader)
-	server, move := p.receiver(c, reader, servers)
-	move += p.of(c.now, server).backlog(c.now.Add(r.took))
+	to := p.receiver(c, reader, servers)
+	server := to.target
+	move := to.move + p.of(c.now, server).backlog(c.now.Add(r.took))
 	took := r.took + move + p.cfg.Rates.Step
 	return option{
 		Plan{Prefill: reader, Serve: server, Fetch: r.fetch, Expected: took, Unread: r.unread, Reason: reason("separate prefill", r.fetch)},
@@ -247,20 +257,23 @@
 	}
 }
 
-// receiver returns the engine that takes a KV cache from reader, and the time of the move.
-func (p *Placer) receiver(c *scene, reader *camphorhinge.Target, servers []*camphorhinge.Target) (*camphorhinge.Target, time.Duration) {
-	var best *camphorhinge.Target
-	var least, move time.Duration
+// receiver returns the engine that takes a KV cache from reader. It is the same for all readers of a zone.
+func (p *Placer) receiver(c *scene, reader *camphorhinge.Target, servers []*camphorhinge.Target) receiver {
+	if r, ok := c.receivers[reader.Zone]; ok {
+		return r
+	}
+	var best receiver
 	for _, t := range servers {
 		s := p.of(c.now, t)
 		took := moveTime(c.req.Prompt, c.req.Engine, reader, t)
 		busy := s.backlog(c.now) + time.Duration((float64(s.running)+p.others(s, c.now))*float64(runningCost))
 		cost := 2*took + busy + p.crowd(c, t) + c.cross(t)
-		if best == nil || cost < least {
-			best, least, move = t, cost, took+p.cfg.Rates.Setup
+		if best.target == nil || cost < best.cost {
+			best = receiver{t, took + p.cfg.Rates.Setup, cost}
 		}
 	}
-	return best, move
+	c.receivers[reader.Zone] = best
+	return best
 }
 
 // moveTime returns the time to move the KV cache of some tokens over an idle link. A move between zones takes twice as long.
--- a/internal/request/place/load_test.go
+++ b/internal/request/place/load_test.go
@@ -91,12 +91,12 @@
 	heap.Push(&f.events, fleetEvent{f.now.Add(d), do})
 }
 
-// run plays the events until none is left, with a look at the queue each 10 ms.
+// run plays the events until none is left, with a look at the queue each 5 ms, as a core node does.
 func (f *fleet) run() {
 	tick := f.now
 	for len(f.events) > 0 {
 		for f.queue != nil && tick < f.events[0].at {
-			f.now, tick = tick, tick.Add(10*time.Millisecond)
+			f.now, tick = tick, tick.Add(5*time.Millisecond)
 			f.queue.Run(f.now)
 		}
 		e := heap.Pop(&f.events).(fleetEvent)
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -24,8 +24,8 @@
 	leastShare = 0.15
 	// rateWindow is the time over which placements are counted.
 	rateWindow = time.Second
-	// looksPerRound bounds the waiting requests that one round looks at.
-	looksPerRound = 64
+	// stuckLimit is the number of requests of a rank without an engine after which a round tries no more of them.
+	stuckLimit = 6
 )
 
 // Queue holds model requests until an engine can begin with them. Requests that can still be on time go first, the most
@@ -111,7 +111,7 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.waiting) }
 
-// Add takes a request and decides what can be decided now.
+// Add takes a request and decides it now if no other waits; else the next Run does.
 func (q *Queue) Add(now camphorhinge.Instant, w *Waiting) {
 	w.arrived = now
 	if n := len(w.Parts); n > 0 {
@@ -123,8 +123,10 @@
 	}
 	r := q.rate(w.Rank)
 	r.came = append(r.came, now)
+	if len(q.waiting) == 0 && q.decide(now, w, 0) {
+		return
+	}
 	q.waiting = append(q.waiting, w)
-	q.Run(now)
 }
 
 // Remove forgets a request whose caller has left.
@@ -166,16 +168,38 @@
 	// ahead counts the requests of each rank that go first.
 	ahead := map[int]int{}
 	kept := q.waiting[:0]
-	for i, w := range q.waiting {
-		if i >= looksPerRound || !q.decide(now, w, q.rate(w.Rank).wait(now, ahead[w.Rank])) {
-			kept = append(kept, w)
-			ahead[w.Rank]++
+	stuck := map[int]int{}
+	for _, w := range q.waiting {
+		wait := q.rate(w.Rank).wait(now, ahead[w.Rank])
+		// Where several requests of a rank find no engine, the others won't either; they are only looked at for their time.
+		if w.seen && stuck[w.Rank] >= stuckLimit {
+			if q.expired(now, w, w.alone+wait, wait) {
+				continue
+			}
+		} else if q.decide(now, w, wait) {
+			continue
+		} else {
+			stuck[w.Rank]++
 		}
+		kept = append(kept, w)
+		ahead[w.Rank]++
 	}
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
 }
 
+// expired refuses w if it can't be served, which takes some time, before its caller gives up. It reports whether it did.
+func (q *Queue) expired(now camphorhinge.Instant, w *Waiting, takes, wait time.Duration) bool {
+	if w.Until == 0 || now.Add(takes+refuseMargin) <= w.Until {
+		return false
+	}
+	if n := len(w.Parts); n > 0 {
+		q.refused[w.Parts[n-1].Hash] = now.Add(returnTime)
+	}
+	w.Decided(nil, min(max(wait, leastRetry), mostRetry))
+	return true
+}
+
 // decide reports whether it decided on w.
 func (q *Queue) decide(now camphorhinge.Instant, w *Waiting, ahead time.Duration) bool {
 	q.placer.mu.Lock()
@@ -190,11 +214,7 @@
 	switch {
 	case !ok:
 		w.Decided(nil, 0)
-	case w.Until > 0 && now.Add(max(best.Expected, best.Expected-best.wait+ahead)+refuseMargin) > w.Until:
-		if n := len(w.Parts); n > 0 {
-			q.refused[w.Parts[n-1].Hash] = now.Add(returnTime)
-		}
-		w.Decided(nil, min(max(best.wait+ahead, leastRetry), mostRetry))
+	case q.expired(now, w, max(best.Expected, w.alone+ahead), best.wait+ahead):
 	case best.wait <= queueAhead:
 		r := q.rate(w.Rank)
 		r.placed = append(r.placed, now)
