--- a/internal/node/schedule/schedule_test.go
+++ b/internal/node/schedule/schedule_test.go
@@ -18,7 +18,12 @@
 // fleet is a fixed set of engines.
 type fleet []*camphorhinge.Target
 
-func (f fleet) Live(camphorhinge.ServiceName) []*camphorhinge.Target { return f }
+func (f fleet) Live(camphorhinge.ServiceName) []*camphorhinge.Target {
+	for _, t := range f {
+		t.Heard = camphorhinge.Instant(1000 * time.Hour)
+	}
+	return f
+}
 
 // bubble reads the virtual time.
 type bubble struct{ start time.Time }
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -200,7 +200,7 @@
 	r.wait = s.backlog(c.now) + time.Duration(p.others(s, c.now)*float64(otherTime))
 	// The transfer runs while the requests before this one are read.
 	r.took = max(r.wait, move) + p.toRead(t, float64(r.unread)) + p.cfg.Rates.Step
-	r.cost = r.took + time.Duration(4*s.share*float64(r.took)) + p.toRead(t, displaceCost*float64(missing))
+	r.cost = r.took + time.Duration(4*s.failing(c.now)*float64(r.took)) + p.toRead(t, displaceCost*float64(missing))
 	return r
 }
 
--- a/internal/request/place/load_test.go
+++ b/internal/request/place/load_test.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// heard returns the engines, all of which have just announced themselves.
+func (f *fleet) heard() []*camphorhinge.Target {
+	for _, t := range f.live {
+		t.Heard = f.now
+	}
+	return f.live
+}
+
 const (
 	objective = 600 * time.Millisecond
 	patience  = 2400 * time.Millisecond
@@ -119,13 +127,13 @@
 		Due: began.Add(objective), Until: began.Add(patience),
 	}
 	if f.queue == nil {
-		p, ok := f.placer.Place(f.now, f.live, req)
+		p, ok := f.placer.Place(f.now, f.heard(), req)
 		if ok {
 			f.serve(p, req, began, r)
 		}
 		return
 	}
-	w := &Waiting{Request: req, Live: func() []*camphorhinge.Target { return f.live }}
+	w := &Waiting{Request: req, Live: f.heard}
 	decided := false
 	w.Decided = func(p *Placement, _ time.Duration) {
 		decided = true
--- /dev/null
+++ b/internal/request/place/place_test.go
@@ -0,0 +1,114 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+)
+
+func plain(names ...camphorhinge.TargetName) []*camphorhinge.Target {
+	var out []*camphorhinge.Target
+	for _, n := range names {
+		out = append(out, &camphorhinge.Target{Serving: true, Announcement: camphorhinge.Announcement{
+			Name: n, Service: "s", Slots: 6, Incarnation: 1, Kind: camphorhinge.KindService, Zone: "z",
+		}})
+	}
+	return out
+}
+
+const start = camphorhinge.Instant(time.Hour)
+
+// TestFailingTargets guards who gets requests after failures: a target that can't be reached is left alone for a while, one
+// that fails often gets trials only, one that refuses is passed over shortly, and the last target is used in any case.
+func TestFailingTargets(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		outcomes []Outcome
+		after    time.Duration
+		// used tells whether target a gets any of the next ten requests, with b beside it.
+		used bool
+	}{
+		{"fine", []Outcome{Served, Served}, 0, true},
+		{"unreachable just now", []Outcome{Unreachable}, 0, false},
+		{"unreachable a while ago", []Outcome{Unreachable}, firstPause + time.Millisecond, true},
+		{"unreachable again and again", []Outcome{Unreachable, Unreachable, Unreachable}, firstPause + time.Millisecond, false},
+		{"refused just now", []Outcome{Refused}, 0, false},
+		{"another process has the address", []Outcome{Foreign}, time.Second, false},
+		{"callers left", []Outcome{Abandoned, Abandoned, Abandoned}, 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p, live := New(Config{Zone: "z", Seed: 3}), plain("a", "b")
+			now := start
+			for _, o := range tc.outcomes {
+				p.Adopt(now, Plan{Serve: live[0]}, Request{Service: "s"}).Server.End(now, o)
+			}
+			now = now.Add(tc.after)
+			used := false
+			for range 10 {
+				x, ok := p.Place(now, live, Request{Service: "s"})
+				require.True(t, ok)
+				used = used || x.Serve == live[0]
+			}
+			require.Equal(t, tc.used, used)
+			x, ok := p.Place(now, live[:1], Request{Service: "s"})
+			require.True(t, ok)
+			require.Equal(t, live[0], x.Serve, "the last target is used")
+		})
+	}
+}
+
+// Guards against a target whose health check passes while it fails half of its requests: it gets trials only, and all its
+// share again once it serves.
+func TestGreyTarget(t *testing.T) {
+	p, live := New(Config{Zone: "z", Seed: 3}), plain("a", "b", "c")
+	now := start
+	count := func(bad bool, n int) (at int) {
+		for i := range n {
+			now = now.Add(20 * time.Millisecond)
+			x, ok := p.Place(now, live, Request{Service: "s"})
+			require.True(t, ok)
+			o := Served
+			if x.Serve == live[0] {
+				at++
+				if bad && i%2 == 0 {
+					o = Errored
+				}
+			}
+			x.Server.End(now.Add(10*time.Millisecond), o)
+		}
+		return at
+	}
+	require.Greater(t, count(false, 300), 60)
+	count(true, 300)
+	require.Less(t, count(true, 300), 45)
+	count(false, 1500)
+	require.Greater(t, count(false, 300), 60)
+}
+
+// Guards against a late word of an earlier process: a target that started again has none of the failures and parts of before.
+func TestNewIncarnation(t *testing.T) {
+	p, live := New(Config{Zone: "z"}), plain("a")
+	p.Adopt(start, Plan{Serve: live[0]}, Request{Service: "s"}).Server.End(start, Unreachable)
+	require.Len(t, p.Closed(start, live), 1)
+	live[0].Incarnation++
+	require.Empty(t, p.Closed(start, live))
+}
+
+// Guards against two nodes that send the same shared part to different homes, and against a lost engine that moves more
+// parts than its own.
+func TestHomes(t *testing.T) {
+	live := plain("a", "b", "c", "d", "e")
+	moved := 0
+	for key := range uint64(500) {
+		home := homes(key, live, 1)[0]
+		require.Equal(t, home, homes(key, []*camphorhinge.Target{live[3], live[1], live[4], live[0], live[2]}, 1)[0])
+		if homes(key, live[:4], 1)[0] != home {
+			moved++
+			require.Equal(t, live[4], home)
+		}
+	}
+	require.InDelta(t, 100, moved, 40)
+}
--- a/internal/request/place/placement.go
+++ b/internal/request/place/placement.go
@@ -74,7 +74,7 @@
 	s := p.of(now, t)
 	f := &Flight{placer: p, service: req.Service, state: s, sent: now}
 	s.running++
-	if s.share >= suspectShare {
+	if s.failing(now) >= suspectShare {
 		s.trial = now
 	}
 	if req.Engine == nil {
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -158,9 +158,7 @@
 		if t.Zone != p.cfg.Zone {
 			busy += zoneCost
 		}
-		if s.share > 0 {
-			busy += 4 * s.share
-		}
+		busy += 4 * s.failing(now)
 		if best == nil || busy < least {
 			best, least = t, busy
 		}
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -19,6 +19,8 @@
 	refusedPause = 300 * time.Millisecond
 	// failureWeight is the weight of the last attempt in a target's share of failures.
 	failureWeight = 0.12
+	// failureHalfLife is the time in which the share of failures of an unused target halves.
+	failureHalfLife = 3 * time.Second
 	// suspectShare is the share of failures from which a target gets only trial requests.
 	suspectShare = 0.3
 	// trialEvery is the time between two trial requests to a suspect target.
@@ -56,7 +58,9 @@
 	// until is the end of a pause.
 	until camphorhinge.Instant
 	// share is the moving share of failed attempts.
+	// It was taken at ended.
 	share float64
+	ended camphorhinge.Instant
 	trial camphorhinge.Instant
 	// pace is the measured time to the first event, in units of the estimated one.
 	pace float64
@@ -107,7 +111,16 @@
 	if now < s.until {
 		return false
 	}
-	return s.share < suspectShare || now.Sub(s.trial) >= trialEvery
+	return s.failing(now) < suspectShare || now.Sub(s.trial) >= trialEvery
+}
+
+// failing returns the share of failed attempts, which loses its weight with time: a target that gets no requests could not
+// show otherwise that it serves again.
+func (s *state) failing(now camphorhinge.Instant) float64 {
+	if s.share == 0 {
+		return 0
+	}
+	return s.share * math.Exp2(-float64(now.Sub(s.ended))/float64(failureHalfLife))
 }
 
 // end takes the outcome of an attempt.
@@ -127,6 +140,7 @@
 	case Served, Errored, Broken:
 		s.failures, s.until = 0, 0
 	}
+	s.share, s.ended = s.failing(now), now
 	failed := 0.0
 	if o != Served && o != Refused {
 		failed = 1
