--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -279,6 +279,8 @@
 			f.mu.Unlock()
 			l.set(4, true)
 			time.Sleep(3 * time.Second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			require.Empty(t, f.orders)
 		})
 		require.NotEmpty(t, f.orders)
--- a/internal/node/feed/follower.go
+++ b/internal/node/feed/follower.go
@@ -45,7 +45,6 @@
 	Registry *registry.Registry
 	// Scores takes the crash counts by request fingerprint, encoded.
 	Scores func([]byte)
-	Clock  camphorhinge.Clock
 	Log    *slog.Logger
 }
 
--- a/internal/node/feed/source.go
+++ b/internal/node/feed/source.go
@@ -86,13 +86,6 @@
 	return len(s.entries), s.wake
 }
 
-// Entries returns the number of entry nodes that watched lately.
-func (s *Source) Entries() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.entries)
-}
-
 // Watch answers when there is news for the caller, or after its wait.
 func (s *Source) Watch(ctx context.Context, req *peerpb.WatchRequest) (*peerpb.WatchResponse, error) {
 	wait := min(time.Duration(req.GetWait())*time.Millisecond, maxWait)
--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -176,7 +176,6 @@
 		if err != nil || !resp.GetWaiting() {
 			return resp, err
 		}
-		call.Again = true
 	}
 }
 
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -104,7 +103,7 @@
 	e.pool = pool
 	e.registry = registry.New(registry.Config{Clock: e.clock, Expiry: entryExpiry, Exclusive: true, Metrics: e.metrics, Observe: e.observe})
 	e.follower = feed.NewFollower(feed.FollowerConfig{
-		Node: s.Node, Pool: pool, Seeds: e.cfg.Peers, Registry: e.registry, Scores: e.learnScores, Clock: e.clock, Log: e.log,
+		Node: s.Node, Pool: pool, Seeds: e.cfg.Peers, Registry: e.registry, Scores: e.learnScores, Log: e.log,
 	})
 	e.exchange = newExchange(e.metrics, e.cfg.Dialect)
 	e.crashes = quarantine.New(quarantine.Config{
@@ -248,16 +247,3 @@
 	defer cancel()
 	e.follower.Leave(ctx)
 }
-
-// Addresses returns the addresses for callers and for the balancer.
-func (e *Entry) Addresses() (callers, ready net.Addr) {
-	return tcpAddr(e.callers.Address()), tcpAddr(e.ready.Address())
-}
-
-func tcpAddr(address string) net.Addr {
-	a, err := net.ResolveTCPAddr("tcp", address)
-	if err != nil {
-		return nil
-	}
-	return a
-}
--- a/internal/node/setting/core.go
+++ b/internal/node/setting/core.go
@@ -62,8 +62,6 @@
 	Zone camphorhinge.Zone
 	// CallerListen is the IP:port for callers, ReadyListen that for the balancer, MetricsListen that for metrics, or empty.
 	CallerListen, ReadyListen, MetricsListen string
-	// Source is the IP address that connections come from.
-	Source string
 	// Peers are peer addresses of core nodes.
 	Peers []string
 	// RetryRatio, RetryAllowance and RetryWindow bound the repeated attempts of all nodes together: in each window at most
@@ -72,8 +70,6 @@
 	RetryWindow                time.Duration
 	// StopDelay is the time between failing readiness and closing the caller port on a planned stop, Grace bounds the stop.
 	StopDelay, Grace time.Duration
-	// Memory bounds the process's memory, in bytes; 0 stands for no bound.
-	Memory int64
 }
 
 // Check returns all faults of the settings, joined.
--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -273,7 +273,7 @@
 		Quarantine: noQuarantine{}, Protocol: protocol{}, Nodes: func() int { return 1 }, Clock: clock,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewSet(),
 	})
-	t.Cleanup(func() { require.NoError(t, errors.Join(b.Forwarder.Close(), b.client.Close(), w.group.Wait())) })
+	t.Cleanup(func() { require.NoError(t, errors.Join(b.Close(), b.client.Close(), w.group.Wait())) })
 	return b
 }
 
