--- a/internal/cli/command/command_test.go
+++ b/internal/cli/command/command_test.go
@@ -383,7 +383,7 @@
 
 // Guards against a command without help, and against settings that the operations page does not name as they are.
 func TestHelpAndOperationsPage(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/operations.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	a := &app{kingpin: kingpin.New("camphorhinge", ""), run: map[string]func(context.Context) error{}}
 	a.commands()
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -185,6 +185,7 @@
 	if index == nil {
 		return later(KindConfiguration, configurationPause, "this node has no configuration yet")
 	}
+	j.version = index.Config.Version
 	if j.route = index.Match(j.in.Host, j.in.Path); j.route == nil {
 		return refuse(KindUnknown, http.StatusNotFound, "no route for this host and path")
 	}
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -15,10 +15,12 @@
 
 // job is one request under way.
 type job struct {
-	f       *Forwarder
-	in      *Request
-	out     Sink
-	ask     Ask
+	f   *Forwarder
+	in  *Request
+	out Sink
+	ask Ask
+	// version is that of the configuration that the request was matched with.
+	version camphorhinge.Version
 	route   *routing.Route
 	service *routing.Service
 	// header is the part of the request's header that is passed on.
--- a/internal/request/forward/note.go
+++ b/internal/request/forward/note.go
@@ -40,12 +40,16 @@
 		service = j.service.Name
 	}
 	f.meters.end(service, outcome, took, first)
+	status := j.status
+	if err != nil && !j.headed {
+		status = err.Status
+	}
 	attrs := []any{
-		"request", j.ask.Attempt, "outcome", outcome, "status", j.status, "took_ms", took.Milliseconds(),
+		"request", j.ask.Attempt, "outcome", outcome, "status", status, "took_ms", took.Milliseconds(),
 		"first_ms", first.Milliseconds(), "arrivals", j.arrivals,
 	}
 	if j.route != nil {
-		attrs = append(attrs, "route", j.route.Name, "service", service)
+		attrs = append(attrs, "route", j.route.Name, "service", service, "config", j.version)
 	}
 	if t := j.plan.Serve; t != nil {
 		attrs = append(attrs, "queued_ms", j.placed.Sub(j.began).Milliseconds(), "target", t.Name, "plan", j.plan.Reason, "expected_ms", j.plan.Expected.Milliseconds(),
