--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -83,14 +83,7 @@
 
 // pickEngine returns the plan with the least cost.
 func (p *Placer) pickEngine(now camphorhinge.Instant, live, targets []*camphorhinge.Target, req *Request) (option, bool) {
-	var readers, servers []*camphorhinge.Target
-	for _, t := range targets {
-		if t.Role == camphorhinge.RolePrefill {
-			readers = append(readers, t)
-		} else {
-			servers = append(servers, t)
-		}
-	}
+	readers, servers := byRole(targets)
 	if len(servers) == 0 {
 		return option{}, false
 	}
@@ -126,6 +119,18 @@
 	return best, true
 }
 
+// byRole divides engines into those that only read prompts and those that run requests.
+func byRole(targets []*camphorhinge.Target) (readers, servers []*camphorhinge.Target) {
+	for _, t := range targets {
+		if t.Role == camphorhinge.RolePrefill {
+			readers = append(readers, t)
+		} else {
+			servers = append(servers, t)
+		}
+	}
+	return readers, servers
+}
+
 // roomy returns the engines that have slots and memory left for a request. An engine whose memory runs out stops requests in
 // the middle and reads their prompts again, which takes the time of many others.
 func (p *Placer) roomy(now camphorhinge.Instant, servers []*camphorhinge.Target, req *Request) []*camphorhinge.Target {
