--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -139,7 +139,19 @@
 			}
 		}
 	})
-	return client, nil
+	return pipeEnd{client}, nil
+}
+
+// pipeEnd is one end of a pipe. A deadline can be set after the other end was closed, as on a TCP connection; a pipe refuses
+// that, so that a read would fail in place of giving the end of the stream.
+type pipeEnd struct{ net.Conn }
+
+// SetReadDeadline implements net.Conn.
+func (p pipeEnd) SetReadDeadline(t time.Time) error {
+	if err := p.Conn.SetReadDeadline(t); !errors.Is(err, io.ErrClosedPipe) {
+		return err
+	}
+	return nil
 }
 
 func (w *world) Live(camphorhinge.ServiceName) []*camphorhinge.Target {
