--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -147,8 +147,7 @@
 	return out
 }
 
-// findHolders finds the engines that hold the shared parts of a request.
-// Engines that leave still hand their parts over.
+// findHolders finds the engines that hold the shared parts of a request. Engines that leave still hand their parts over.
 func (p *Placer) findHolders(c *scene, live, targets []*camphorhinge.Target) {
 	if len(c.shared) == 0 {
 		return
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -29,9 +29,9 @@
 )
 
 // Queue holds model requests until an engine can begin with them. Requests that can still be on time go first, the most
-// urgent rank first and in the order in which they must begin. One that is too large to be on time keeps its place among them, so
-// that large requests are not left behind. Each rank gets some of its requests served, however many urgent ones come. A request that can't be served before its caller gives up is refused as soon as
-// that is known.
+// urgent rank first and in the order in which they must begin. One that is too large to be on time keeps its place among
+// them, so that large requests are not left behind. Each rank gets some of its requests served, however many urgent ones
+// come. A request that can't be served before its caller gives up is refused as soon as that is known.
 //
 // It is not safe for concurrent use.
 type Queue struct {
@@ -60,7 +60,6 @@
 	returned bool
 	// late is set once the request can't be on time any more, hopeless when it never could.
 	late, hopeless bool
-	gone           bool
 }
 
 // latest returns a time by which requests of one rank are ordered: the sooner one must begin, the earlier it is. So a large
@@ -131,7 +130,6 @@
 
 // Remove forgets a request whose caller has left.
 func (q *Queue) Remove(w *Waiting) {
-	w.gone = true
 	if i := slices.Index(q.waiting, w); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -57,8 +57,7 @@
 	failures int
 	// until is the end of a pause.
 	until camphorhinge.Instant
-	// share is the moving share of failed attempts.
-	// It was taken at ended.
+	// share is the moving share of failed attempts, as it was at ended.
 	share float64
 	ended camphorhinge.Instant
 	trial camphorhinge.Instant
