Forget placements whose end a core node could not be told

Cause: an entry node dropped the events for a core node that did not answer. When that node came back, for example after a freeze of 6 s, it still counted the prompts of its old placements as being read, for up to 15 s.

Now a client has a session with each core node. Events of a lost call are told again; when they are dropped, the session rises and the core node ends what is left of the earlier ones. A lost call that teaches holdings is repeated too, and core nodes that are no longer named are forgotten.

--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +13,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
-	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/request/place"
 )
@@ -23,21 +24,13 @@
 	flushEvery = 30 * time.Millisecond
 	// flushTimeout bounds such a call.
 	flushTimeout = 300 * time.Millisecond
-	// failuresAllowed is the number of failures in a row from which a core node is avoided. It is then probed each
-	// probeEvery, and asked again once it answers a probe.
-	failuresAllowed = 3
-	probeEvery      = 500 * time.Millisecond
-	// maxEvents bounds the events that wait for a core node; the oldest are dropped, and the core node forgets their
-	// placements by itself.
-	maxEvents = 2048
-	// presentEvery is the time between two calls to the preferred core node when nothing else is to be told.
-	presentEvery = time.Second
 )
 
 // ClientConfig holds what a Client needs.
 type ClientConfig struct {
 	Node camphorhinge.NodeID
-	Pool *peer.Pool
+	// Feed returns the calls of a core node by its peer address.
+	Feed func(address string) peerpb.Feed
 	// Cores returns the peer addresses of the core nodes, sorted.
 	Cores func() []string
 	// Local places requests when no core node answers, and those of plain services.
@@ -56,31 +49,17 @@
 	next uint64
 	// core is the core node that was asked last.
 	core string
-	// events wait for the core nodes that made the placements.
-	events map[string][]event
-	// called is when a core node was called last.
-	called map[string]camphorhinge.Instant
-	// failed counts failures in a row by core node. One in avoid is not asked until a probe at the time there is answered.
-	failed map[string]int
-	avoid  map[string]camphorhinge.Instant
-	// teach are the core nodes that did not know this node and get its holdings.
-	teach map[string]bool
+	// links are kept for the core nodes that were named lately.
+	links map[string]*link
 
 	asked, alone *metrics.Counter
 }
 
-// event is what happened to a placement, to be told with its age.
-type event struct {
-	*peerpb.PlaceEvent
-	at camphorhinge.Instant
-}
-
 // NewClient returns a Client; Run tells core nodes what happens to placements.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
 		cfg: cfg, start: rand.Uint64() | 1, //nolint:gosec // The number only tells starts apart.
-		failed: map[string]int{}, avoid: map[string]camphorhinge.Instant{},
-		events: map[string][]event{}, called: map[string]camphorhinge.Instant{}, teach: map[string]bool{},
+		links: map[string]*link{},
 		asked: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="core"}`),
 		alone: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="node"}`),
 	}
@@ -106,11 +85,21 @@
 	return p, 0, ok
 }
 
+// link returns what is kept for a core node. It is called with the lock.
+func (c *Client) link(address string) *link {
+	l := c.links[address]
+	if l == nil {
+		l = &link{log: c.cfg.Log.With("core", address)}
+		c.links[address] = l
+	}
+	return l
+}
+
 // scheduler returns the core node to ask: the first that is not avoided. All entry nodes prefer the same one. It is called
 // with the lock.
 func (c *Client) scheduler() string {
 	for _, address := range c.cfg.Cores() {
-		if _, avoided := c.avoid[address]; avoided {
+		if c.link(address).avoid != 0 {
 			continue
 		}
 		if address != c.core {
@@ -129,20 +118,22 @@
 	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	address := c.scheduler()
-	c.next++
-	id := c.next
-	c.mu.Unlock()
 	if address == "" {
+		c.mu.Unlock()
 		return nil, 0, false
 	}
+	c.next++
+	id := c.next
+	c.mu.Unlock()
 	call := c.call(now, id, req)
+	tell := func(reader bool, e place.Event) { c.tell(address, call, reader, e) }
 	for _, name := range c.cfg.Local.Closed(now, live) {
 		call.Exclude = append(call.Exclude, string(name))
 	}
 	resp, err := c.decide(ctx, address, call)
 	switch {
 	case err != nil || ctx.Err() != nil:
-		c.tell(address, id, false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
+		tell(false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
 		return nil, 0, false
 	case resp.GetRefused() > 0:
 		return nil, time.Duration(resp.GetRefused()) * time.Millisecond, false
@@ -151,13 +142,13 @@
 	}
 	plan, known := planOf(live, resp)
 	if !known {
-		c.tell(address, id, false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
+		tell(false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
 		return nil, 0, false
 	}
 	p = c.cfg.Local.Adopt(c.cfg.Clock.Now(), plan, req)
-	p.Server.Told = func(e place.Event) { c.tell(address, id, false, e) }
+	p.Server.Told = func(e place.Event) { tell(false, e) }
 	if p.Reader != nil {
-		p.Reader.Told = func(e place.Event) { c.tell(address, id, true, e) }
+		p.Reader.Told = func(e place.Event) { tell(true, e) }
 	}
 	return p, 0, true
 }
@@ -165,20 +156,45 @@
 // decide calls a core node until it has decided.
 func (c *Client) decide(ctx context.Context, address string, call *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
 	for {
-		call.Events = c.take(c.cfg.Clock.Now(), address)
-		one, cancel := context.WithTimeout(ctx, holdTime+placeTimeout)
-		resp, err := c.cfg.Pool.Get(address).Feed.Place(one, call)
-		cancel()
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
-		}
-		c.heard(c.cfg.Clock.Now(), address, resp, err)
+		resp, err := c.send(ctx, address, call, holdTime+placeTimeout)
 		if err != nil || !resp.GetWaiting() {
 			return resp, err
 		}
 	}
 }
 
+// send makes one call, which takes the events along that wait for the core node. A call that ctx ends says nothing of the
+// core node.
+func (c *Client) send(
+	ctx context.Context, address string, call *peerpb.PlaceRequest, timeout time.Duration,
+) (*peerpb.PlaceResponse, error) {
+	now := c.cfg.Clock.Now()
+	c.mu.Lock()
+	l := c.link(address)
+	events := l.take(now)
+	call.Session = l.session
+	c.mu.Unlock()
+	call.Events = call.Events[:0]
+	for _, e := range events {
+		e.Age = uint32(max(now.Sub(e.at).Milliseconds(), 0))
+		call.Events = append(call.Events, e.PlaceEvent)
+	}
+	one, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := c.cfg.Feed(address).Place(one, call)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil:
+		l.heard(resp)
+	case ctx.Err() != nil:
+		l.queue(events...)
+	default:
+		l.missed(c.cfg.Clock.Now(), events, err)
+	}
+	return resp, err
+}
+
 func (c *Client) call(now camphorhinge.Instant, id uint64, req place.Request) *peerpb.PlaceRequest {
 	call := &peerpb.PlaceRequest{
 		Node: string(c.cfg.Node), Start: c.start, Placement: id, Service: string(req.Service),
@@ -229,57 +245,13 @@
 	return plan, true
 }
 
-// heard notes whether a core node answered.
-func (c *Client) heard(now camphorhinge.Instant, address string, resp *peerpb.PlaceResponse, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err == nil {
-		if _, avoided := c.avoid[address]; avoided {
-			c.cfg.Log.Info("core node may place requests again", "core", address)
-		}
-		delete(c.failed, address)
-		delete(c.avoid, address)
-		if resp.GetUnknown() {
-			c.teach[address] = true
-		}
-		return
-	}
-	c.failed[address]++
-	_, avoided := c.avoid[address]
-	if avoided || c.failed[address] >= failuresAllowed {
-		c.avoid[address] = now.Add(probeEvery)
-		delete(c.events, address)
-	}
-	if !avoided && c.failed[address] >= failuresAllowed {
-		c.cfg.Log.Warn("core node does not place requests", "core", address, "failures", c.failed[address], "error", err)
-	}
-}
-
-// tell queues an event for the core node that made the placement.
-func (c *Client) tell(address string, id uint64, reader bool, e place.Event) {
+// tell queues an event for the core node that made the placement which call asked for.
+func (c *Client) tell(address string, call *peerpb.PlaceRequest, reader bool, e place.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	queue := c.events[address]
-	if len(queue) >= maxEvents {
-		queue = queue[1:]
-	}
-	c.events[address] = append(queue, event{&peerpb.PlaceEvent{
-		Placement: id, Reader: reader, First: e.First, Ended: e.Ended, Outcome: uint32(e.Outcome),
-	}, e.At})
-}
-
-// take returns the events that wait for a core node, with their ages.
-func (c *Client) take(now camphorhinge.Instant, address string) []*peerpb.PlaceEvent {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []*peerpb.PlaceEvent
-	for _, e := range c.events[address] {
-		e.Age = uint32(max(now.Sub(e.at).Milliseconds(), 0))
-		out = append(out, e.PlaceEvent)
-	}
-	delete(c.events, address)
-	c.called[address] = now
-	return out
+	c.link(address).queue(event{&peerpb.PlaceEvent{
+		Placement: call.GetPlacement(), Reader: reader, First: e.First, Ended: e.Ended, Outcome: uint32(e.Outcome),
+	}, e.At, call.GetSession()})
 }
 
 // Run brings events to the core nodes that no request takes along, until ctx ends.
@@ -304,41 +276,36 @@
 }
 
 // due returns the core nodes that are to be called now: those with events, the preferred one from time to time, and those
-// that are to be probed.
+// that are to be probed. It forgets core nodes that are no longer named.
 func (c *Client) due(now camphorhinge.Instant) []string {
 	cores := c.cfg.Cores()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.links, func(address string, _ *link) bool { return !slices.Contains(cores, address) })
 	var out []string
 	for _, address := range cores {
-		at, avoided := c.avoid[address]
-		switch {
-		case avoided && now < at:
-		case avoided:
-			c.avoid[address] = now.Add(probeEvery)
-			out = append(out, address)
-		case len(c.events[address]) > 0, c.teach[address],
-			address == c.core && now.Sub(c.called[address]) >= presentEvery:
+		if c.link(address).due(now, address == c.core) {
 			out = append(out, address)
 		}
 	}
 	return out
 }
 
+// flush calls a core node without a request.
 func (c *Client) flush(ctx context.Context, address string) {
-	now := c.cfg.Clock.Now()
-	call := &peerpb.PlaceRequest{Node: string(c.cfg.Node), Start: c.start, Events: c.take(now, address)}
+	call := &peerpb.PlaceRequest{Node: string(c.cfg.Node), Start: c.start}
 	c.mu.Lock()
-	teach := c.teach[address]
-	delete(c.teach, address)
+	teach := c.link(address).teach
 	c.mu.Unlock()
 	if teach {
-		call.Holdings = holdings(c.cfg.Local.Holdings(now))
+		call.Holdings = holdings(c.cfg.Local.Holdings(c.cfg.Clock.Now()))
+	}
+	resp, err := c.send(ctx, address, call, flushTimeout)
+	if err == nil && !resp.GetUnknown() {
+		c.mu.Lock()
+		c.link(address).teach = false
+		c.mu.Unlock()
 	}
-	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
-	defer cancel()
-	resp, err := c.cfg.Pool.Get(address).Feed.Place(ctx, call)
-	c.heard(c.cfg.Clock.Now(), address, resp, err)
 }
 
 func holdings(known []place.Holding) []*peerpb.Holding {
--- /dev/null
+++ b/internal/node/schedule/client_test.go
@@ -0,0 +1,163 @@
+package schedule
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/record/routing"
+	"example.org/camphorhinge/internal/request/place"
+)
+
+// core is a core node in the process of the test.
+type core struct {
+	peerpb.Feed
+	*Scheduler
+	// frozen makes it take calls without an answer; requestLost makes calls fail before they arrive, answerLost after that.
+	frozen, requestLost, answerLost atomic.Bool
+	calls                           atomic.Int32
+}
+
+func (c *core) Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
+	c.calls.Add(1)
+	if c.frozen.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if c.requestLost.Load() {
+		return nil, errors.New("the call was lost")
+	}
+	resp, err := c.Scheduler.Place(ctx, req)
+	if c.answerLost.Load() {
+		return nil, errors.New("the answer was lost")
+	}
+	return resp, err
+}
+
+// site is an entry node's Client with the core nodes "a" and "b".
+type site struct {
+	*Client
+	a, b *core
+	live []*camphorhinge.Target
+	next uint64
+}
+
+// withSite runs f in virtual time beside the loops of a Client and its core nodes.
+func withSite(t *testing.T, f func(t *testing.T, s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{a: &core{Scheduler: newScheduler(2, 1)}, b: &core{Scheduler: newScheduler(2, 1)}}
+		s.live = s.a.cfg.Targets.Live("s")
+		s.Client = NewClient(ClientConfig{
+			Node:  "n",
+			Feed:  func(address string) peerpb.Feed { return map[string]peerpb.Feed{"a": s.a, "b": s.b}[address] },
+			Cores: func() []string { return []string{"a", "b"} },
+			Local: place.New(place.Config{Zone: "z"}), Clock: s.a.cfg.Clock,
+			Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewSet(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		for _, run := range []func(context.Context) error{s.Run, s.a.Run, s.b.Run} {
+			g.Go(func() error { return run(ctx) })
+		}
+		defer func() {
+			cancel()
+			require.NoError(t, g.Wait())
+		}()
+		f(t, s)
+	})
+}
+
+// place asks for one placement.
+func (s *site) place(t *testing.T) *place.Placement {
+	t.Helper()
+	s.next++
+	p, _, ok := s.Place(t.Context(), s.live, place.Request{
+		Service: "s", Engine: &routing.Engine{Slots: 64, Memory: 500_000, TokenBytes: 160_000, Link: 1.6e6},
+		Parts: []place.Part{{Hash: 7, Tokens: 1000}, {Hash: 100 + s.next, Tokens: 100}}, Prompt: 1100, Output: 20,
+	})
+	require.True(t, ok)
+	return p
+}
+
+// Guards against engines that seem busy after a core node was frozen: the ends of its placements could not be told
+// meanwhile, so it must forget those placements once it is back.
+func TestFrozenCoreForgets(t *testing.T) {
+	withSite(t, func(t *testing.T, s *site) {
+		t.Helper()
+		var before []*place.Placement
+		for range 4 {
+			before = append(before, s.place(t))
+		}
+		require.Equal(t, 4, s.a.held())
+		s.a.frozen.Store(true)
+		for range 2 * failuresAllowed {
+			p := s.place(t)
+			time.Sleep(100 * time.Millisecond)
+			p.Close(s.cfg.Clock.Now())
+		}
+		for _, p := range before {
+			p.Close(s.cfg.Clock.Now())
+		}
+		time.Sleep(time.Second)
+		require.Positive(t, s.b.calls.Load())
+		s.a.frozen.Store(false)
+		time.Sleep(2 * probeEvery)
+		require.Zero(t, s.a.held())
+		p := s.place(t)
+		require.Equal(t, 1, s.a.held())
+		p.Close(s.cfg.Clock.Now())
+		time.Sleep(2 * flushEvery)
+		require.Zero(t, s.a.held())
+	})
+}
+
+// Guards against events that are gone with one lost call: they are told again, and what was told twice counts once.
+func TestEventsOutliveLostCall(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		lost func(c *core) *atomic.Bool
+	}{
+		{"request lost", func(c *core) *atomic.Bool { return &c.requestLost }},
+		{"answer lost", func(c *core) *atomic.Bool { return &c.answerLost }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			withSite(t, func(t *testing.T, s *site) {
+				t.Helper()
+				p, kept := s.place(t), s.place(t)
+				tc.lost(s.a).Store(true)
+				p.Close(s.cfg.Clock.Now())
+				time.Sleep(flushEvery + flushEvery/2)
+				tc.lost(s.a).Store(false)
+				time.Sleep(2 * flushEvery)
+				require.Equal(t, 1, s.a.held())
+				kept.Close(s.cfg.Clock.Now())
+				time.Sleep(2 * flushEvery)
+				require.Zero(t, s.a.held())
+			})
+		})
+	}
+}
+
+// Guards against a call of an earlier session that arrives late and ends the work of the present one.
+func TestLateSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(2, 1)
+		req := ask("n", 1, 1, 7)
+		req.Session = 1
+		require.NotEmpty(t, call(t, s, req).GetServe())
+		require.Empty(t, call(t, s, ask("n", 1, 2, 7)).GetServe())
+		require.Equal(t, 1, s.held())
+	})
+}
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -46,9 +46,10 @@
 	swept   camphorhinge.Instant
 }
 
-// caller holds the placements of one start of an entry node.
+// caller holds the placements of one session of an entry node.
 type caller struct {
 	start      uint64
+	session    uint32
 	heard      camphorhinge.Instant
 	placements map[uint64]held
 	waiting    map[uint64]*ticket
@@ -127,6 +128,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c, unknown := s.caller(now, req)
+	if c == nil {
+		return nil, false
+	}
 	s.learn(now, req.GetHoldings())
 	for _, e := range req.GetEvents() {
 		s.event(now, c, e)
@@ -233,15 +237,21 @@
 	return r
 }
 
-// caller returns what is held of the calling node, and whether it was unknown; an earlier start of it has no work any more.
+// caller returns what is held of the calling node, and whether it was unknown. Its earlier sessions have no work any more;
+// for a call of one it returns nil.
 func (s *Scheduler) caller(now camphorhinge.Instant, req *peerpb.PlaceRequest) (c *caller, unknown bool) {
 	c = s.callers[req.GetNode()]
-	unknown = c == nil || c.start != req.GetStart()
+	if c != nil && c.start == req.GetStart() && req.GetSession() < c.session {
+		return nil, false
+	}
+	unknown = c == nil || c.start != req.GetStart() || c.session != req.GetSession()
 	if unknown {
 		if c != nil {
 			s.close(now, c)
 		}
-		c = &caller{start: req.GetStart(), placements: map[uint64]held{}, waiting: map[uint64]*ticket{}}
+		c = &caller{
+			start: req.GetStart(), session: req.GetSession(), placements: map[uint64]held{}, waiting: map[uint64]*ticket{},
+		}
 		s.callers[req.GetNode()] = c
 	}
 	c.heard = now
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -20,6 +20,7 @@
 	"example.org/camphorhinge/internal/node/dial"
 	"example.org/camphorhinge/internal/node/feed"
 	"example.org/camphorhinge/internal/node/peer"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/node/schedule"
 	"example.org/camphorhinge/internal/node/setting"
 	"example.org/camphorhinge/internal/node/web"
@@ -110,8 +111,8 @@
 		Proposer: control.NewClient(pool, e.follower.Cores), Node: s.Node, Clock: e.clock, Decisions: decision.New(ringSize), Metrics: e.metrics,
 	})
 	e.placer = schedule.NewClient(schedule.ClientConfig{
-		Node: s.Node, Pool: pool, Cores: e.follower.Cores, Local: place.New(place.Config{Zone: s.Zone, Seed: seedOf(s.Node)}),
-		Clock: e.clock, Log: e.log, Metrics: e.metrics,
+		Node: s.Node, Feed: func(address string) peerpb.Feed { return pool.Get(address).Feed }, Cores: e.follower.Cores,
+		Local: place.New(place.Config{Zone: s.Zone, Seed: seedOf(s.Node)}), Clock: e.clock, Log: e.log, Metrics: e.metrics,
 	})
 	e.forward = forward.New(forward.Config{
 		Index: e.follower.Index, Targets: e.registry,
