Dial a peer again after 300 ms

Cause: an opening packet to a VM that is still starting is lost, and the system sends it again after 1 s, which was also the time allowed for dialling.

Ruled out: the pause of 200 ms between two watches.

--- a/internal/node/peer/client.go
+++ b/internal/node/peer/client.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection to a peer.
-	dialTimeout = time.Second
+	// dialTimeout bounds the opening of a connection to a peer. It is several round trips between regions, and less than the
+	// second after which the system sends a lost opening packet again, for example one to a VM that is starting.
+	dialTimeout = 300 * time.Millisecond
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = 30 * time.Second
 	// connectionsPerPeer bounds idle connections to one peer.
