Tell a core node that was cut off what it missed

Cause: a target that leaves tells that once. A core node that was cut off then kept it in use for 30 s, and heartbeats, which repeat, could not tell otherwise.

Ruled out: the caches of engines, which were read again because of this (600,000 tokens believed and not held in 2 s), and the split itself, which had ended.

A node to which an announcement could not be told now gets all that is known once it answers.

--- a/internal/node/spread/demand.go
+++ b/internal/node/spread/demand.go
@@ -22,13 +22,13 @@
 		})
 	}
 	r.Age = uint64(time.Since(taken).Milliseconds())
-	s.tellAll(ctx, &peerpb.AnnounceRequest{Node: string(s.cfg.Node), Demand: r}, func(err error) {
+	for _, err := range s.tell(ctx, s.cfg.Others(), &peerpb.AnnounceRequest{Node: string(s.cfg.Node), Demand: r}) {
 		if err != nil {
 			s.unreported.Inc()
-			return
+			continue
 		}
 		s.reported.Inc()
-	})
+	}
 }
 
 func decodeReport(node string, r *peerpb.DemandReport) admit.Report {
--- a/internal/node/spread/spread.go
+++ b/internal/node/spread/spread.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +66,8 @@
 	// gaps are the targets whose cache events had a gap.
 	gaps chan camphorhinge.Announcement
 	warm atomic.Bool
+	// behind are the nodes that missed announcements. It belongs to the goroutine that spreads.
+	behind map[string]bool
 	// start and seq number the reports of demand; seq belongs to the goroutine that sends them.
 	start, seq uint64
 
@@ -74,7 +78,7 @@
 func New(cfg Config) *Spreader {
 	return &Spreader{
 		cfg:  cfg,
-		gaps: make(chan camphorhinge.Announcement, gapLimit),
+		gaps: make(chan camphorhinge.Announcement, gapLimit), behind: map[string]bool{},
 		// Only two starts of the same node have to differ.
 		start: uint64(time.Now().UnixNano()),
 		// A poll uses a connection of its own, since it also tells whether new connections work.
@@ -181,12 +185,17 @@
 	}
 }
 
+// spread tells all other nodes what came directly from targets, and all that is known to those that missed something: a
+// target that left tells it only once.
 func (s *Spreader) spread(ctx context.Context) {
-	fresh := s.cfg.Registry.TakeFresh()
-	for len(fresh) > 0 {
-		n := min(len(fresh), batchLimit)
-		s.sendAll(ctx, fresh[:n])
-		fresh = fresh[n:]
+	fresh, others := s.cfg.Registry.TakeFresh(), s.cfg.Others()
+	maps.DeleteFunc(s.behind, func(address string, _ bool) bool { return !slices.Contains(others, address) })
+	late := slices.Collect(maps.Keys(s.behind))
+	clear(s.behind)
+	others = slices.DeleteFunc(slices.Clone(others), func(address string) bool { return slices.Contains(late, address) })
+	s.sendAll(ctx, others, fresh)
+	if len(late) > 0 {
+		s.sendAll(ctx, late, s.cfg.Registry.Known())
 	}
 }
 
@@ -202,30 +211,42 @@
 	return req
 }
 
-func (s *Spreader) sendAll(ctx context.Context, batch []registry.Aged) {
-	req := s.encode(batch)
-	s.tellAll(ctx, req, func(err error) {
-		if err != nil {
-			s.failed.Inc() // The target renews within a second; the node polls it otherwise.
-			return
+// sendAll sends announcements to nodes in batches, up to the first that a node does not take.
+func (s *Spreader) sendAll(ctx context.Context, addresses []string, all []registry.Aged) {
+	for batch := range slices.Chunk(all, batchLimit) {
+		req := s.encode(batch)
+		var taken []string
+		for address, err := range s.tell(ctx, addresses, req) {
+			if err != nil {
+				s.failed.Inc()
+				s.behind[address] = true
+				continue
+			}
+			s.sent.Add(len(req.GetTargets()))
+			taken = append(taken, address)
 		}
-		s.sent.Add(len(req.GetTargets()))
-	})
+		addresses = taken
+	}
 }
 
-// tellAll sends one request to all other nodes, and calls done with the outcome for each.
-func (s *Spreader) tellAll(ctx context.Context, req *peerpb.AnnounceRequest, done func(error)) {
+// tell sends one request to nodes, and returns the outcome for each.
+func (s *Spreader) tell(ctx context.Context, addresses []string, req *peerpb.AnnounceRequest) map[string]error {
 	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	defer cancel()
+	errs := make([]error, len(addresses))
 	var g errgroup.Group
-	for _, address := range s.cfg.Others() {
+	for i, address := range addresses {
 		g.Go(func() error {
-			_, err := s.cfg.Pool.Get(address).Spread.Announce(ctx, req)
-			done(err)
+			_, errs[i] = s.cfg.Pool.Get(address).Spread.Announce(ctx, req)
 			return nil
 		})
 	}
 	_ = g.Wait() // The functions return no error.
+	out := make(map[string]error, len(addresses))
+	for i, address := range addresses {
+		out[address] = errs[i]
+	}
+	return out
 }
 
 func (s *Spreader) poll(ctx context.Context) {
--- a/internal/node/spread/spread_test.go
+++ b/internal/node/spread/spread_test.go
@@ -90,6 +90,28 @@
 	require.Zero(t, heard)
 }
 
+// Guards against a node that goes on to use a target that left while the node was cut off: the target tells that only once.
+func TestMissedNewsComesLater(t *testing.T) {
+	clock := &testClock{now: camphorhinge.Instant(time.Hour)}
+	a, b := start(t, clock, "a"), start(t, clock, "b")
+	a.others = []string{b.address}
+	_, err := a.registry.Announce(camphorhinge.Announcement{
+		Name: "e1", Service: "s", Address: "127.0.0.1:9", Zone: "z", Incarnation: 1, Seq: 1, Kind: camphorhinge.KindEngine,
+		Role: camphorhinge.RoleMixed, Fencing: camphorhinge.FencingChecked, Orders: camphorhinge.OrdersPlain,
+	}, 0, true)
+	require.NoError(t, err)
+	a.spread(t.Context())
+	require.True(t, b.registry.Live("s")[0].Serving)
+
+	require.True(t, a.registry.Leave("e1", 0))
+	cut, cancel := context.WithCancel(t.Context())
+	cancel()
+	a.spread(cut)
+	require.True(t, b.registry.Live("s")[0].Serving)
+	a.spread(t.Context())
+	require.False(t, b.registry.Live("s")[0].Serving)
+}
+
 // Guards against a report of a faulty or newer peer that exceeds the bounds or is taken for the wrong bucket.
 func TestDecodeReport(t *testing.T) {
 	r := &peerpb.DemandReport{Age: math.MaxUint64, Demands: []*peerpb.Demand{{Workspace: "w", Bucket: 256}}}
