Ask for another plan when one names a target that left

A plan with a target that the entry node does not know was made again by the entry node alone, and the core node did not learn why.

Now the core node is told that the target can't be reached, and is asked again without it, up to three times.

--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -111,46 +111,64 @@
 	return ""
 }
 
+// askTries is the number of plans that are asked for when a plan names targets that this node does not know.
+const askTries = 3
+
 // ask returns the placement by a core node, or its refusal, or neither when no core node decided.
 func (c *Client) ask(
 	ctx context.Context, live []*camphorhinge.Target, req place.Request,
 ) (p *place.Placement, refusal time.Duration, ok bool) {
-	now := c.cfg.Clock.Now()
-	c.mu.Lock()
-	address := c.scheduler()
-	if address == "" {
+	for range askTries {
+		now := c.cfg.Clock.Now()
+		c.mu.Lock()
+		address := c.scheduler()
+		c.next++
+		id := c.next
 		c.mu.Unlock()
-		return nil, 0, false
-	}
-	c.next++
-	id := c.next
-	c.mu.Unlock()
-	call := c.call(now, id, req)
-	tell := func(reader bool, e place.Event) { c.tell(address, call, reader, e) }
-	for _, name := range c.cfg.Local.Closed(now, live) {
-		call.Exclude = append(call.Exclude, string(name))
-	}
-	resp, err := c.decide(ctx, address, call)
-	switch {
-	case err != nil || ctx.Err() != nil:
-		tell(false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
-		return nil, 0, false
-	case resp.GetRefused() > 0:
-		return nil, time.Duration(resp.GetRefused()) * time.Millisecond, false
-	case resp.GetServe() == "":
-		return nil, 0, false
-	}
-	plan, known := planOf(live, resp)
-	if !known {
-		tell(false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
-		return nil, 0, false
-	}
-	p = c.cfg.Local.Adopt(c.cfg.Clock.Now(), plan, req)
-	p.Server.Told = func(e place.Event) { tell(false, e) }
-	if p.Reader != nil {
-		p.Reader.Told = func(e place.Event) { tell(true, e) }
+		if address == "" {
+			return nil, 0, false
+		}
+		call := c.call(now, id, req)
+		for _, name := range c.cfg.Local.Closed(now, live) {
+			call.Exclude = append(call.Exclude, string(name))
+		}
+		resp, err := c.decide(ctx, address, call)
+		tell := func(reader bool, e place.Event) { c.tell(address, call, reader, e) }
+		switch {
+		case err != nil || ctx.Err() != nil:
+			tell(false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
+			return nil, 0, false
+		case resp.GetRefused() > 0:
+			return nil, time.Duration(resp.GetRefused()) * time.Millisecond, false
+		case resp.GetServe() == "":
+			return nil, 0, false
+		}
+		plan, serves, reads := planOf(live, resp)
+		if serves && reads {
+			p = c.cfg.Local.Adopt(c.cfg.Clock.Now(), plan, req)
+			p.Server.Told = func(e place.Event) { tell(false, e) }
+			if p.Reader != nil {
+				p.Reader.Told = func(e place.Event) { tell(true, e) }
+			}
+			return p, 0, true
+		}
+		// The core node has missed that a target left, or this node that one came.
+		gone := func(known bool) place.Event {
+			if known {
+				return place.Event{At: now, Ended: true, Outcome: place.Abandoned}
+			}
+			return place.Event{At: now, Ended: true, Outcome: place.Unreachable}
+		}
+		if !reads {
+			tell(true, gone(reads))
+			req.Exclude = append(slices.Clone(req.Exclude), camphorhinge.TargetName(resp.GetPrefill()))
+		}
+		if !serves {
+			req.Exclude = append(slices.Clone(req.Exclude), camphorhinge.TargetName(resp.GetServe()))
+		}
+		tell(false, gone(serves))
 	}
-	return p, 0, true
+	return nil, 0, false
 }
 
 // decide calls a core node until it has decided.
@@ -217,8 +235,9 @@
 	return call
 }
 
-// planOf returns the plan that a core node named; ok is false when this node does not know its targets.
-func planOf(live []*camphorhinge.Target, resp *peerpb.PlaceResponse) (place.Plan, bool) {
+// planOf returns the plan that a core node named, and whether this node knows the target that serves it and the one that
+// reads the prompt, if there is one.
+func planOf(live []*camphorhinge.Target, resp *peerpb.PlaceResponse) (plan place.Plan, serves, reads bool) {
 	find := func(name string, serving bool) *camphorhinge.Target {
 		for _, t := range live {
 			if string(t.Name) == name && (t.Serving || !serving) {
@@ -227,22 +246,17 @@
 		}
 		return nil
 	}
-	plan := place.Plan{
+	plan = place.Plan{
 		Serve: find(resp.GetServe(), true), Expected: time.Duration(resp.GetExpected()) * time.Microsecond,
 		Unread: camphorhinge.Tokens(resp.GetUnread()), Reason: resp.GetReason(),
 	}
-	if plan.Serve == nil {
-		return plan, false
-	}
 	if name := resp.GetPrefill(); name != "" {
-		if plan.Prefill = find(name, true); plan.Prefill == nil {
-			return plan, false
-		}
+		plan.Prefill = find(name, true)
 	}
 	if name := resp.GetFetch(); name != "" {
 		plan.Fetch = find(name, false)
 	}
-	return plan, true
+	return plan, plan.Serve != nil, resp.GetPrefill() == "" || plan.Prefill != nil
 }
 
 // tell queues an event for the core node that made the placement which call asked for.
--- a/internal/node/schedule/client_test.go
+++ b/internal/node/schedule/client_test.go
@@ -123,6 +123,26 @@
 	})
 }
 
+// Guards against a target that left, which only the core node has missed: the plans that name it are refused and made again,
+// and further requests don't go there.
+func TestTargetUnknownToCaller(t *testing.T) {
+	withSite(t, func(t *testing.T, s *site) {
+		t.Helper()
+		gone := s.live[0].Name
+		s.live = s.live[1:]
+		for range 6 {
+			p := s.place(t)
+			require.NotEqual(t, gone, p.Prefill.Name)
+			require.Equal(t, 1, s.a.held())
+			p.Close(s.cfg.Clock.Now())
+			time.Sleep(2 * flushEvery)
+			require.Zero(t, s.a.held())
+		}
+		require.Zero(t, s.alone.Get())
+		require.Positive(t, s.a.calls.Load())
+	})
+}
+
 // Guards against events that are gone with one lost call: they are told again, and what was told twice counts once.
 func TestEventsOutliveLostCall(t *testing.T) {
 	for _, tc := range []struct {
