Believe of an engine's cache what it holds

Cause: the parts of requests under way counted twice, in the cache and in what it yields to; a burst made the Placer forget half of what engines held, and the shared parts were read again. A part whose reader gave up after its expected end counted as held, so that a prompt of 57,000 tokens was expected to take 0.6 s and took 2.1 s, with all requests behind it. And a pace below 0.75, measured when an engine held more than was known, let ten requests go to one engine at once.

Ruled out: parts held back until a hand-over ends (19 of 1,400 requests), and transfers between engines.

Now parts count once, a part is held once its reader told so, and an engine's own word corrects the belief.

--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -156,7 +156,7 @@
 		c.home = homes(c.shared[len(c.shared)-1].Hash, targets, 1)[0]
 	}
 	for _, t := range live {
-		if p.of(c.now, t).cache.ready(c.now, c.shared) == c.size {
+		if p.of(c.now, t).cache.ready(c.shared) == c.size {
 			c.holders = append(c.holders, t)
 		}
 	}
--- a/internal/request/place/holding.go
+++ b/internal/request/place/holding.go
@@ -28,7 +28,7 @@
 	for name, s := range p.targets {
 		h := Holding{Target: name, Incarnation: s.incarnation}
 		for hash, x := range s.cache.parts {
-			if age := now.Sub(x.used); !x.own && x.ready <= now && age <= holdingAge {
+			if age := now.Sub(x.used); !x.own && x.flight == nil && age <= holdingAge {
 				h.Parts = append(h.Parts, Part{Hash: hash, Tokens: x.tokens})
 				h.Ages = append(h.Ages, age)
 			}
@@ -41,6 +41,29 @@
 	return out
 }
 
+// Observe takes an engine's own word on what it holds, for which it was asked at an earlier time. What attempts since then
+// are to bring, or have brought, stays.
+func (p *Placer) Observe(now, asked camphorhinge.Instant, t *camphorhinge.Target, held []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := &p.of(now, t).cache
+	said := make(map[uint64]camphorhinge.Tokens, len(held))
+	for _, part := range held {
+		said[part.Hash] = part.Tokens
+		if x, ok := c.parts[part.Hash]; !ok {
+			// It was not used since this node places requests.
+			c.learn(part, 0)
+		} else if x.flight == nil && x.used < asked {
+			c.resize(part.Hash, part.Tokens)
+		}
+	}
+	for hash, x := range c.parts {
+		if _, ok := said[hash]; !ok && x.flight == nil && x.used < asked {
+			c.resize(hash, 0)
+		}
+	}
+}
+
 // Learn takes over what another Placer knows of the live targets.
 func (p *Placer) Learn(now camphorhinge.Instant, live []*camphorhinge.Target, known []Holding) {
 	p.mu.Lock()
--- a/internal/request/place/placement.go
+++ b/internal/request/place/placement.go
@@ -33,9 +33,6 @@
 	return out
 }
 
-// readySlack is added to the expected time of a read, after which its parts count as held even if that was not told.
-const readySlack = time.Second
-
 // Flight is one attempt under way.
 type Flight struct {
 	placer  *Placer
@@ -83,14 +80,12 @@
 	f.held = req.Prompt + req.Output
 	s.held += f.held
 	f.parts = req.Parts
-	ready := now.Add(plan.Expected)
 	if reads {
 		f.reading, f.expected = true, plan.Expected
 		f.read = p.toRead(t, float64(plan.Unread))
 		f.due = s.begin(now, f.read)
-		ready = f.due
 	}
-	s.cache.add(now, ready.Add(readySlack), req.Parts, req.Engine.Memory-s.held)
+	s.cache.add(now, f, req.Engine.Memory)
 	return f
 }
 
@@ -100,7 +95,7 @@
 	was := !f.began && !f.ended
 	if was {
 		f.began = true
-		f.state.cache.read(now, f.parts)
+		f.state.cache.read(now, f)
 	}
 	if was && f.reading {
 		f.reading = false
@@ -142,7 +137,7 @@
 		f.state.cancel(now, f.due, f.read)
 	}
 	if !f.began {
-		f.state.cache.drop(now, f.parts)
+		f.state.cache.drop(f)
 	}
 	f.state.end(now, o)
 	if o == Served && f.held == 0 {
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -28,11 +28,12 @@
 	// paceWeight is the weight of the last first event in a target's pace.
 	paceWeight = 0.15
 	// slowestPace and fastestPace bound a target's pace.
-	slowestPace, fastestPace = 8.0, 0.5
+	slowestPace, fastestPace = 8.0, 0.75
 	// leastRead is the least time that a prompt which is being read is taken to need still.
 	leastRead = 10 * time.Millisecond
-	// cacheShare is the part, in percent, of the memory that running requests leave which is taken to hold cached parts.
-	cacheShare = 90
+	// cacheShare is the part, in percent, of an engine's memory that is taken to hold prompt parts; running requests hold
+	// what they generate besides.
+	cacheShare = 97
 )
 
 // state is what a node knows of one target in one incarnation.
@@ -167,27 +168,36 @@
 type cached struct {
 	tokens camphorhinge.Tokens
 	used   camphorhinge.Instant
-	// ready is when the part is expected to have been read.
-	ready camphorhinge.Instant
+	// flight is the attempt that is to bring the part; nil once the engine holds it.
+	flight *Flight
 	// own is true for a part that belongs to one request or session alone.
 	own bool
 }
 
-// add notes that the engine holds parts from ready on; the last of them is the request's own.
-func (c *cache) add(now, ready camphorhinge.Instant, parts []Part, memory camphorhinge.Tokens) {
+// memoryBlock is the number of tokens by which engines divide their memory; the rest of a part in its last block may not be
+// kept.
+const memoryBlock = 16
+
+// whole reports whether the engine holds all of a part but what does not fill a block.
+func (x *cached) whole(p Part) bool { return x.tokens+memoryBlock > p.Tokens }
+
+// add notes that f brings the parts that the engine lacks; the last of the parts is the request's own.
+func (c *cache) add(now camphorhinge.Instant, f *Flight, memory camphorhinge.Tokens) {
 	if c.parts == nil {
 		c.parts = map[uint64]cached{}
 	}
-	for i, p := range parts {
-		from := ready
+	for i, p := range f.parts {
+		by := f
 		if old, ok := c.parts[p.Hash]; ok {
 			c.tokens -= old.tokens
-			from = min(ready, old.ready)
+			if old.flight != nil || old.whole(p) {
+				by = old.flight
+			}
 		}
-		c.parts[p.Hash] = cached{tokens: p.Tokens, used: now, ready: from, own: i == len(parts)-1}
+		c.parts[p.Hash] = cached{tokens: p.Tokens, used: now, flight: by, own: i == len(f.parts)-1}
 		c.tokens += p.Tokens
 	}
-	c.yield(memory, len(parts))
+	c.yield(memory, len(f.parts))
 }
 
 // learn notes that the engine holds a part, as another node says.
@@ -196,14 +206,25 @@
 		c.parts = map[uint64]cached{}
 	}
 	if old, ok := c.parts[p.Hash]; ok {
-		old.used = max(old.used, used)
+		old.used, old.flight = max(old.used, used), nil
 		c.parts[p.Hash] = old
 		return
 	}
-	c.parts[p.Hash] = cached{tokens: p.Tokens, used: used, ready: used}
+	c.parts[p.Hash] = cached{tokens: p.Tokens, used: used}
 	c.tokens += p.Tokens
 }
 
+// resize notes how many tokens of a part the engine holds.
+func (c *cache) resize(hash uint64, n camphorhinge.Tokens) {
+	x := c.parts[hash]
+	c.tokens += n - x.tokens
+	x.tokens = n
+	c.parts[hash] = x
+	if n <= 0 {
+		delete(c.parts, hash)
+	}
+}
+
 // yield forgets the parts that were not used for longest until the rest fits into memory; it keeps at least some.
 func (c *cache) yield(memory camphorhinge.Tokens, least int) {
 	for limit := max(memory, 0) * cacheShare / 100; c.tokens > limit && len(c.parts) > least; {
@@ -219,20 +240,23 @@
 	}
 }
 
-// read notes that parts have been read.
-func (c *cache) read(now camphorhinge.Instant, parts []Part) {
-	for _, p := range parts {
-		if x, ok := c.parts[p.Hash]; ok && x.ready > now {
-			x.ready = now
-			c.parts[p.Hash] = x
+// read notes that the engine holds the parts of f. Those that another flight was to bring and did not are added again.
+func (c *cache) read(now camphorhinge.Instant, f *Flight) {
+	for i, p := range f.parts {
+		x, ok := c.parts[p.Hash]
+		if !ok {
+			x = cached{tokens: p.Tokens, used: now, own: i == len(f.parts)-1}
+			c.tokens += p.Tokens
 		}
+		x.flight = nil
+		c.parts[p.Hash] = x
 	}
 }
 
-// drop forgets parts that were to be read and were not.
-func (c *cache) drop(now camphorhinge.Instant, parts []Part) {
-	for _, p := range parts {
-		if x, ok := c.parts[p.Hash]; ok && x.ready > now {
+// drop forgets the parts that f was to bring and did not.
+func (c *cache) drop(f *Flight) {
+	for _, p := range f.parts {
+		if x, ok := c.parts[p.Hash]; ok && x.flight == f {
 			c.tokens -= x.tokens
 			delete(c.parts, p.Hash)
 		}
@@ -240,10 +264,15 @@
 }
 
 // ready returns the tokens of the leading parts that the engine holds already.
-func (c *cache) ready(now camphorhinge.Instant, parts []Part) camphorhinge.Tokens {
+func (c *cache) ready(parts []Part) camphorhinge.Tokens {
 	var n camphorhinge.Tokens
 	for _, p := range parts {
-		if x, ok := c.parts[p.Hash]; !ok || x.ready > now {
+		x, ok := c.parts[p.Hash]
+		if !ok || x.flight != nil {
+			break
+		}
+		if !x.whole(p) {
+			n += x.tokens
 			break
 		}
 		n += p.Tokens
@@ -255,7 +284,12 @@
 func (c *cache) leading(parts []Part) camphorhinge.Tokens {
 	var n camphorhinge.Tokens
 	for _, p := range parts {
-		if _, ok := c.parts[p.Hash]; !ok {
+		x, ok := c.parts[p.Hash]
+		if !ok {
+			break
+		}
+		if !x.whole(p) {
+			n += x.tokens
 			break
 		}
 		n += p.Tokens
