Ask engines each second what they hold

Cause: after a restart of all processes nobody knew what engines hold, and the believed caches drift from the real ones in between.

Ruled out: learning it from entry nodes, which restart as well.

The core node that places requests asks each live engine about once a second while there are requests.

--- a/internal/node/schedule/schedule_test.go
+++ b/internal/node/schedule/schedule_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +16,7 @@
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/record/routing"
+	"example.org/camphorhinge/internal/request/place"
 )
 
 // fleet is a fixed set of engines.
@@ -47,7 +51,7 @@
 	config := &routing.Config{Version: 1, Services: []routing.Service{{
 		Name: "s", Engine: &routing.Engine{Slots: 64, Memory: 500_000, TokenBytes: 160_000, Link: 1.6e6},
 	}}}
-	return New(Config{Targets: f, Configuration: func() *routing.Config { return config }, Clock: bubble{time.Now()}})
+	return New(Config{Targets: f, Configuration: func() *routing.Config { return config }, Clock: bubble{time.Now()}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 }
 
 // ask returns a request for one placement; subject names the shared part.
@@ -177,3 +181,54 @@
 		require.Zero(t, s.held())
 	})
 }
+
+// caches are engines that say what they hold.
+type caches struct {
+	mu    sync.Mutex
+	parts map[camphorhinge.TargetName][]place.Part
+	asked map[camphorhinge.TargetName]int
+}
+
+func (c *caches) Parts(_ context.Context, t *camphorhinge.Target) ([]place.Part, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked[t.Name]++
+	return c.parts[t.Name], nil
+}
+
+func (c *caches) questions(name camphorhinge.TargetName) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked[name]
+}
+
+// Guards against shared parts that are read again after all nodes restarted: engines are asked what they hold, and only
+// while there are requests.
+func TestEnginesAreAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(2, 1)
+		c := &caches{asked: map[camphorhinge.TargetName]int{}, parts: map[camphorhinge.TargetName][]place.Part{"e1": {{Hash: 7, Tokens: 10_000}}}}
+		s.cfg.Caches = c
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return s.Run(ctx) })
+		defer func() {
+			cancel()
+			require.NoError(t, g.Wait())
+		}()
+		time.Sleep(surveyIdle)
+		require.Zero(t, c.questions("e0"))
+		call(t, s, ask("n", 1, 1, 9))
+		time.Sleep(2 * surveyTick)
+		for _, e := range []camphorhinge.TargetName{"e0", "e1", "e2"} {
+			require.Equal(t, 1, c.questions(e))
+		}
+		known := call(t, s, ask("n", 1, 2, 7))
+		require.Equal(t, uint32(2000), known.GetUnread())
+		time.Sleep(surveyIdle + 2*surveyEvery)
+		before := c.questions("e1")
+		require.LessOrEqual(t, before, 2+2*int(surveyIdle/surveyEvery))
+		time.Sleep(10 * surveyEvery)
+		require.Equal(t, before, c.questions("e1"))
+	})
+}
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/record/routing"
@@ -31,8 +34,11 @@
 	Targets camphorhinge.Targets
 	// Configuration returns the newest routing configuration, or nil.
 	Configuration func() *routing.Config
-	Clock         camphorhinge.Clock
-	Seed          uint64
+	// Caches is asked what engines hold; nil asks none.
+	Caches Caches
+	Clock  camphorhinge.Clock
+	Seed   uint64
+	Log    *slog.Logger
 }
 
 // Scheduler places the requests of all entry nodes.
@@ -44,6 +50,8 @@
 	queue   *place.Queue
 	callers map[string]*caller
 	swept   camphorhinge.Instant
+	// requested is when a request to place came last.
+	requested camphorhinge.Instant
 }
 
 // caller holds the placements of one session of an entry node.
@@ -75,8 +83,17 @@
 	return &Scheduler{cfg: cfg, placer: placer, queue: place.NewQueue(placer), callers: map[string]*caller{}}
 }
 
-// Run looks at the waiting requests until ctx ends.
+// Run decides on the requests that wait until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.decide(ctx) })
+	if s.cfg.Caches != nil {
+		g.Go(func() error { return s.survey(ctx) })
+	}
+	return g.Wait()
+}
+
+func (s *Scheduler) decide(ctx context.Context) error {
 	ticker := time.NewTicker(runEvery)
 	defer ticker.Stop()
 	for {
@@ -179,6 +196,7 @@
 
 // enqueue makes the ticket of a new request.
 func (s *Scheduler) enqueue(now camphorhinge.Instant, c *caller, req *peerpb.PlaceRequest, service *routing.Service) *ticket {
+	s.requested = now
 	t := &ticket{asked: now, decided: make(chan struct{})}
 	r := request(now, req)
 	r.Engine = service.Engine
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -46,12 +46,18 @@
 	Peers func() []string
 	// Dialect spells calls to targets, Engines makes the carrier of orders to engines.
 	Dialect exchange.Dialect
-	Engines func(*exchange.Client) balance.Engines
+	Engines func(*exchange.Client) Engines
 	// Register adds the handlers of the control port.
 	Register func(*web.Server, Control)
 	Log      *slog.Logger
 }
 
+// Engines makes the system's own calls to engines.
+type Engines interface {
+	balance.Engines
+	schedule.Caches
+}
+
 // Control is what the control port of a core node offers to targets and the operator.
 type Control interface {
 	// Announce takes an announcement that came from the target itself. It reports false for one that names no service of
@@ -91,8 +97,7 @@
 		func() error { return c.openTraces(ctx, nil) },
 		c.openPeers,
 		func() error { return c.openDurable(ctx) },
-		c.buildCore,
-		func() error { return c.buildBalancer(cfg) },
+		func() error { return c.buildCore(cfg) },
 		func() error { return c.openControl(cfg.Register) },
 	}
 	for _, step := range steps {
@@ -104,30 +109,27 @@
 	return c, nil
 }
 
-func (c *Core) buildCore() error {
+func (c *Core) buildCore(cfg CoreConfig) error {
 	c.registry = registry.New(registry.Config{
 		Clock: c.clock, Expiry: coreExpiry, Exclusive: true, Changed: c.changed, Metrics: c.metrics,
 	})
 	c.spreader = spread.New(spread.Config{
 		Node: c.cfg.Node, Registry: c.registry, Pool: c.pool, Others: c.otherCores, Metrics: c.metrics,
 	})
+	c.exchange = newExchange(c.metrics, cfg.Dialect)
+	engines := cfg.Engines(c.exchange)
 	c.scheduler = schedule.New(schedule.Config{
-		Targets: c.registry, Configuration: c.routes.Current, Clock: c.clock, Seed: c.seed(),
+		Targets: c.registry, Configuration: c.routes.Current, Caches: engines, Clock: c.clock, Seed: c.seed(), Log: c.log,
 	})
 	c.source = feed.NewSource(feed.SourceConfig{
 		Registry: c.registry, Table: c.routes, Cores: c.durable.cores, Scores: c.durable.scores, Clock: c.clock,
 		Scheduler: c.scheduler,
 	})
 	c.buildControl()
-	return nil
-}
-
-func (c *Core) buildBalancer(cfg CoreConfig) error {
-	c.exchange = newExchange(c.metrics, cfg.Dialect)
 	c.balancer = balance.New(balance.Config{
 		Node: c.cfg.Node, Authority: c.durable.replica, Targets: c.registry, Services: c.engineServices,
 		Load:    func(context.Context, camphorhinge.ServiceName) balance.Load { return balance.Load{Running: -1} },
-		Engines: cfg.Engines(c.exchange), Clock: c.clock, Handover: c.settings.Handover, Log: c.log, Metrics: c.metrics,
+		Engines: engines, Clock: c.clock, Handover: c.settings.Handover, Log: c.log, Metrics: c.metrics,
 	})
 	return nil
 }
