--- a/internal/node/schedule/schedule_test.go
+++ b/internal/node/schedule/schedule_test.go
@@ -22,12 +22,7 @@
 // fleet is a fixed set of engines.
 type fleet []*camphorhinge.Target
 
-func (f fleet) Live(camphorhinge.ServiceName) []*camphorhinge.Target {
-	for _, t := range f {
-		t.Heard = camphorhinge.Instant(1000 * time.Hour)
-	}
-	return f
-}
+func (f fleet) Live(camphorhinge.ServiceName) []*camphorhinge.Target { return f }
 
 // bubble reads the virtual time.
 type bubble struct{ start time.Time }
@@ -43,7 +38,7 @@
 		if i >= prefill {
 			role = camphorhinge.RoleDecode
 		}
-		f = append(f, &camphorhinge.Target{Serving: true, Announcement: camphorhinge.Announcement{
+		f = append(f, &camphorhinge.Target{Serving: true, Heard: camphorhinge.Instant(1000 * time.Hour), Announcement: camphorhinge.Announcement{
 			Name: camphorhinge.TargetName(fmt.Sprintf("e%d", i)), Service: "s", Role: role, Incarnation: 1, Slots: 64,
 			Kind: camphorhinge.KindEngine, Zone: "z",
 		}})
