Let callers wait for a node that has just started

Cause: a node without a configuration refused at once and asked callers to come again after 500 ms.

Now a request waits, for at most half of its caller's time, where the configuration or the first target is likely to come in that time. Otherwise the caller is told to come when it is likely there. A node that started long ago refuses at once as before.

--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -121,7 +121,7 @@
 		Budget: budget.New(budget.Config{
 			Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindow, Start: e.clock.Now(),
 		}),
-		Zone: s.Zone, Quarantine: e.crashes, Protocol: e.cfg.Protocol, Nodes: e.follower.Entries, Clock: e.clock, Log: e.log, Metrics: e.metrics,
+		Zone: s.Zone, Quarantine: e.crashes, Protocol: e.cfg.Protocol, Nodes: e.follower.Entries, Started: e.clock.Now(), Clock: e.clock, Log: e.log, Metrics: e.metrics,
 	})
 	return nil
 }
--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -247,7 +248,7 @@
 	*Forwarder
 	world  *world
 	client *exchange.Client
-	index  *routing.Index
+	index  atomic.Pointer[routing.Index]
 	place  order
 }
 
@@ -271,16 +272,16 @@
 	}
 	b := &bench{
 		world: w,
-		index: routing.NewIndex(&routing.Config{Version: 1, Routes: []routing.Route{route}, Services: []routing.Service{service}}),
 		client: exchange.New(exchange.Config{
 			Dialer: w, Metrics: metrics.NewSet(), Tracer: noop.NewTracerProvider().Tracer(""), Dialect: protocol{},
 			FirstByte: time.Minute, Between: time.Minute,
 		}),
 		place: order{placer: place.New(place.Config{})},
 	}
+	b.index.Store(routing.NewIndex(&routing.Config{Version: 1, Routes: []routing.Route{route}, Services: []routing.Service{service}}))
 	clock := steady{time.Now()}
 	b.Forwarder = New(Config{
-		Index: func() *routing.Index { return b.index }, Targets: w, Placer: &b.place, Exchange: b.client,
+		Index: b.index.Load, Targets: w, Placer: &b.place, Exchange: b.client,
 		Budget:     budget.New(budget.Config{Allowance: 100, Window: 10 * time.Second}),
 		Quarantine: noQuarantine{}, Protocol: protocol{}, Nodes: func() int { return 1 }, Clock: clock,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewSet(),
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -84,7 +84,9 @@
 	// Zone is the node's own.
 	Zone camphorhinge.Zone
 	// Nodes returns the number of nodes that share the retry budget.
-	Nodes   func() int
+	Nodes func() int
+	// Started is when the node started.
+	Started camphorhinge.Instant
 	Clock   camphorhinge.Clock
 	Log     *slog.Logger
 	Metrics *metrics.Set
@@ -181,9 +183,9 @@
 	if j.f.refusing.Load() {
 		return later(KindStopping, stopPause, "this node stops")
 	}
-	index := j.f.cfg.Index()
-	if index == nil {
-		return later(KindConfiguration, configurationPause, "this node has no configuration yet")
+	index, err := j.index(ctx)
+	if err != nil {
+		return err
 	}
 	j.version = index.Config.Version
 	if j.route = index.Match(j.in.Host, j.in.Path); j.route == nil {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -156,7 +156,7 @@
 		status int
 		retry  bool
 	}{
-		{"no configuration", func(b *bench, _ *Request) { b.index = nil }, 503, true},
+		{"no configuration", func(b *bench, _ *Request) { b.index.Store(nil) }, 503, true},
 		{"no route", func(_ *bench, in *Request) { in.Path = "/b/x" }, 404, false},
 		{"no target", func(b *bench, _ *Request) { b.world.live = nil }, 503, true},
 		{"overload", func(b *bench, _ *Request) { b.place.refusal = 700 * time.Millisecond }, 503, true},
@@ -205,7 +205,7 @@
 func TestSeparatePrefill(t *testing.T) {
 	prefill := func(b *bench) {
 		b.world.live[0].Role = camphorhinge.RolePrefill
-		b.index.Config.Services[0].Engine = &routing.Engine{Slots: 4, Memory: 1e6}
+		b.index.Load().Config.Services[0].Engine = &routing.Engine{Slots: 4, Memory: 1e6}
 	}
 	ask := func(in *Request) { in.Header.Set("Prompt", "100") }
 	stream := events(0, 2) + lastChunk
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -73,6 +73,9 @@
 		if !ok && len(j.exclude) > 0 {
 			return j.failed(ctx, last)
 		}
+		if !ok && j.awaitTarget(ctx) {
+			continue
+		}
 		if !ok {
 			return j.noTarget()
 		}
