Add commands for the platform's nodes: validate, request, and status by the metrics address

An operator could not check a settings file or a routing configuration before sending it, nor ask a node of the platform what it knows: status needed the operator port, which is off there. Finding the cause of a failed request meant searching logs by hand.

--- a/internal/cli/command/commands.go
+++ b/internal/cli/command/commands.go
@@ -33,6 +33,8 @@
 	a.command("status", "Show the status of a node and of the cluster as that node sees it.", a.status)
 	a.command("explain", "Show the latest decisions of a node and what they were based on.", a.explain)
 	a.command("check", "Validate records without a node.", a.check)
+	a.command("validate", "Validate the platform's settings file or a routing configuration without a node.", a.validate)
+	a.command("request", "Show from logs what happened to a request, and why.", a.request)
 	a.command("probe", "Ask a URL and exit with 0 when it answers 200.", a.probe)
 	a.command("load", "Send requests to caller ports and check every answer.", a.load)
 	a.command("cert", "Make the cluster's certificate authority and certificates of nodes.", a.cert)
--- /dev/null
+++ b/internal/cli/command/report.go
@@ -0,0 +1,207 @@
+package command
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"example.org/camphorhinge/internal/node/status"
+	"example.org/camphorhinge/platform"
+)
+
+const (
+	// reportTimeout bounds the wait for a node's status.
+	reportTimeout = 5 * time.Second
+	// reportLimit bounds a status, in bytes; it holds 10,000 targets.
+	reportLimit = 8 << 20
+	// lineLimit bounds a log line, in bytes; longer ones are passed over.
+	lineLimit = 1 << 20
+	// aroundTime is the time before and after a request in which decisions on its targets and core nodes are shown.
+	aroundTime = 3 * time.Second
+)
+
+// validate checks the platform's settings file and routing configurations before they are sent.
+func (a *app) validate(cmd *kingpin.CmdClause) func(context.Context) error {
+	settings := cmd.Flag("settings", "Settings file of the platform; may be repeated.").PlaceHolder("FILE").Strings()
+	configurations := cmd.Flag("configuration", "Routing configuration as the operator sends it; may be repeated.").PlaceHolder("FILE").Strings()
+	return func(context.Context) error {
+		if len(*settings)+len(*configurations) == 0 {
+			return &Error{Op: "validate", Kind: KindUsage, Err: errors.New("expected --settings or --configuration")}
+		}
+		var errs []error
+		for _, path := range *settings {
+			s, err := platform.Load(path)
+			if err == nil {
+				err = s.Check()
+			}
+			errs = append(errs, a.valid(path, "settings", err))
+		}
+		for _, path := range *configurations {
+			data, err := os.ReadFile(path)
+			kind := "routing configuration"
+			if err == nil {
+				c, decoded := platform.DecodeManifest(data)
+				if err = decoded; err == nil {
+					kind = fmt.Sprintf("routing configuration, version %d, %d routes, %d services", c.Version, len(c.Routes), len(c.Services))
+				}
+			}
+			errs = append(errs, a.valid(path, kind, err))
+		}
+		return errors.Join(errs...)
+	}
+}
+
+func (a *app) valid(path, kind string, err error) error {
+	if err != nil {
+		return &Error{Op: "validate", Kind: KindRefused, Err: fmt.Errorf("%s: %w", path, err)}
+	}
+	fmt.Fprintf(a.out, "%s: %s: valid\n", path, kind)
+	return nil
+}
+
+// fetchStatus asks a node of the platform for its status; address is that of its metrics.
+func fetchStatus(ctx context.Context, address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+status.Path, http.NoBody)
+	if err != nil {
+		return nil, &Error{Op: "status", Kind: KindUsage, Err: fmt.Errorf("--metrics: expected IP:port, got %q: %w", address, err)}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, &Error{Op: "status", Kind: KindUnavailable, Err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, reportLimit))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: status %d", address, resp.StatusCode)
+	}
+	if err != nil {
+		return nil, &Error{Op: "status", Kind: KindUnavailable, Err: err}
+	}
+	return data, nil
+}
+
+// entry is a log line.
+type entry struct {
+	at     time.Time
+	fields map[string]any
+}
+
+// request shows from logs what happened to a request, and the decisions on its targets and on core nodes about that time.
+func (a *app) request(cmd *kingpin.CmdClause) func(context.Context) error {
+	id := cmd.Arg("id", "Id of the request's attempt.").Required().String()
+	files := cmd.Arg("log", "Log files of nodes with JSON lines; standard input without any.").Strings()
+	return func(context.Context) error {
+		var all []entry
+		if len(*files) == 0 {
+			all = readLog(os.Stdin)
+		}
+		for _, path := range *files {
+			f, err := os.Open(path)
+			if err != nil {
+				return &Error{Op: "request", Kind: KindUsage, Err: err}
+			}
+			all = append(all, readLog(f)...)
+			f.Close()
+		}
+		shown := about(all, *id)
+		if len(shown) == 0 {
+			return &Error{Op: "request", Kind: KindRun, Err: fmt.Errorf("no line about request %s", *id)}
+		}
+		for _, e := range shown {
+			showEntry(a.out, e)
+		}
+		return nil
+	}
+}
+
+// readLog returns the JSON lines of a log. What stands before the first brace of a line is passed over.
+func readLog(r io.Reader) []entry {
+	var out []entry
+	lines := bufio.NewReaderSize(r, lineLimit)
+	for {
+		line, err := lines.ReadString('\n')
+		if i := strings.IndexByte(line, '{'); i >= 0 {
+			e := entry{fields: map[string]any{}}
+			at, ok := "", false
+			if json.Unmarshal([]byte(line[i:]), &e.fields) == nil {
+				at, ok = e.fields["time"].(string)
+			}
+			if t, bad := time.Parse(time.RFC3339Nano, at); ok && bad == nil {
+				e.at = t
+				out = append(out, e)
+			}
+		}
+		if err != nil {
+			return out
+		}
+	}
+}
+
+// about returns the lines on a request, and those on its targets and on core nodes from shortly before its start to shortly
+// after its end, in order of time.
+func about(all []entry, id string) []entry {
+	var from, to time.Time
+	targets := map[any]bool{}
+	for _, e := range all {
+		if e.fields["request"] != id {
+			continue
+		}
+		took, _ := e.fields["took_ms"].(float64)
+		if start := e.at.Add(-time.Duration(took) * time.Millisecond); from.IsZero() || start.Before(from) {
+			from = start
+		}
+		if e.at.After(to) {
+			to = e.at
+		}
+		for _, name := range []string{"target", "prefill", "fetch"} {
+			if t := e.fields[name]; t != nil {
+				targets[t] = true
+			}
+		}
+	}
+	var out []entry
+	for _, e := range all {
+		near := !from.IsZero() && e.at.After(from.Add(-aroundTime)) && e.at.Before(to.Add(aroundTime))
+		_, request := e.fields["request"]
+		if e.fields["request"] == id || near && !request && (targets[e.fields["target"]] || e.fields["target"] == nil) {
+			out = append(out, e)
+		}
+	}
+	slices.SortStableFunc(out, func(x, y entry) int { return x.at.Compare(y.at) })
+	return out
+}
+
+// showEntry prints a line with its fields sorted by name.
+func showEntry(w io.Writer, e entry) {
+	fmt.Fprintf(w, "%s %v %v:", e.at.Format("15:04:05.000"), dashAny(e.fields["node"]), e.fields["msg"])
+	var names []string
+	for name := range e.fields {
+		if !slices.Contains([]string{"time", "level", "msg", "node"}, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(w, " %s=%v", name, e.fields[name])
+	}
+	fmt.Fprintln(w)
+}
+
+func dashAny(v any) any {
+	if v == nil {
+		return "-"
+	}
+	return v
+}
--- a/internal/cli/command/status.go
+++ b/internal/cli/command/status.go
@@ -21,6 +21,7 @@
 
 func (a *app) status(cmd *kingpin.CmdClause) func(context.Context) error {
 	conn, output := connectionFlags(cmd), outputFlag(cmd)
+	metrics := cmd.Flag("metrics", "Ask a node of the platform at its metrics address instead, without a token.").PlaceHolder("IP:PORT").String()
 	voters := cmd.Flag("voters", "Fail unless the cluster is repaired, has exactly this number of voters, and the node's own replica, if it has one, is among them.").PlaceHolder("N").Int()
 	targets := cmd.Flag("targets", "Fail unless the node sees at least this number of live targets that serve.").PlaceHolder("N").Int()
 	leader := cmd.Flag("leader", "Print only the name of the leader's node.").Bool()
@@ -34,11 +35,7 @@
 		case *targets < 0:
 			return &Error{Op: "status", Kind: KindUsage, Err: fmt.Errorf("--targets: expected at least 1, got %d", *targets)}
 		}
-		c, err := conn.open()
-		if err != nil {
-			return err
-		}
-		raw, err := c.Status(ctx)
+		raw, err := a.readStatus(ctx, conn, *metrics)
 		if err != nil {
 			return err
 		}
@@ -59,6 +56,17 @@
 	}
 }
 
+func (a *app) readStatus(ctx context.Context, conn *connection, metrics string) (json.RawMessage, error) {
+	if metrics != "" {
+		return fetchStatus(ctx, metrics)
+	}
+	c, err := conn.open()
+	if err != nil {
+		return nil, err
+	}
+	return c.Status(ctx)
+}
+
 func (a *app) printName(name camphorhinge.NodeID, missing string) error {
 	if name == "" {
 		return &Error{Op: "status", Kind: KindRun, Err: errors.New(missing)}
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -179,7 +179,7 @@
 		return err
 	}
 	register(c.ports, c)
-	c.metering, err = openMetrics(c.settings.MetricsListen, c.metrics)
+	c.metering, err = openMetrics(c.settings.MetricsListen, c.metrics, c.report)
 	return err
 }
 
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -161,27 +161,10 @@
 		}
 		c.String(http.StatusServiceUnavailable, "not ready\n")
 	})
-	e.metering, err = openMetrics(s.MetricsListen, e.metrics)
+	e.metering, err = openMetrics(s.MetricsListen, e.metrics, e.report)
 	return err
 }
 
-// openMetrics opens a port that serves metrics; an empty address opens none.
-func openMetrics(address string, set *metrics.Set) (*web.Server, error) {
-	if address == "" {
-		return nil, nil
-	}
-	s, err := web.New(web.Config{Address: address, MaxBody: smallBody})
-	if err != nil {
-		return nil, err
-	}
-	s.Hertz.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
-		c.Response.Header.SetContentType("text/plain; version=0.0.4")
-		set.WritePrometheus(c.Response.BodyWriter())
-		metrics.WriteProcessMetrics(c.Response.BodyWriter())
-	})
-	return s, nil
-}
-
 // Ready reports whether the node takes new callers: it knows a configuration and the targets, and does not stop.
 func (e *Entry) Ready() bool {
 	return !e.stopping.Load() && e.follower.Index() != nil && e.follower.Synced() && e.registry.Len() > 0
--- a/internal/node/server/operator.go
+++ b/internal/node/server/operator.go
@@ -154,10 +154,9 @@
 	}
 	now := s.clock.Now()
 	for _, t := range s.registry.All() {
-		st.Targets = append(st.Targets, status.Target{
-			Name: t.Name, Service: t.Service, Address: t.Address, Zone: t.Zone, Kind: t.Kind, Role: t.Role,
-			Serving: t.Serving, Leaving: t.Leaving, Age: now.Sub(t.Heard).Milliseconds(), Note: s.orderNote(t),
-		})
+		one := describeTarget(t, now)
+		one.Note = s.orderNote(t)
+		st.Targets = append(st.Targets, one)
 	}
 	if s.durable != nil {
 		s.durable.describe(st)
--- /dev/null
+++ b/internal/node/server/report.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/fleet/registry"
+	"example.org/camphorhinge/internal/node/status"
+	"example.org/camphorhinge/internal/node/web"
+)
+
+// openMetrics opens a port that serves metrics and the node's status; an empty address opens none.
+func openMetrics(address string, set *metrics.Set, report func() *status.Status) (*web.Server, error) {
+	if address == "" {
+		return nil, nil
+	}
+	s, err := web.New(web.Config{Address: address, MaxBody: smallBody})
+	if err != nil {
+		return nil, err
+	}
+	s.Hertz.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
+		c.Response.Header.SetContentType("text/plain; version=0.0.4")
+		set.WritePrometheus(c.Response.BodyWriter())
+		metrics.WriteProcessMetrics(c.Response.BodyWriter())
+	})
+	s.Hertz.GET(status.Path, func(_ context.Context, c *app.RequestContext) {
+		data, err := json.Marshal(report())
+		if err != nil {
+			c.String(consts.StatusInternalServerError, err.Error())
+			return
+		}
+		c.Data(consts.StatusOK, "application/json", data)
+	})
+	return s, nil
+}
+
+// report is what a core node knows.
+func (c *Core) report() *status.Status {
+	st := newReport(c.cfg.Node, c.cfg.Zone, c.registry, c.clock.Now())
+	if _, version := c.routes.Document(); version > 0 {
+		st.Configuration = versionText(version)
+	}
+	c.durable.describe(st)
+	return st
+}
+
+// report is what an entry node knows.
+func (e *Entry) report() *status.Status {
+	st := newReport(e.cfg.Settings.Node, e.cfg.Settings.Zone, e.registry, e.clock.Now())
+	st.Stopping = e.stopping.Load()
+	if index := e.follower.Index(); index != nil {
+		st.Configuration = versionText(index.Config.Version)
+	}
+	for _, address := range e.follower.Cores() {
+		st.Nodes = append(st.Nodes, status.Node{Address: address})
+	}
+	return st
+}
+
+func versionText(v camphorhinge.Version) string { return fmt.Sprintf("version %d", v) }
+
+func describeTarget(t *camphorhinge.Target, now camphorhinge.Instant) status.Target {
+	return status.Target{
+		Name: t.Name, Service: t.Service, Address: t.Address, Zone: t.Zone, Kind: t.Kind, Role: t.Role,
+		Serving: t.Serving, Leaving: t.Leaving, Age: now.Sub(t.Heard).Milliseconds(),
+	}
+}
+
+func newReport(node camphorhinge.NodeID, zone camphorhinge.Zone, r *registry.Registry, now camphorhinge.Instant) *status.Status {
+	st := &status.Status{Node: node, Zone: zone, Configuration: "none"}
+	for _, t := range r.All() {
+		st.Targets = append(st.Targets, describeTarget(t, now))
+	}
+	return st
+}
--- a/internal/node/status/status.go
+++ b/internal/node/status/status.go
@@ -2,6 +2,9 @@
 
 import "example.org/camphorhinge"
 
+// Path is where a node of the platform serves its Status, beside its metrics.
+const Path = "/status"
+
 // Status describes one node and what it knows of the cluster.
 type Status struct {
 	Node    camphorhinge.NodeID    `json:"node"`
