--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -145,32 +145,42 @@
 		}
 		plan, serves, reads := planOf(live, resp)
 		if serves && reads {
-			p = c.cfg.Local.Adopt(c.cfg.Clock.Now(), plan, req)
-			p.Server.Told = func(e place.Event) { tell(false, e) }
-			if p.Reader != nil {
-				p.Reader.Told = func(e place.Event) { tell(true, e) }
-			}
-			return p, 0, true
-		}
-		// The core node has missed that a target left, or this node that one came.
-		gone := func(known bool) place.Event {
-			if known {
-				return place.Event{At: now, Ended: true, Outcome: place.Abandoned}
-			}
-			return place.Event{At: now, Ended: true, Outcome: place.Unreachable}
+			return c.adopt(plan, req, tell), 0, true
 		}
-		if !reads {
-			tell(true, gone(reads))
-			req.Exclude = append(slices.Clone(req.Exclude), camphorhinge.TargetName(resp.GetPrefill()))
-		}
-		if !serves {
-			req.Exclude = append(slices.Clone(req.Exclude), camphorhinge.TargetName(resp.GetServe()))
-		}
-		tell(false, gone(serves))
+		req.Exclude = append(slices.Clone(req.Exclude), decline(now, resp, serves, reads, tell)...)
 	}
 	return nil, 0, false
 }
 
+// adopt notes the work of a plan that a core node made, and tells it what happens.
+func (c *Client) adopt(plan place.Plan, req place.Request, tell func(reader bool, e place.Event)) *place.Placement {
+	p := c.cfg.Local.Adopt(c.cfg.Clock.Now(), plan, req)
+	p.Server.Told = func(e place.Event) { tell(false, e) }
+	if p.Reader != nil {
+		p.Reader.Told = func(e place.Event) { tell(true, e) }
+	}
+	return p
+}
+
+// decline tells a core node that its plan names targets which this node does not know, and returns their names. The core
+// node has missed that a target left, or this node that one came.
+func decline(
+	now camphorhinge.Instant, resp *peerpb.PlaceResponse, serves, reads bool, tell func(reader bool, e place.Event),
+) (unknown []camphorhinge.TargetName) {
+	ended := place.Event{At: now, Ended: true, Outcome: place.Abandoned}
+	gone := place.Event{At: now, Ended: true, Outcome: place.Unreachable}
+	if !reads {
+		unknown = append(unknown, camphorhinge.TargetName(resp.GetPrefill()))
+		tell(true, gone)
+	}
+	if serves {
+		tell(false, ended)
+		return unknown
+	}
+	tell(false, gone)
+	return append(unknown, camphorhinge.TargetName(resp.GetServe()))
+}
+
 // decide calls a core node until it has decided.
 func (c *Client) decide(ctx context.Context, address string, call *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
 	for {
--- a/internal/node/schedule/survey.go
+++ b/internal/node/schedule/survey.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -28,7 +29,7 @@
 
 // Caches tells what engines hold.
 type Caches interface {
-	// Parts returns the prompt parts that an engine holds. The question holds up the engine's work, and is made once.
+	// Parts returns the prompt parts that an engine holds. The question holds up the engine's work a little.
 	Parts(ctx context.Context, t *camphorhinge.Target) ([]place.Part, error)
 }
 
@@ -50,6 +51,7 @@
 		if now.Sub(s.lastRequest()) > surveyIdle {
 			continue
 		}
+		maps.DeleteFunc(next, func(_ camphorhinge.TargetName, at camphorhinge.Instant) bool { return now.Sub(at) > surveyIdle })
 		for _, t := range s.engines() {
 			if now < next[t.Name] {
 				continue
