--- a/internal/node/spread/spread_test.go
+++ b/internal/node/spread/spread_test.go
@@ -56,6 +56,12 @@
 	return n
 }
 
+// engine is the announcement of engine e1.
+var engine = camphorhinge.Announcement{
+	Name: "e1", Service: "s", Address: "127.0.0.1:9", Zone: "z", Incarnation: 1, Seq: 1, Kind: camphorhinge.KindEngine,
+	Role: camphorhinge.RoleMixed, Fencing: camphorhinge.FencingChecked, Orders: camphorhinge.OrdersPlain,
+}
+
 // Guards against news that does not reach the other node, or reaches it with another meaning: announcements with their
 // age, and the demand also when there is none.
 func TestNewsReachesTheOtherNode(t *testing.T) {
@@ -63,10 +69,7 @@
 	a, b := start(t, clock, "a"), start(t, clock, "b")
 	a.others = []string{b.address}
 
-	_, err := a.registry.Announce(camphorhinge.Announcement{
-		Name: "e1", Service: "s", Address: "127.0.0.1:9", Zone: "z", Incarnation: 1, Seq: 1, Kind: camphorhinge.KindEngine,
-		Role: camphorhinge.RoleMixed, Fencing: camphorhinge.FencingChecked, Orders: camphorhinge.OrdersPlain,
-	}, time.Second, true)
+	_, err := a.registry.Announce(engine, time.Second, true)
 	require.NoError(t, err)
 	a.spread(t.Context())
 	live := b.registry.Live("s")
@@ -95,10 +98,7 @@
 	clock := &testClock{now: camphorhinge.Instant(time.Hour)}
 	a, b := start(t, clock, "a"), start(t, clock, "b")
 	a.others = []string{b.address}
-	_, err := a.registry.Announce(camphorhinge.Announcement{
-		Name: "e1", Service: "s", Address: "127.0.0.1:9", Zone: "z", Incarnation: 1, Seq: 1, Kind: camphorhinge.KindEngine,
-		Role: camphorhinge.RoleMixed, Fencing: camphorhinge.FencingChecked, Orders: camphorhinge.OrdersPlain,
-	}, 0, true)
+	_, err := a.registry.Announce(engine, 0, true)
 	require.NoError(t, err)
 	a.spread(t.Context())
 	require.True(t, b.registry.Live("s")[0].Serving)
