Keep the answers to unreadable requests and the limits of caller ports in package ingress

Limits, statuses, types and messages are unchanged. The comment on the buffer for logs in the command request told of a bound that there is not.

--- a/internal/cli/command/report.go
+++ b/internal/cli/command/report.go
@@ -24,8 +24,8 @@
 	reportTimeout = 5 * time.Second
 	// reportLimit bounds a status, in bytes; it holds 10,000 targets.
 	reportLimit = 8 << 20
-	// lineLimit bounds a log line, in bytes; longer ones are passed over.
-	lineLimit = 1 << 20
+	// logBuffer is the size of the buffer in which a log is read, in bytes.
+	logBuffer = 1 << 20
 	// aroundTime is the time before and after a request in which decisions on its targets and core nodes are shown.
 	aroundTime = 3 * time.Second
 )
@@ -129,7 +129,7 @@
 // readLog returns the JSON lines of a log. What stands before the first brace of a line is passed over.
 func readLog(r io.Reader) []entry {
 	var out []entry
-	lines := bufio.NewReaderSize(r, lineLimit)
+	lines := bufio.NewReaderSize(r, logBuffer)
 	for {
 		line, err := lines.ReadString('\n')
 		if i := strings.IndexByte(line, '{'); i >= 0 {
--- a/internal/request/frontend/http.go
+++ b/internal/request/frontend/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/common/config"
@@ -14,35 +13,15 @@
 	"example.org/camphorhinge/internal/request/ingress"
 )
 
-const (
-	// maxHeader bounds a request's header, in bytes.
-	maxHeader = 32 << 10
-	// headerTimeout bounds the time from the first to the last byte of a request's header.
-	headerTimeout = 5 * time.Second
-	// idleTimeout bounds the time between two requests on a connection.
-	idleTimeout = 60 * time.Second
-	// writeTimeout bounds the time in which a caller takes a piece.
-	writeTimeout = 20 * time.Second
-)
-
 // Options returns the server options that the handlers rely on.
 func Options() []config.Option {
-	return ingress.Options(ingress.Limits{
-		Header: maxHeader, HeaderTimeout: headerTimeout, Idle: idleTimeout, Write: writeTimeout,
-	}, reply, nil)
+	return ingress.Options(ingress.DefaultLimits(), reply, nil)
 }
 
 // reply answers a request that could not be parsed.
 func reply(fault ingress.Fault) (int, http.Header, []byte) {
-	err := refuse(KindInvalid, http.StatusBadRequest, "the request is not valid HTTP")
-	switch fault {
-	case ingress.FaultSlow:
-		err = refuse(KindSlow, http.StatusRequestTimeout, "the header was not received in time")
-	case ingress.FaultHeader:
-		err = refuse(KindTooLarge, http.StatusRequestHeaderFieldsTooLarge, "the header exceeds %d bytes", maxHeader)
-	case ingress.FaultBody:
-		err = refuse(KindTooLarge, http.StatusRequestEntityTooLarge, "the body is too large")
-	}
+	status, kind, message := fault.Answer(ingress.DefaultLimits())
+	err := refuse(Kind(kind), status, "%s", message)
 	h := http.Header{}
 	h.Set("Content-Type", "application/json")
 	h.Set(camphorhinge.HeaderRun, string(err.Run))
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -27,6 +28,11 @@
 	Write time.Duration
 }
 
+// DefaultLimits returns the limits of a caller port.
+func DefaultLimits() Limits {
+	return Limits{Header: 32 << 10, HeaderTimeout: 5 * time.Second, Idle: 60 * time.Second, Write: 20 * time.Second}
+}
+
 // Fault tells why a request could not be parsed.
 type Fault int
 
@@ -41,6 +47,19 @@
 	FaultBody
 )
 
+// Answer returns the status, the type and the message of the error for the caller; limits are those of the port.
+func (f Fault) Answer(limits Limits) (status int, kind, message string) {
+	switch f {
+	case FaultSlow:
+		return http.StatusRequestTimeout, "slow_request", "the header was not received in time"
+	case FaultHeader:
+		return http.StatusRequestHeaderFieldsTooLarge, "too_large", fmt.Sprintf("the header exceeds %d bytes", limits.Header)
+	case FaultBody:
+		return http.StatusRequestEntityTooLarge, "too_large", "the body is too large"
+	}
+	return http.StatusBadRequest, "invalid_request", "the request is not valid HTTP"
+}
+
 // Reply returns the status, the header and the body of the answer to a request that could not be parsed.
 type Reply func(f Fault) (status int, header http.Header, body []byte)
 
