Estimate the speeds of engines from their work, and count slots by expected ends

Cause: the placer assumed engines of 40 prompt tokens per millisecond and took an attempt to hold its slot until its end was reported, 30 ms or more later.

Change: each kind of work (prefill, prefill in the decode role, decode) has a regression over recent work; an engine's slowdown is relative to it and to its own prefill, not to the whole plan. A slot counts until the expected end of the decode, an attempt whose prompt another engine still prefills takes none, and a due prefill counts as complete until its report is overdue. Segments on their way from another engine don't count as cached. A request considered while all engines are full gets its estimate later. Engines with fewer slots start with more of them in the decode role. The load is logged while requests wait.

--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -55,6 +55,12 @@
 		}
 		return es
 	}
+	fewSlots := func(es []Engine, n int) []Engine {
+		for i := range es {
+			es[i].Slots = n
+		}
+		return es
+	}
 	mixed := func(n int) []Engine {
 		out := engines(0, n)
 		for _, e := range out {
@@ -82,6 +88,7 @@
 		{"engines of both roles", mixed(6), unknown, 0, 0},
 		{"one engine", engines(0, 1), unknown, 0, 0},
 		{"two engines", engines(0, 2), unknown, 1, 0},
+		{"start: engines with a quarter of the slots", fewSlots(engines(34, 11), 16), unknown, 0, 12},
 		{"none", nil, unknown, 0, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/fleet/balance/plan.go
+++ b/internal/fleet/balance/plan.go
@@ -12,6 +12,11 @@
 	// initialDecodeShare is the share of engines with the decode role until a load was measured. Decode runs in
 	// batches of many requests and prefill does not, so that prefill needs most engines.
 	initialDecodeShare = 0.25
+	// referenceSlots is the number of slots for which initialDecodeShare holds. With fewer slots more engines must decode:
+	// the share grows with the root of the ratio, so that the loss of slots is split between both roles, up to
+	// maxInitialDecodeShare.
+	referenceSlots        = 64
+	maxInitialDecodeShare = 0.5
 	// minDecode is the least number of engines in the decode role, so that one may fail.
 	minDecode = 2
 	// decodeSlotShare is the intended number of requests at once on an engine in the decode role, as a share of its
@@ -42,7 +47,11 @@
 	if n < 2 {
 		return n
 	}
-	want := int(math.Ceil(float64(n) * initialDecodeShare))
+	share := initialDecodeShare
+	if slots > 0 {
+		share = min(max(share, share*math.Sqrt(referenceSlots/float64(slots))), maxInitialDecodeShare)
+	}
+	want := int(math.Ceil(float64(n) * share))
 	if load.Running >= 0 && slots > 0 {
 		want = int(math.Ceil(load.Running * loadHeadroom / (decodeSlotShare * float64(slots))))
 	}
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -115,11 +115,26 @@
 		}
 		if now.Sub(s.lastSweep) >= sweepInterval {
 			s.sweep(now)
+			s.logLoad(now)
 		}
 		s.mu.Unlock()
 	}
 }
 
+// logLoad logs the waiting requests and the estimated speeds while requests wait. The caller holds s.mu.
+func (s *Scheduler) logLoad(now camphorhinge.Instant) {
+	config := s.cfg.Configuration()
+	if s.queue.Len() == 0 || config == nil {
+		return
+	}
+	for i := range config.Services {
+		if svc := &config.Services[i]; svc.Engine != nil {
+			s.cfg.Log.Info("requests wait for an engine", "service", svc.Name, "waiting", s.queue.Len(),
+				"engines", s.placer.Speeds(now, svc.Name, s.cfg.Targets.Live(svc.Name)))
+		}
+	}
+}
+
 // Place applies the events of a call and places its request, if it has one. When the request still waits for an engine
 // after maxCallWait, the response has Waiting set, and the entry node calls again with the same placement number.
 func (s *Scheduler) Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -7,12 +7,13 @@
 	"example.org/camphorhinge/internal/record/routing"
 )
 
-// Rates are the initial estimates of an engine's speed; the measured slowdown of each target corrects them.
+// Rates are the initial estimates of an engine's speed. Measured prefills replace them, and each target's slowdown
+// corrects them further.
 type Rates struct {
 	// Prefill is the prefill rate in prompt tokens per millisecond in the prefill or mixed role. Decode is the prefill
 	// rate in the decode role, where prefill is interleaved with the decode steps of other requests.
 	Prefill, Decode float64
-	// Step is the duration of one batch step, the least time to the first event.
+	// Step is the least time to the first event.
 	Step time.Duration
 	// Setup is the fixed overhead of a KV transfer, in addition to the time for its bytes.
 	Setup time.Duration
@@ -84,6 +85,8 @@
 type scoredPlan struct {
 	Plan
 	cost, wait time.Duration
+	// full is set when no engine has capacity; the plan then has no estimate.
+	full bool
 }
 
 // bestEnginePlan returns the plan with the least cost; the result is false when none of the targets can run the
@@ -97,7 +100,7 @@
 	if free := p.withCapacity(now, servers, req); len(free) > 0 {
 		servers = free
 	} else if p.cfg.Central {
-		return scoredPlan{wait: fullWait, Plan: Plan{Serve: servers[0], Expected: fullWait}}, true
+		return scoredPlan{wait: fullWait, full: true, Plan: Plan{Serve: servers[0], Expected: fullWait}}, true
 	}
 	c := &planInput{now: now, req: req, receivers: map[camphorhinge.Zone]receiver{}}
 	c.shared, c.sharedTokens = req.shared()
@@ -144,7 +147,7 @@
 	var out []*camphorhinge.Target
 	for _, t := range servers {
 		s := p.stateOf(now, t)
-		slots := t.Slots == 0 || float64(s.running) < fullShare*float64(t.Slots)
+		slots := t.Slots == 0 || float64(s.occupied(now, t.Slots)) < fullShare*float64(t.Slots) && s.awaited < t.Slots
 		memory := req.Engine.CacheCapacity == 0 || s.running == 0 ||
 			float64(s.reserved+req.Prompt+req.Output) < fullShare*float64(req.Engine.CacheCapacity)
 		if slots && memory {
@@ -216,16 +219,11 @@
 	r.uncached = max(c.req.Prompt-c.sharedTokens, 1) + extra
 	r.wait = s.backlog(c.now) + time.Duration(p.otherNodesRequests(s, c.now)*float64(otherNodeRequestTime))
 	// The transfer runs while the prompts ahead are prefilled.
-	r.total = max(r.wait, transfer) + p.prefillTime(t, float64(r.uncached)) + p.cfg.Rates.Step
+	r.total = max(r.wait, transfer) + p.prefillTime(t, float64(r.uncached)) + p.prefillOverhead(t)
 	r.cost = r.total + time.Duration(4*s.currentFailureShare(c.now)*float64(r.total)) + p.prefillTime(t, evictionCostShare*float64(missing))
 	return r
 }
 
-// prefillTime returns the time in which a target prefills n tokens, corrected by its measured slowdown.
-func (p *Placer) prefillTime(t *camphorhinge.Target, n float64) time.Duration {
-	return time.Duration(n / p.prefillRate(t) * p.targets[t.Name].slowdown * float64(time.Millisecond))
-}
-
 // nearest returns one of the targets, preferably in the zone of t, or nil.
 func nearest(targets []*camphorhinge.Target, t *camphorhinge.Target) *camphorhinge.Target {
 	var best *camphorhinge.Target
@@ -237,20 +235,12 @@
 	return best
 }
 
-// prefillRate returns the prefill rate of a target's role in tokens per millisecond.
-func (p *Placer) prefillRate(t *camphorhinge.Target) float64 {
-	if t.Role == camphorhinge.RoleDecode {
-		return p.cfg.Rates.Decode
-	}
-	return p.cfg.Rates.Prefill
-}
-
 // directPlan returns the plan in which one engine both prefills and decodes.
 func (p *Placer) directPlan(c *planInput, t *camphorhinge.Target) scoredPlan {
 	r := p.estimatePrefill(c, t)
 	return scoredPlan{
-		Plan{Serve: t, Fetch: r.fetch, Expected: r.total, Uncached: r.uncached, Reason: reason("direct", r.fetch)},
-		r.cost + p.crowdingCost(c, t) + c.crossZoneCost(t), r.wait,
+		Plan: Plan{Serve: t, Fetch: r.fetch, Expected: r.total, Uncached: r.uncached, Reason: reason("direct", r.fetch)},
+		cost: r.cost + p.crowdingCost(c, t) + c.crossZoneCost(t), wait: r.wait,
 	}
 }
 
@@ -266,11 +256,13 @@
 	r := p.estimatePrefill(c, prefiller)
 	to := p.bestReceiver(c, prefiller, servers)
 	server := to.target
-	handover := to.transfer + p.stateOf(c.now, server).backlog(c.now.Add(r.total))
-	expected := r.total + handover + p.cfg.Rates.Step
+	// The server starts the request between the chunks of its own prefills, without waiting for their end.
+	handover := to.transfer + p.prefillOverhead(server)
+	expected := r.total + handover
 	return scoredPlan{
-		Plan{Prefill: prefiller, Serve: server, Fetch: r.fetch, Expected: expected, Uncached: r.uncached, Reason: reason("separate prefill", r.fetch)},
-		r.cost + handover + p.cfg.Rates.Step + separatePrefillPenalty + p.crowdingCost(c, server) + c.crossZoneCost(prefiller) + c.crossZoneCost(server), r.wait,
+		Plan: Plan{Prefill: prefiller, Serve: server, Fetch: r.fetch, Expected: expected, Uncached: r.uncached, Reason: reason("separate prefill", r.fetch)},
+		cost: r.cost + handover + separatePrefillPenalty + p.crowdingCost(c, server) + c.crossZoneCost(prefiller) + c.crossZoneCost(server),
+		wait: r.wait,
 	}
 }
 
@@ -284,7 +276,7 @@
 	for _, t := range servers {
 		s := p.stateOf(c.now, t)
 		transfer := transferTime(c.req.Prompt, c.req.Engine, prefiller, t)
-		busy := s.backlog(c.now) + time.Duration((float64(s.running)+p.otherNodesRequests(s, c.now))*float64(runningRequestCost))
+		busy := s.backlog(c.now) + time.Duration((float64(s.occupied(c.now, t.Slots))+p.otherNodesRequests(s, c.now))*float64(runningRequestCost))
 		cost := 2*transfer + busy + p.crowdingCost(c, t) + c.crossZoneCost(t)
 		if best.target == nil || cost < best.cost {
 			best = receiver{t, transfer + p.cfg.Rates.Setup, cost}
@@ -313,7 +305,7 @@
 	s := p.stateOf(c.now, t)
 	used := 0.0
 	if t.Slots > 0 {
-		used = (float64(s.running) + p.otherNodesRequests(s, c.now)) / float64(t.Slots)
+		used = (float64(s.occupied(c.now, t.Slots)) + p.otherNodesRequests(s, c.now)) / float64(t.Slots)
 	}
 	if c.req.Engine.CacheCapacity > 0 {
 		used = max(used, float64(s.reserved+c.req.Prompt)/float64(c.req.Engine.CacheCapacity))
--- a/internal/request/place/load_test.go
+++ b/internal/request/place/load_test.go
@@ -27,6 +27,12 @@
 	queue   *Queue
 	engine  *routing.Engine
 	results []result
+	// tokensPerMs is the prefill rate, step the least time of a prefill, and decode the time from the first event to the
+	// end of a request.
+	tokensPerMs  map[camphorhinge.Role]float64
+	step, decode time.Duration
+	// reportDelay is the time until the Placer learns of an event.
+	reportDelay time.Duration
 	// prefilled is the total number of prefilled tokens.
 	prefilled camphorhinge.Tokens
 }
@@ -62,8 +68,8 @@
 	waited          time.Duration
 }
 
-// tokensPerMs is the prefill rate of the fleet's engines, a little below the Placer's default.
-var tokensPerMs = map[camphorhinge.Role]float64{camphorhinge.RolePrefill: 34, camphorhinge.RoleDecode: 14}
+// defaultTokensPerMs is the prefill rate of a fleet's engines, a little below the Placer's default.
+var defaultTokensPerMs = map[camphorhinge.Role]float64{camphorhinge.RolePrefill: 34, camphorhinge.RoleDecode: 14}
 
 // newFleet returns a fleet with the given numbers of prefill and decode engines. With immediate, requests are placed
 // without a Queue.
@@ -71,7 +77,8 @@
 	f := &fleet{
 		now: camphorhinge.Instant(time.Hour), freeAt: map[camphorhinge.TargetName]camphorhinge.Instant{},
 		cached: map[camphorhinge.TargetName]map[uint64]bool{}, placer: New(Config{Central: true, Seed: 1}),
-		engine: &routing.Engine{Slots: 64, CacheCapacity: 500_000, TokenBytes: 160_000, LinkMbps: 1_600_000},
+		engine:      &routing.Engine{Slots: 64, CacheCapacity: 500_000, TokenBytes: 160_000, LinkMbps: 1_600_000},
+		tokensPerMs: defaultTokensPerMs, step: 5 * time.Millisecond, decode: 150 * time.Millisecond,
 	}
 	for i := range prefill + decode {
 		role := camphorhinge.RolePrefill
@@ -157,7 +164,13 @@
 	f.queue.Add(f.now, w)
 }
 
-// serve simulates the prefill at the engine of the plan, and a decode of 150 ms.
+// report calls do with the present time, once the Placer learns of the event.
+func (f *fleet) report(do func(at camphorhinge.Instant)) {
+	at := f.now
+	f.at(f.reportDelay, func() { do(at) })
+}
+
+// serve simulates the prefill at the engine of the plan, and the decode.
 func (f *fleet) serve(p *Placement, req Request, began camphorhinge.Instant, r result) {
 	engine, attempt := p.Serve, p.ServeAttempt
 	if p.Prefill != nil {
@@ -172,17 +185,21 @@
 		uncached -= segment.Tokens
 	}
 	f.prefilled += uncached
-	took := time.Duration(float64(max(uncached, 1)) / tokensPerMs[engine.Role] * float64(time.Millisecond))
-	done := max(f.freeAt[engine.Name], f.now).Add(took + 5*time.Millisecond)
+	took := time.Duration(float64(max(uncached, 1)) / f.tokensPerMs[engine.Role] * float64(time.Millisecond))
+	done := max(f.freeAt[engine.Name], f.now).Add(took + f.step)
 	f.freeAt[engine.Name] = done
 	for _, segment := range req.Segments {
 		f.cached[engine.Name][segment.Hash] = true
 	}
 	f.at(done.Sub(f.now), func() {
-		attempt.RecordFirstEvent(f.now)
+		f.report(func(at camphorhinge.Instant) {
+			attempt.RecordFirstEvent(at)
+			if p.PrefillAttempt != nil {
+				p.PrefillAttempt.End(at, Served)
+				p.ServeAttempt.RecordFirstEvent(at)
+			}
+		})
 		if p.PrefillAttempt != nil {
-			p.PrefillAttempt.End(f.now, Served)
-			p.ServeAttempt.RecordFirstEvent(f.now)
 			for _, segment := range req.Segments {
 				f.cached[p.Serve.Name][segment.Hash] = true
 			}
@@ -190,9 +207,11 @@
 		r.firstEventAfter = f.now.Sub(began)
 		r.callerLeft = r.firstEventAfter > patience
 		f.results = append(f.results, r)
-		f.at(150*time.Millisecond, func() {
-			p.ServeAttempt.End(f.now, Served)
-			p.Close(f.now)
+		f.at(f.decode, func() {
+			f.report(func(at camphorhinge.Instant) {
+				p.ServeAttempt.End(at, Served)
+				p.Close(at)
+			})
 		})
 	})
 }
@@ -315,6 +334,29 @@
 	}
 }
 
+// TestFastEngines guards against a queue in front of idle engines: engines eight times as fast as the initial rates,
+// with few slots and late reports, serve short prompts on time at half of their capacity.
+func TestFastEngines(t *testing.T) {
+	f := newFleet(34, 11, false)
+	f.tokensPerMs = map[camphorhinge.Role]float64{camphorhinge.RolePrefill: 330, camphorhinge.RoleDecode: 165}
+	f.step, f.decode, f.reportDelay = time.Millisecond, 10*time.Millisecond, 30*time.Millisecond
+	f.engine.Slots, f.engine.CacheCapacity, f.engine.LinkMbps = 16, 972_679, 4_200_000
+	for _, e := range f.live {
+		e.Slots = 16
+	}
+	random := rand.New(rand.NewPCG(1, 7)) //nolint:gosec // The trial repeats from its seed.
+	const aim = 200 * time.Millisecond
+	for at := time.Duration(0); at < 10*time.Second; at += time.Duration(random.ExpFloat64() / 3000 * float64(time.Second)) {
+		f.at(at, func() {
+			own := Segment{Hash: random.Uint64(), Tokens: camphorhinge.Tokens(2300 * math.Exp(random.NormFloat64()*0.7))}
+			f.submit(0, Segment{Hash: random.Uint64N(40), Tokens: 6300}, own)
+		})
+	}
+	f.run()
+	inAim := func(r result) bool { return served(r) && r.firstEventAfter <= aim }
+	require.GreaterOrEqual(t, share(f.results, anyResult, inAim), 0.95)
+}
+
 // TestQueueSavesWork guards against engines that work for disconnected callers: at twice the capacity, the queue serves
 // more requests on time than immediate placement.
 func TestQueueSavesWork(t *testing.T) {
--- a/internal/request/place/placement.go
+++ b/internal/request/place/placement.go
@@ -30,6 +30,15 @@
 		out.PrefillAttempt = p.startAttempt(now, plan.Prefill, plan, req, true)
 	}
 	out.ServeAttempt = p.startAttempt(now, plan.Serve, plan, req, plan.Prefill == nil)
+	if req.Engine != nil {
+		out.ServeAttempt.output, out.ServeAttempt.decodeSpeed = float64(req.Output), p.speedOf(req.Service, decodeWork)
+		out.ServeAttempt.expectEnd(now.Add(plan.Expected))
+	}
+	if out.PrefillAttempt != nil {
+		out.PrefillAttempt.successor = out.ServeAttempt
+		out.ServeAttempt.awaiting = true
+		out.ServeAttempt.state.awaited++
+	}
 	return out
 }
 
@@ -47,10 +56,22 @@
 	prefillDue  camphorhinge.Instant
 	prefillTime time.Duration
 	prefilling  bool
-	// firstEventSeen is set once the first event has arrived, also when another engine did the prefill.
+	// successor is the attempt that follows a separate prefill, and awaiting is true there until the prefill is complete.
+	successor *InFlight
+	awaiting  bool
+	// firstEventSeen is set once the first event has arrived, at firstEventAt, also when another engine did the prefill.
 	firstEventSeen bool
-	// expected is the plan's Expected, or 0 when the target does no prefill.
-	expected time.Duration
+	firstEventAt   camphorhinge.Instant
+	// output is the limit of generated tokens and decodeSpeed the speed at which they are generated; nil for a separate
+	// prefill and for a plain service. freeAt is when the attempt is expected to free its slot.
+	output      float64
+	decodeSpeed *speed
+	freeAt      camphorhinge.Instant
+	// speed is that of the prefill's service and role, and uncached the number of tokens to prefill. fetches is set when
+	// the engine waits for the transfer of a KV cache as well.
+	speed    *speed
+	uncached float64
+	fetches  bool
 	ended    bool
 	// OnEvent is called without the Placer's lock when the prefill completes and when the attempt ends; nil means no
 	// observer.
@@ -82,27 +103,40 @@
 	s.reserved += f.reserved
 	f.segments = req.Segments
 	if prefills {
-		f.prefilling, f.expected = true, plan.Expected
-		f.prefillTime = p.prefillTime(t, float64(plan.Uncached))
+		f.prefilling, f.speed, f.uncached, f.fetches = true, p.prefillSpeedOf(t), float64(plan.Uncached), plan.Fetch != nil
+		f.prefillTime = p.prefillTime(t, f.uncached)
 		f.prefillDue = s.startPrefill(now, f.prefillTime)
 	}
 	s.cache.addPending(now, f, req.Engine.CacheCapacity)
 	return f
 }
 
+// expectEnd records when an attempt whose first event is expected at the given time will free its slot.
+func (f *InFlight) expectEnd(first camphorhinge.Instant) {
+	if f.decodeSpeed == nil {
+		return
+	}
+	f.state.slots.remove(f.freeAt)
+	f.freeAt = first.Add(time.Duration(decodeMargin * f.decodeSpeed.estimate(f.output) * float64(time.Millisecond)))
+	f.state.slots.add(f.freeAt)
+}
+
 // RecordFirstEvent records that the first event has arrived, which means that the prefill is complete. Repeated calls
 // and calls after the end have no effect.
 func (f *InFlight) RecordFirstEvent(now camphorhinge.Instant) {
 	f.placer.mu.Lock()
 	first := !f.firstEventSeen && !f.ended
 	if first {
-		f.firstEventSeen = true
+		f.firstEventSeen, f.firstEventAt = true, now
+		f.expectEnd(now)
 		f.state.cache.markCached(now, f)
 	}
 	if first && f.prefilling {
 		f.prefilling = false
-		f.state.finishPrefill(now, f.prefillDue)
-		f.state.recordSlowdown(now.Sub(f.sentAt), f.expected)
+		f.recordPrefill(now)
+	}
+	if first && f.successor != nil {
+		f.successor.stopAwaiting()
 	}
 	f.placer.mu.Unlock()
 	if first && f.OnEvent != nil {
@@ -110,6 +144,27 @@
 	}
 }
 
+// stopAwaiting records that the separate prefill is complete or that the attempt has ended.
+func (f *InFlight) stopAwaiting() {
+	if f.awaiting {
+		f.awaiting = false
+		f.state.awaited--
+	}
+}
+
+// recordPrefill records a complete prefill. The engine began it once it had the request and had completed the prefill
+// before.
+func (f *InFlight) recordPrefill(now camphorhinge.Instant) {
+	s := f.state
+	s.finishPrefill(now, f.prefillDue)
+	took := now.Sub(max(f.sentAt, s.lastPrefillDone))
+	s.lastPrefillDone = max(s.lastPrefillDone, now)
+	s.recordSlowdown(took, time.Duration(f.speed.estimate(f.uncached)*float64(time.Millisecond)))
+	if !f.fetches {
+		f.speed.observe(f.uncached, took)
+	}
+}
+
 // RecordLoad stores the load that the target reported in an answer.
 func (f *InFlight) RecordLoad(now camphorhinge.Instant, l Load) {
 	f.placer.mu.Lock()
@@ -133,6 +188,11 @@
 func (f *InFlight) end(now camphorhinge.Instant, o Outcome) {
 	f.ended = true
 	f.state.running--
+	f.state.slots.remove(f.freeAt)
+	if o == Served && f.firstEventSeen && f.decodeSpeed != nil {
+		f.decodeSpeed.observe(f.output, now.Sub(f.firstEventAt))
+	}
+	f.stopAwaiting()
 	f.state.reserved -= f.reserved
 	if f.prefilling {
 		f.prefilling = false
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -46,6 +46,8 @@
 	sweptAt  camphorhinge.Instant
 	// plainLatency is the moving average of the latency of each plain service.
 	plainLatency map[camphorhinge.ServiceName]time.Duration
+	// speeds are the measured speeds of engines.
+	speeds map[speedKey]*speed
 }
 
 // New returns a Placer without any recorded work, load or cache contents.
@@ -59,6 +61,7 @@
 		targets:      map[camphorhinge.TargetName]*targetState{},
 		lastSeen:     map[camphorhinge.TargetName]camphorhinge.Instant{},
 		plainLatency: map[camphorhinge.ServiceName]time.Duration{},
+		speeds:       map[speedKey]*speed{},
 	}
 }
 
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -209,7 +209,7 @@
 	defer q.placer.mu.Unlock()
 	live := w.Live()
 	best, ok := q.placer.bestPlan(now, live, &w.Request)
-	if ok && !w.estimated {
+	if ok && !best.full && !w.estimated {
 		w.estimated = true
 		w.serviceTime = best.Expected - best.wait
 		w.neverOnTime = w.Due > 0 && now.Add(w.serviceTime) > w.Due
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"example.org/camphorhinge"
@@ -25,11 +26,15 @@
 	suspectShare = 0.3
 	// trialInterval is the time between two trial requests to a suspect target.
 	trialInterval = 500 * time.Millisecond
-	// slowdownWeight is the weight of the last first event in a target's slowdown.
+	// slowdownWeight is the weight of the last prefill in a target's slowdown.
 	slowdownWeight = 0.15
 	// maxSlowdown and minSlowdown bound a single measurement of a target's slowdown.
 	maxSlowdown, minSlowdown = 8.0, 0.75
-	// minPrefillRemaining is the least remaining time assumed for each incomplete prefill.
+	// decodeMargin is the factor by which the expected time of a generation is raised.
+	decodeMargin = 1.5
+	// reportDelay is the usual time until a node reports an event.
+	reportDelay = 40 * time.Millisecond
+	// minPrefillRemaining is the remaining time assumed for each prefill whose report is overdue.
 	minPrefillRemaining = 10 * time.Millisecond
 	// cachePercent is the percentage of an engine's memory that is assumed to hold prompt segments; running requests
 	// also hold their generated tokens.
@@ -44,7 +49,13 @@
 	// prefilling the number of attempts whose prefill at this target is incomplete.
 	running    int
 	prefilling int
-	reserved   camphorhinge.Tokens
+	// awaited is the number of attempts in flight that another engine still prefills.
+	awaited int
+	// slots holds when the attempts in flight are expected to end.
+	slots    timeline
+	reserved camphorhinge.Tokens
+	// prefillDues holds when each incomplete prefill is expected to be complete.
+	prefillDues timeline
 	// prefillsDone is when all prefills are expected to be complete.
 	prefillsDone camphorhinge.Instant
 
@@ -62,7 +73,9 @@
 	failureShare   float64
 	failureShareAt camphorhinge.Instant
 	lastTrial      camphorhinge.Instant
-	// slowdown is the moving average of the time to the first event, relative to the estimate.
+	// lastPrefillDone is when the latest prefill was complete.
+	lastPrefillDone camphorhinge.Instant
+	// slowdown is the moving average of the time of a prefill, relative to the service's engines in that role.
 	slowdown float64
 
 	cache cache
@@ -78,18 +91,49 @@
 	return max(n, 0) * math.Exp2(-float64(age)/float64(loadHalfLife))
 }
 
-// backlog returns the time until all incomplete prefills are expected to be complete.
+// occupied returns the number of attempts that take a slot of the target now. Attempts whose end is overdue don't count:
+// reports of ends are late, and most of them are only not reported yet. Those above twice the slots count in any case.
+func (s *targetState) occupied(now camphorhinge.Instant, slots int) int {
+	n := s.running - s.awaited
+	return max(s.slots.countAfter(now)-s.awaited, n-2*slots, 0)
+}
+
+// timeline holds expected times, in ascending order.
+type timeline []camphorhinge.Instant
+
+func (l *timeline) add(at camphorhinge.Instant) {
+	i, _ := slices.BinarySearch(*l, at)
+	*l = slices.Insert(*l, i, at)
+}
+
+// remove removes one entry for the time; it has no effect if there is none.
+func (l *timeline) remove(at camphorhinge.Instant) {
+	if i, ok := slices.BinarySearch(*l, at); ok {
+		*l = slices.Delete(*l, i, i+1)
+	}
+}
+
+// countAfter returns the number of entries after the given time.
+func (l timeline) countAfter(now camphorhinge.Instant) int {
+	i, _ := slices.BinarySearch(l, now)
+	return len(l) - i
+}
+
+// backlog returns the time until all incomplete prefills are expected to be complete. One that is due is taken to be
+// complete until its report is overdue as well.
 func (s *targetState) backlog(now camphorhinge.Instant) time.Duration {
 	if s.prefilling == 0 {
 		return 0
 	}
-	return max(s.prefillsDone.Sub(now), time.Duration(s.prefilling)*minPrefillRemaining)
+	overdue := s.prefilling - s.prefillDues.countAfter(now.Add(-reportDelay))
+	return max(s.prefillsDone.Sub(now), time.Duration(overdue)*minPrefillRemaining, 0)
 }
 
 // startPrefill records a prefill of the given duration and returns when it is expected to be complete.
 func (s *targetState) startPrefill(now camphorhinge.Instant, duration time.Duration) camphorhinge.Instant {
 	s.prefillsDone = now.Add(s.backlog(now) + duration)
 	s.prefilling++
+	s.prefillDues.add(s.prefillsDone)
 	return s.prefillsDone
 }
 
@@ -97,12 +141,14 @@
 // the difference.
 func (s *targetState) finishPrefill(now, due camphorhinge.Instant) {
 	s.prefilling--
+	s.prefillDues.remove(due)
 	s.prefillsDone = s.prefillsDone.Add(now.Sub(due))
 }
 
 // cancelPrefill records that a prefill was cancelled, and removes the rest of its duration from the backlog.
 func (s *targetState) cancelPrefill(now, due camphorhinge.Instant, duration time.Duration) {
 	s.prefilling--
+	s.prefillDues.remove(due)
 	s.prefillsDone = s.prefillsDone.Add(-min(max(due.Sub(now), 0), duration))
 }
 
@@ -150,7 +196,7 @@
 	}
 }
 
-// recordSlowdown updates the slowdown by a measured time to the first event and its estimate.
+// recordSlowdown updates the slowdown by the measured time of a prefill and the estimate for the service's engines.
 func (s *targetState) recordSlowdown(measured, estimated time.Duration) {
 	if estimated <= 0 {
 		return
@@ -280,12 +326,13 @@
 	return n
 }
 
-// cachedOrPendingTokens is cachedTokens with pending segments counted as cached.
+// cachedOrPendingTokens is cachedTokens with segments counted as cached that the engine prefills now. Segments that it
+// is to receive from another engine are not: a request that it starts meanwhile prefills them again.
 func (c *cache) cachedOrPendingTokens(segments []Segment) camphorhinge.Tokens {
 	var n camphorhinge.Tokens
 	for _, seg := range segments {
 		x, ok := c.segments[seg.Hash]
-		if !ok {
+		if !ok || x.pending != nil && !x.pending.prefilling {
 			break
 		}
 		if !x.complete(seg) {
