Share one connection between two nodes, and send each change of a target twice instead of five times

Change: - calls between nodes share an HTTP/2 connection; a peer of an earlier version is recognised by its first answer and called over HTTP/1.1. A connection on which calls time out is replaced, at growing intervals. - an entry node receives changes from two core nodes, its own zone first, and watches the others for their presence only; another takes over at once when one is lost.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -281,12 +281,9 @@
 	return out, r.change
 }
 
-// routingChanged reports whether two states of a target differ in a field that routing depends on. Load and cache are
-// not compared.
+// routingChanged reports whether two states of a target differ in a field that routing depends on.
 func routingChanged(old, t *camphorhinge.Target) bool {
-	return old.Incarnation != t.Incarnation || old.Leaving != t.Leaving || old.Busy != t.Busy ||
-		old.Address != t.Address || old.Slots != t.Slots || old.Service != t.Service || old.Role != t.Role || old.Revision != t.Revision ||
-		!slices.Equal(old.Models, t.Models) || !slices.Equal(old.Adapters, t.Adapters)
+	return old.Name != t.Name || routingDigest(old) != routingDigest(t)
 }
 
 // unlist removes e from its service's list and gives up its address. The caller holds r.mu.
--- a/internal/node/feed/follower.go
+++ b/internal/node/feed/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -9,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
@@ -21,9 +23,14 @@
 const (
 	// watchWait is how long a core node delays the response to a watch while there are no changes.
 	watchWait = time.Second
-	// watchTimeout bounds a watch. A call on a dead connection fails only after this time; until then, changes arrive
-	// through the watches of other core nodes.
-	watchTimeout = watchWait + 500*time.Millisecond
+	// lightWait is how long a core node delays the response to a light watch.
+	lightWait = maxWait
+	// watchMargin is added to the wait to bound a watch. A call on a dead connection fails only after this time; until
+	// then, changes arrive through the watch of another core node.
+	watchMargin = 500 * time.Millisecond
+	// changeSources is the number of core nodes from which an entry node receives changes. The others are watched for
+	// their presence and to be counted there: the same changes from all of them would multiply the traffic.
+	changeSources = 2
 	// fetchTimeout bounds the fetch of a configuration.
 	fetchTimeout = time.Second
 	// retryPause is the pause after a failed watch.
@@ -40,6 +47,8 @@
 // FollowerConfig holds the dependencies of a Follower.
 type FollowerConfig struct {
 	Node camphorhinge.NodeID
+	// Zone is the node's own zone, whose core nodes are preferred as sources of changes.
+	Zone camphorhinge.Zone
 	Pool *peer.Pool
 	// Seeds returns the peer addresses of core nodes that the settings currently name.
 	Seeds    func() []string
@@ -60,14 +69,26 @@
 	group    *errgroup.Group
 
 	mu       sync.Mutex
-	watching map[string]bool
+	watching map[string]*watchedCore
 	entries  map[string]int
 	scores   string
 }
 
+// watchedCore is the state of the watch of one core node.
+type watchedCore struct {
+	// zone is the core node's zone, as far as known.
+	zone camphorhinge.Zone
+	// failures counts consecutive failures.
+	failures int
+	// legacy is set for a core node of an earlier version, which knows no light watches.
+	legacy bool
+	// interrupt ends the light watch in progress; nil without one.
+	interrupt context.CancelFunc
+}
+
 // NewFollower returns a Follower without a configuration; it watches nothing until Run is called.
 func NewFollower(cfg FollowerConfig) *Follower {
-	return &Follower{cfg: cfg, watching: map[string]bool{}, entries: map[string]int{}}
+	return &Follower{cfg: cfg, watching: map[string]*watchedCore{}, entries: map[string]int{}}
 }
 
 // Index returns the index of the routing configuration in force, or nil if there is none yet.
@@ -140,14 +161,71 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, address := range addresses {
-		if f.watching[address] || ctx.Err() != nil {
+		if f.watching[address] != nil || ctx.Err() != nil {
 			continue
 		}
-		f.watching[address] = true
+		f.watching[address] = &watchedCore{}
 		f.group.Go(func() error { return f.watch(ctx, address) })
 	}
 }
 
+// isSource reports whether this node receives changes from the core node: it is one of the first changeSources that
+// answer, by zone and then by a hash that spreads the nodes over the core nodes. The caller holds f.mu.
+func (f *Follower) isSource(address string) bool {
+	own := f.watching[address]
+	if own.legacy {
+		return true
+	}
+	if own.failures > 0 {
+		return false
+	}
+	before := 0
+	for other, c := range f.watching {
+		if other != address && c.failures == 0 && f.precedes(other, c, address, own) {
+			before++
+		}
+	}
+	return before < changeSources
+}
+
+// precedes reports whether core node a is preferred to b.
+func (f *Follower) precedes(a string, stateA *watchedCore, b string, stateB *watchedCore) bool {
+	if nearA, nearB := stateA.zone == f.cfg.Zone, stateB.zone == f.cfg.Zone; nearA != nearB {
+		return nearA
+	}
+	return xxhash.Sum64String(string(f.cfg.Node)+" "+a) < xxhash.Sum64String(string(f.cfg.Node)+" "+b)
+}
+
+// recordFailure counts a failed watch of a core node, and returns the number of consecutive ones. After the first, the
+// light watches are ended, so that another core node becomes a source at once.
+func (f *Follower) recordFailure(address string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.watching[address]
+	c.failures++
+	if c.failures == 1 {
+		for _, other := range f.watching {
+			if other.interrupt != nil {
+				other.interrupt()
+			}
+		}
+	}
+	if c.failures >= unreachableFailures {
+		delete(f.entries, address)
+	}
+	return c.failures
+}
+
+// recordSuccess records a successful watch, and returns the number of failures before it.
+func (f *Follower) recordSuccess(address string, resp *peerpb.WatchResponse) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.watching[address]
+	before := c.failures
+	c.failures, c.zone, c.legacy = 0, camphorhinge.Zone(resp.GetZone()), resp.GetZone() == ""
+	return before
+}
+
 // watch watches one core node until ctx ends or the node has been unreachable for dropFailures calls.
 func (f *Follower) watch(ctx context.Context, address string) error {
 	defer func() {
@@ -157,19 +235,23 @@
 		delete(f.entries, address)
 	}()
 	var start, change uint64
-	failures := 0
 	for ctx.Err() == nil {
-		resp, err := f.poll(ctx, address, start, change)
+		resp, light, err := f.poll(ctx, address, start, change)
+		if errors.Is(err, errInterrupted) {
+			continue
+		}
 		if err == nil {
-			if failures >= unreachableFailures {
+			if failures := f.recordSuccess(address, resp); failures >= unreachableFailures {
 				f.cfg.Log.Info("core node answers again", "core", address, "failures", failures)
 			}
-			failures = 0
 			f.apply(ctx, address, resp)
-			start, change = resp.GetStart(), resp.GetChange()
+			if !light {
+				start, change = resp.GetStart(), resp.GetChange()
+				f.recordSync(address, start)
+			}
 			continue
 		}
-		failures++
+		failures := f.recordFailure(address)
 		if failures == unreachableFailures {
 			f.cfg.Log.Warn("core node does not answer", "core", address, "error", err)
 		}
@@ -179,9 +261,6 @@
 		pause := retryPause
 		if failures >= unreachableFailures {
 			pause = unreachablePause
-			f.mu.Lock()
-			delete(f.entries, address)
-			f.mu.Unlock()
 		}
 		select {
 		case <-ctx.Done():
@@ -191,13 +270,45 @@
 	return nil
 }
 
-func (f *Follower) poll(ctx context.Context, address string, start, change uint64) (*peerpb.WatchResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+// recordSync records that a core node has sent all the targets that this node did not have.
+func (f *Follower) recordSync(address string, start uint64) {
+	if start != 0 && f.synced.CompareAndSwap(false, true) {
+		f.cfg.Log.Info("targets received", "core", address, "targets", f.cfg.Registry.Len())
+	}
+}
+
+// errInterrupted marks a light watch that was ended because this node needs another source of changes.
+var errInterrupted = errors.New("the light watch was ended")
+
+// poll makes one watch of a core node, and reports whether it was a light one.
+func (f *Follower) poll(ctx context.Context, address string, start, change uint64) (resp *peerpb.WatchResponse, light bool, err error) {
+	req := &peerpb.WatchRequest{Node: string(f.cfg.Node), Version: uint64(f.version()), Compact: true, Wait: uint64(watchWait.Milliseconds())}
+	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	return f.cfg.Pool.Get(address).Feed.Watch(ctx, &peerpb.WatchRequest{
-		Node: string(f.cfg.Node), Start: start, Change: change, Version: uint64(f.version()),
-		Wait: uint64(watchWait.Milliseconds()),
-	})
+	f.mu.Lock()
+	req.Scores = xxhash.Sum64String(f.scores)
+	if light = !f.isSource(address); light {
+		req.Light, req.Wait = true, uint64(lightWait.Milliseconds())
+		f.watching[address].interrupt = cancel
+	}
+	f.mu.Unlock()
+	if !light {
+		req.Start, req.Change = start, change
+		if start == 0 {
+			digests := f.cfg.Registry.Digests()
+			req.Digests = digests[:]
+		}
+	}
+	callCtx, cancelCall := context.WithTimeout(watchCtx, time.Duration(req.GetWait())*time.Millisecond+watchMargin)
+	defer cancelCall()
+	resp, err = f.cfg.Pool.Get(address).Feed.Watch(callCtx, req)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watching[address].interrupt = nil
+	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+		return nil, light, errInterrupted
+	}
+	return resp, light, err
 }
 
 func (f *Follower) version() camphorhinge.Version {
@@ -210,15 +321,17 @@
 // apply puts the changes of a response in force: targets, configuration, number of entry nodes, crash scores and core
 // nodes.
 func (f *Follower) apply(ctx context.Context, address string, resp *peerpb.WatchResponse) {
-	for _, t := range resp.GetTargets() {
+	for _, t := range resp.GetStates() {
+		a, age := decodeTarget(t)
+		f.announce(a, age)
+	}
+	for _, t := range resp.GetTargets() { // From a core node of an earlier version.
 		a, err := registry.Decode(t.GetAnnouncement())
 		if err != nil {
 			f.cfg.Log.Warn("announcement from a core node not decoded", "core", address, "error", err)
 			continue
 		}
-		if _, err := f.cfg.Registry.Announce(a, time.Duration(t.GetAge())*time.Millisecond, false); err != nil {
-			f.cfg.Log.Warn("announcement not accepted", "target", a.Name, "error", err)
-		}
+		f.announce(a, time.Duration(t.GetAge())*time.Millisecond)
 	}
 	if camphorhinge.Version(resp.GetVersion()) > f.version() {
 		if err := f.fetch(ctx, address); err != nil {
@@ -227,16 +340,20 @@
 	}
 	f.mu.Lock()
 	f.entries[address] = int(resp.GetEntries())
-	scores := string(resp.GetScores())
-	changed := scores != f.scores
-	f.scores = scores
+	scores := resp.GetScores()
+	if len(scores) > 0 {
+		f.scores = string(scores)
+	}
 	f.mu.Unlock()
-	if changed && len(scores) > 0 {
-		f.cfg.OnScores([]byte(scores))
+	if len(scores) > 0 {
+		f.cfg.OnScores(scores)
 	}
 	f.watchAll(ctx, resp.GetCores())
-	if f.synced.CompareAndSwap(false, true) {
-		f.cfg.Log.Info("targets received", "core", address, "targets", f.cfg.Registry.Len())
+}
+
+func (f *Follower) announce(a camphorhinge.Announcement, age time.Duration) {
+	if _, err := f.cfg.Registry.Announce(a, age, false); err != nil {
+		f.cfg.Log.Warn("announcement not accepted", "target", a.Name, "error", err)
 	}
 }
 
--- a/internal/node/feed/source.go
+++ b/internal/node/feed/source.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
@@ -16,6 +18,8 @@
 const (
 	// maxWait bounds the time for which the response to a watch is delayed.
 	maxWait = 2 * time.Second
+	// changeDelay is the time from a change to the responses with it, so that a response covers a burst of changes.
+	changeDelay = 50 * time.Millisecond
 	// entryExpiry is how long an entry node is counted after its last watch. It exceeds the time between two watches plus
 	// the time that a node needs to detect a lost call.
 	entryExpiry = 4 * time.Second
@@ -23,6 +27,8 @@
 
 // SourceConfig holds the dependencies of a Source.
 type SourceConfig struct {
+	// Zone is the core node's zone.
+	Zone     camphorhinge.Zone
 	Registry *registry.Registry
 	Table    *routing.Table
 	// Cores returns the peer addresses of all core nodes.
@@ -38,6 +44,8 @@
 type Scheduler interface {
 	// Place applies the events of the calling entry node and places its request, if the call has one.
 	Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error)
+	// Work returns the measured work of a service's engines.
+	Work(ctx context.Context, req *peerpb.WorkRequest) (*peerpb.WorkResponse, error)
 }
 
 // Source answers the watches of entry nodes on a core node; it implements peerpb.Feed.
@@ -102,6 +110,9 @@
 		}
 		select {
 		case <-wake:
+			if !req.GetLight() {
+				time.Sleep(changeDelay)
+			}
 		case <-timer.C:
 			wait = 0
 		case <-ctx.Done():
@@ -112,16 +123,35 @@
 
 // changes returns the response to a watch, and whether it contains anything that the entry node does not have.
 func (s *Source) changes(req *peerpb.WatchRequest) (*peerpb.WatchResponse, bool) {
-	since := req.GetChange()
-	if req.GetStart() != s.start {
-		since = 0
-	}
-	changed, last := s.cfg.Registry.Changes(since)
 	_, version := s.cfg.Table.Document()
 	resp := &peerpb.WatchResponse{
-		Start: s.start, Change: last, Version: uint64(version), Cores: s.cfg.Cores(), Scores: s.cfg.Scores(),
+		Start: s.start, Version: uint64(version), Cores: s.cfg.Cores(), Zone: string(s.cfg.Zone),
+	}
+	if scores := s.cfg.Scores(); xxhash.Sum64(scores) != req.GetScores() {
+		resp.Scores = scores
+	}
+	if req.GetLight() {
+		return resp, false
+	}
+	if req.GetStart() != s.start && req.GetStart() != 0 {
+		// The caller repeats the call with its digests.
+		resp.Start = 0
+		return resp, true
 	}
+	since := req.GetChange()
+	var changed []registry.Aged
+	var last uint64
+	if req.GetStart() == s.start {
+		changed, last = s.cfg.Registry.Changes(since)
+	} else {
+		changed, last = s.cfg.Registry.DifferentFrom(req.GetDigests())
+	}
+	resp.Change = last
 	for _, c := range changed {
+		if req.GetCompact() {
+			resp.States = append(resp.States, encodeTarget(&c.Announcement, c.Age))
+			continue
+		}
 		data, err := json.Marshal(c.Announcement)
 		if err != nil {
 			panic("encode announcement: " + err.Error()) // A decoded announcement can always be encoded.
@@ -145,3 +175,8 @@
 func (s *Source) Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
 	return s.cfg.Scheduler.Place(ctx, req)
 }
+
+// Work forwards a call to the Scheduler.
+func (s *Source) Work(ctx context.Context, req *peerpb.WorkRequest) (*peerpb.WorkResponse, error) {
+	return s.cfg.Scheduler.Work(ctx, req)
+}
--- a/internal/node/peer/client.go
+++ b/internal/node/peer/client.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -9,12 +8,10 @@
 	"sync"
 	"time"
 
-	"go.opentelemetry.io/otel/propagation"
-	oteltrace "go.opentelemetry.io/otel/trace"
+	"github.com/VictoriaMetrics/metrics"
 
 	"example.org/camphorhinge/internal/node/dial"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
-	"example.org/camphorhinge/internal/observe/trace"
 )
 
 const (
@@ -23,8 +20,15 @@
 	dialTimeout = 300 * time.Millisecond
 	// idleTimeout is how long an idle connection is kept open.
 	idleTimeout = 30 * time.Second
-	// connectionsPerPeer is the maximum number of idle connections to one peer.
+	// connectionsPerPeer is the maximum number of idle connections to one peer over HTTP/1.1.
 	connectionsPerPeer = 8
+	// sharedConnections is the maximum number of connections to one peer over HTTP/2. Several are only opened by calls
+	// that arrive before the first one is established.
+	sharedConnections = 4
+	// replacedTimeout is how long a connection over HTTP/2 is kept open without a call, as after its replacement.
+	replacedTimeout = 5 * time.Second
+	// pingAfter is the silence after which a connection is checked, and pingTimeout the time for the answer.
+	pingAfter, pingTimeout = time.Second, time.Second
 )
 
 // Conn holds the clients of one peer.
@@ -34,7 +38,7 @@
 	Spread  peerpb.Spread
 	Feed    peerpb.Feed
 
-	transport *http.Transport
+	transport *transport
 }
 
 // Pool provides clients by peer address. It is safe for concurrent use.
@@ -42,6 +46,8 @@
 	creds *credentials
 	// source is the local address of new connections; with nil the system chooses it.
 	source net.Addr
+	// traffic counts calls; nil counts none.
+	traffic *metrics.Set
 
 	mu    sync.Mutex
 	conns map[string]*Conn
@@ -74,24 +80,22 @@
 		return c
 	}
 	scheme := "http://"
-	transport := &http.Transport{
-		DialContext:         dial.New(dialTimeout, p.source).DialContext,
-		TLSHandshakeTimeout: dialTimeout,
-		MaxIdleConnsPerHost: connectionsPerPeer,
-		IdleConnTimeout:     idleTimeout,
-	}
 	if p.creds != nil {
 		scheme = "https://"
-		transport.TLSClientConfig = p.creds.clientConfig()
 	}
-	client := &http.Client{Transport: &closeOnTimeout{inner: transport}}
+	link := newTransport(p.newHTTPTransport)
+	var rt http.RoundTripper = link
+	if p.traffic != nil {
+		rt = &trafficCounter{inner: rt, set: p.traffic}
+	}
+	client := &http.Client{Transport: rt}
 	c := &Conn{
 		Replica: peerpb.NewReplicaProtobufClient(scheme+address, client),
 		Control: peerpb.NewControlProtobufClient(scheme+address, client),
 		Spread:  peerpb.NewSpreadProtobufClient(scheme+address, client),
 		Feed:    peerpb.NewFeedProtobufClient(scheme+address, client),
 
-		transport: transport,
+		transport: link,
 	}
 	p.conns[address] = c
 	return c
@@ -102,26 +106,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.conns {
-		c.transport.CloseIdleConnections()
+		c.transport.close()
 	}
 	clear(p.conns)
 }
 
-// closeOnTimeout is a RoundTripper that closes the idle connections to the peer when a call times out. It also adds the
-// trace context to the headers of calls.
-type closeOnTimeout struct{ inner *http.Transport }
-
-// RoundTrip sends one call.
-func (d *closeOnTimeout) RoundTrip(req *http.Request) (*http.Response, error) {
-	if oteltrace.SpanContextFromContext(req.Context()).IsValid() {
-		req = req.Clone(req.Context())
-		trace.Propagator().Inject(req.Context(), propagation.HeaderCarrier(req.Header))
+// newHTTPTransport returns a transport with one connection for all calls over HTTP/2, or with a connection for each
+// concurrent call over HTTP/1.1.
+func (p *Pool) newHTTPTransport(http2 bool) *http.Transport {
+	t := &http.Transport{
+		DialContext:         dial.New(dialTimeout, p.source).DialContext,
+		TLSHandshakeTimeout: dialTimeout,
+		MaxIdleConnsPerHost: connectionsPerPeer,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		Protocols:           &http.Protocols{},
+		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	if http2 {
+		t.IdleConnTimeout = replacedTimeout
+		t.MaxConnsPerHost = sharedConnections // Calls that arrive while the first connection is opened share it.
 	}
-	resp, err := d.inner.RoundTrip(req)
-	if err != nil && (errors.Is(err, context.DeadlineExceeded) || isTimeout(err)) {
-		d.inner.CloseIdleConnections()
+	t.Protocols.SetHTTP1(!http2)
+	t.Protocols.SetHTTP2(http2 && p.creds != nil)
+	t.Protocols.SetUnencryptedHTTP2(http2 && p.creds == nil)
+	if p.creds != nil {
+		t.TLSClientConfig = p.creds.clientConfig()
 	}
-	return resp, err
+	return t
 }
 
 func isTimeout(err error) bool {
--- a/internal/node/peer/peer_test.go
+++ b/internal/node/peer/peer_test.go
@@ -11,8 +11,10 @@
 	"encoding/pem"
 	"math/big"
 	"net"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,3 +223,69 @@
 	_, err = peer.NewServer("127.0.0.1:0", &files)
 	require.ErrorContains(t, err, "missing.pem")
 }
+
+// waiting blocks calls after the first until released.
+type waiting struct {
+	echo
+	calls    atomic.Int32
+	released chan struct{}
+}
+
+func (w *waiting) Propose(ctx context.Context, req *peerpb.ProposeRequest) (*peerpb.ProposeResponse, error) {
+	if w.calls.Add(1) > 1 {
+		<-w.released
+	}
+	return w.echo.Propose(ctx, req)
+}
+
+// Guards against core nodes that run out of descriptors when the requests of many entry nodes wait for engines: the
+// calls of one node share a connection.
+func TestWaitingCallsShareAConnection(t *testing.T) {
+	// A core node has 4,096 descriptors for 330 entry nodes.
+	const calls, connections = 200, 4096 / 330
+	for _, tt := range []struct {
+		name string
+		tls  bool
+	}{{name: "plain"}, {name: "TLS", tls: true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			var files *peer.Files
+			if tt.tls {
+				issued := newAuthority(t).issue(t, t.TempDir())
+				files = &issued
+			}
+			s, err := peer.NewServer("127.0.0.1:0", files)
+			require.NoError(t, err)
+			counting := s.CountConnections()
+			w := &waiting{released: make(chan struct{})}
+			ctx, cancel := context.WithCancel(context.Background())
+			var g, callers errgroup.Group
+			g.Go(func() error { return s.Serve(ctx, peer.Services{Replica: w, Control: w, Spread: w}) })
+			pool, err := peer.NewPool(files)
+			require.NoError(t, err)
+			require.NoError(t, call(t, pool, s.Address()))
+			for range calls {
+				callers.Go(func() error {
+					_, err := pool.Get(s.Address()).Control.Propose(ctx, &peerpb.ProposeRequest{Command: []byte("x")})
+					return err
+				})
+			}
+			require.Eventually(t, func() bool { return w.calls.Load() == 1+calls }, 5*time.Second, time.Millisecond)
+			require.LessOrEqual(t, counting(), connections)
+			close(w.released)
+			require.NoError(t, callers.Wait())
+			cancel()
+			require.NoError(t, g.Wait())
+		})
+	}
+}
+
+// Guards upgrades one node at a time: a peer that only speaks HTTP/1.1 is called at once, without a failed call.
+func TestPeerOfEarlierVersion(t *testing.T) {
+	s := httptest.NewServer(peerpb.NewControlServer(echo{}))
+	defer s.Close()
+	pool, err := peer.NewPool(nil)
+	require.NoError(t, err)
+	for range 3 {
+		require.NoError(t, call(t, pool, s.Listener.Addr().String()))
+	}
+}
--- a/internal/node/peer/server.go
+++ b/internal/node/peer/server.go
@@ -18,6 +18,8 @@
 const (
 	// MaxBody is the maximum body size of a call, in bytes; snapshots are sent in smaller chunks.
 	MaxBody = 8 << 20
+	// maxCalls is the maximum number of concurrent calls on one connection.
+	maxCalls = 1000
 	// headerTimeout bounds how long a peer may take to send its headers.
 	headerTimeout = 5 * time.Second
 	// bodyTimeout bounds a complete call; it is longer than the timeout of any call.
@@ -56,15 +58,19 @@
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	if config != nil {
-		listener = tls.NewListener(listener, config)
-	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(files == nil)
 	return &Server{
 		listener: listener,
 		http: &http.Server{
 			ReadHeaderTimeout: headerTimeout,
 			ReadTimeout:       bodyTimeout,
 			WriteTimeout:      bodyTimeout,
+			Protocols:         protocols,
+			TLSConfig:         config,
+			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxCalls},
 		},
 	}, nil
 }
@@ -85,7 +91,7 @@
 		feed := peerpb.NewFeedServer(svc.Feed)
 		mux.Handle(feed.PathPrefix(), feed)
 	}
-	s.http.Handler = traced(svc.Tracer, http.MaxBytesHandler(mux, MaxBody))
+	s.http.Handler = traced(svc.Tracer, http.MaxBytesHandler(markHTTP2(mux), MaxBody))
 
 	stop := context.AfterFunc(ctx, func() {
 		late, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -95,12 +101,29 @@
 		}
 	})
 	defer stop()
-	if err := s.http.Serve(s.listener); err != nil && ctx.Err() == nil {
+	if err := s.serve(); err != nil && ctx.Err() == nil {
 		return &Error{Op: "serve", Kind: KindListen, Err: err}
 	}
 	return nil
 }
 
+func (s *Server) serve() error {
+	if s.http.TLSConfig != nil {
+		return s.http.ServeTLS(s.listener, "", "") // The certificate comes from the TLS configuration.
+	}
+	return s.http.Serve(s.listener)
+}
+
+// markHTTP2 wraps a handler so that its HTTP/1.1 responses show that this server speaks HTTP/2 as well.
+func markHTTP2(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 {
+			w.Header().Set(speaksHTTP2, "1")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // traced wraps a handler so that each call with a trace context, such as a claim of a traced request, gets a span.
 func traced(tracer oteltrace.Tracer, next http.Handler) http.Handler {
 	if tracer == nil {
--- a/internal/node/peer/tls.go
+++ b/internal/node/peer/tls.go
@@ -84,6 +84,7 @@
 				Certificates: []tls.Certificate{*cert},
 				ClientCAs:    pool,
 				ClientAuth:   tls.RequireAndVerifyClientCert,
+				NextProtos:   []string{"h2", "http/1.1"},
 			}, nil
 		},
 	}
--- /dev/null
+++ b/internal/node/peer/transport.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"example.org/camphorhinge/internal/observe/trace"
+)
+
+const (
+	// minReplaceInterval is the least time between two replacements of a connection on which calls time out: a peer that
+	// is only slow answers on the connection that it has. The interval doubles while no call succeeds, up to
+	// maxReplaceInterval, because a peer that was paused finds all these connections when it continues.
+	minReplaceInterval = 500 * time.Millisecond
+	maxReplaceInterval = 4 * time.Second
+)
+
+// transport sends the calls to one peer over a shared HTTP/2 connection, which needs one descriptor at both ends however
+// many calls wait for their answers. After a timeout, later calls use another connection. It begins with HTTP/1.1, and
+// returns to it after a failure, until a response shows that the peer speaks HTTP/2: one of an earlier version does not.
+// It also adds the trace context to the headers of calls.
+type transport struct {
+	open func(http2 bool) *http.Transport
+
+	mu      sync.Mutex
+	current *http.Transport
+	http2   bool
+	// replacedAt is the time of the latest replacement after a timeout, and replaceInterval the least time to the next.
+	replacedAt      time.Time
+	replaceInterval time.Duration
+}
+
+func newTransport(open func(http2 bool) *http.Transport) *transport {
+	return &transport{open: open, current: open(false), replaceInterval: minReplaceInterval}
+}
+
+// speaksHTTP2 is a header of HTTP/1.1 responses by which a peer shows that it also speaks HTTP/2.
+const speaksHTTP2 = "Camphorhinge-Http2"
+
+// RoundTrip sends one call.
+func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if oteltrace.SpanContextFromContext(req.Context()).IsValid() {
+		req = req.Clone(req.Context())
+		trace.Propagator().Inject(req.Context(), propagation.HeaderCarrier(req.Header))
+	}
+	t.mu.Lock()
+	used, http2 := t.current, t.http2
+	t.mu.Unlock()
+	resp, err := used.RoundTrip(req)
+	t.recordEnd(used, err == nil)
+	switch {
+	case err == nil && !http2 && resp.Header.Get(speaksHTTP2) != "":
+		t.replace(used, true)
+	case err == nil || errors.Is(err, context.Canceled):
+	case http2 && (errors.Is(err, context.DeadlineExceeded) || isTimeout(err)):
+		t.replaceSilent(used)
+	case http2:
+		t.replace(used, false)
+	case isTimeout(err):
+		used.CloseIdleConnections() // A call that waits has a connection of its own.
+	}
+	return resp, err
+}
+
+// recordEnd records the end of a call. The connection of a transport that has been replaced is closed after its last
+// call.
+func (t *transport) recordEnd(used *http.Transport, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current != used {
+		used.CloseIdleConnections()
+		return
+	}
+	if ok {
+		t.replaceInterval = minReplaceInterval
+	}
+}
+
+// replace makes later calls use another transport than the given one. Calls in progress continue.
+func (t *transport) replace(used *http.Transport, http2 bool) {
+	used.CloseIdleConnections()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current == used {
+		t.current, t.http2 = t.open(http2), http2
+	}
+}
+
+// replaceSilent makes later calls use another connection, unless this one is recent.
+func (t *transport) replaceSilent(used *http.Transport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if t.current != used || now.Sub(t.replacedAt) < t.replaceInterval {
+		return
+	}
+	used.CloseIdleConnections()
+	t.current, t.replacedAt = t.open(true), now
+	t.replaceInterval = min(2*t.replaceInterval, maxReplaceInterval)
+}
+
+// close closes the idle connections.
+func (t *transport) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.current.CloseIdleConnections()
+}
--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -323,20 +323,19 @@
 }
 
 // flush sends the queued events to a core node without a placement request, and the known cache contents if the core
-// node has no state of this node.
+// node has asked for them. They are sent once: if the call fails, the core node's polls of the engines replace them.
 func (c *Client) flush(ctx context.Context, address string) {
 	call := &peerpb.PlaceRequest{Node: string(c.cfg.Node), Start: c.startID}
 	c.mu.Lock()
-	sendCaches := c.link(address).sendCaches
+	l := c.link(address)
+	sendCaches := l.sendCaches
+	l.sendCaches = false
 	c.mu.Unlock()
 	if sendCaches {
 		call.Holdings = encodeCaches(c.cfg.Local.CacheContents(c.cfg.Clock.Now()))
 	}
-	resp, err := c.send(ctx, address, call, flushTimeout)
-	if err == nil && !resp.GetUnknown() {
-		c.mu.Lock()
-		c.link(address).sendCaches = false
-		c.mu.Unlock()
+	if _, err := c.send(ctx, address, call, flushTimeout); err != nil && sendCaches {
+		c.cfg.Log.Warn("cache contents not sent", "core", address, "engines", len(call.GetHoldings()), "error", err)
 	}
 }
 
--- a/internal/node/schedule/client_test.go
+++ b/internal/node/schedule/client_test.go
@@ -46,6 +46,11 @@
 	return resp, err
 }
 
+// Work implements peerpb.Feed.
+func (c *core) Work(ctx context.Context, req *peerpb.WorkRequest) (*peerpb.WorkResponse, error) {
+	return c.Scheduler.Work(ctx, req)
+}
+
 // clientEnv is an entry node's Client with the core nodes "a" and "b" and the targets that the entry node has.
 type clientEnv struct {
 	*Client
--- a/internal/node/schedule/schedule_test.go
+++ b/internal/node/schedule/schedule_test.go
@@ -227,3 +227,19 @@
 		require.Equal(t, before, c.polls("e1"))
 	})
 }
+
+// TestCacheReportsAreBounded guards against a core node that, after a restart, receives the known cache contents from
+// all entry nodes of a large fleet at once.
+func TestCacheReportsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(2, 1)
+		asked := 0
+		for i := range 300 {
+			if call(t, s, &peerpb.PlaceRequest{Node: fmt.Sprintf("n%d", i), Start: 1}).GetUnknown() {
+				asked++
+			}
+		}
+		require.Positive(t, asked)
+		require.LessOrEqual(t, asked, 10)
+	})
+}
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -27,6 +27,11 @@
 	maxCallWait = 150 * time.Millisecond
 	// queueInterval is the time between two runs of the queue.
 	queueInterval = 5 * time.Millisecond
+	// maxCacheReports is the number of entry nodes that are asked for the cache contents they know, within
+	// cacheReportPeriod. The polls of the engines bring the rest; reports of all entry nodes together would delay
+	// placements after a restart.
+	maxCacheReports   = 3
+	cacheReportPeriod = 5 * time.Second
 	// repeatGrace is the time, beyond maxCallWait, after which a waiting request is dropped if its call is not
 	// repeated.
 	repeatGrace = 300 * time.Millisecond
@@ -53,6 +58,9 @@
 	queue     *place.Queue
 	sessions  map[string]*session
 	lastSweep camphorhinge.Instant
+	// cacheReports counts the entry nodes asked for cache contents since cacheReportsSince.
+	cacheReports      int
+	cacheReportsSince camphorhinge.Instant
 	// requestedAt is the time of the latest placement request.
 	requestedAt camphorhinge.Instant
 }
@@ -161,8 +169,23 @@
 	return pending.response, nil
 }
 
+// askForCaches reports whether to ask the entry node of a new session for the cache contents that it knows.
+func (s *Scheduler) askForCaches(now camphorhinge.Instant) bool {
+	if now.Sub(s.cacheReportsSince) > cacheReportPeriod {
+		s.cacheReports, s.cacheReportsSince = 0, now
+	}
+	s.cacheReports++
+	return s.cacheReports <= maxCacheReports
+}
+
+// Work returns the measured work of a service's engines. It is not measured while this node places no requests.
+func (s *Scheduler) Work(_ context.Context, req *peerpb.WorkRequest) (*peerpb.WorkResponse, error) {
+	w, ok := s.placer.Work(s.cfg.Clock.Now(), camphorhinge.ServiceName(req.GetService()))
+	return &peerpb.WorkResponse{Measured: ok, Generating: w.Generating, Prefilling: w.Prefilling, Transferring: w.Transferring}, nil
+}
+
 // receive applies the events of a call and queues its request. It returns the pending request, or nil if there is none
-// to decide, and whether the session was unknown. A call of an earlier session has no effect.
+// to decide, and whether to ask the entry node for cache contents. A call of an earlier session has no effect.
 func (s *Scheduler) receive(req *peerpb.PlaceRequest) (request *pendingRequest, unknown bool) {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
@@ -171,6 +194,7 @@
 	if sess == nil {
 		return nil, false
 	}
+	unknown = unknown && s.askForCaches(now)
 	s.mergeCaches(now, req.GetHoldings())
 	for _, e := range req.GetEvents() {
 		s.applyEvent(now, sess, e)
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -15,6 +15,7 @@
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/discovery"
 	"example.org/camphorhinge/internal/node/feed"
+	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/node/schedule"
 	"example.org/camphorhinge/internal/node/setting"
 	"example.org/camphorhinge/internal/node/web"
@@ -28,6 +29,8 @@
 	coreExpiry = 30 * time.Second
 	// applyPause is the time before a configuration of uncertain outcome is proposed again.
 	applyPause = 50 * time.Millisecond
+	// workTimeout bounds a call for the measured work of engines.
+	workTimeout = 200 * time.Millisecond
 	// formationTimeout bounds the wait for the full number of voters before the first configuration is accepted.
 	formationTimeout = 5 * time.Second
 	// maxControlBody bounds request bodies on the control and caller ports of platform nodes, in bytes; it fits a
@@ -123,18 +126,49 @@
 		Targets: c.registry, Configuration: c.routes.Current, Caches: engines, Clock: c.clock, Seed: c.seed(), Log: c.log,
 	})
 	c.source = feed.NewSource(feed.SourceConfig{
-		Registry: c.registry, Table: c.routes, Cores: c.durable.coreAddresses, Scores: c.durable.scores, Clock: c.clock,
+		Zone: c.cfg.Zone, Registry: c.registry, Table: c.routes, Cores: c.durable.coreAddresses, Scores: c.durable.scores, Clock: c.clock,
 		Scheduler: c.scheduler,
 	})
 	c.buildControl()
 	c.balancer = balance.New(balance.Config{
 		Node: c.cfg.Node, Authority: c.durable.replica, Targets: c.registry, Services: c.engineServices,
-		Load:    func(context.Context, camphorhinge.ServiceName) balance.Load { return balance.Load{Running: -1} },
+		Load:    c.engineLoad,
 		Engines: engines, Clock: c.clock, HandoverDelay: c.settings.Handover, Log: c.log, Metrics: c.metrics,
 	})
 	return nil
 }
 
+// engineLoad returns the load of a service's engines as measured by the core node that places most requests.
+func (c *Core) engineLoad(ctx context.Context, service camphorhinge.ServiceName) balance.Load {
+	req := &peerpb.WorkRequest{Service: string(service)}
+	addresses := c.otherCoreAddresses()
+	answers := make([]*peerpb.WorkResponse, len(addresses)+1)
+	answers[len(addresses)], _ = c.scheduler.Work(ctx, req) // Returns no error.
+	callCtx, cancel := context.WithTimeout(ctx, workTimeout)
+	defer cancel()
+	var g errgroup.Group
+	for i, address := range addresses {
+		g.Go(func() error {
+			resp, err := c.pool.Get(address).Feed.Work(callCtx, req)
+			if err != nil {
+				c.log.Debug("measured work not received", "core", address, "error", err)
+			}
+			answers[i] = resp
+			return nil
+		})
+	}
+	_ = g.Wait() // The functions return no error.
+	load := balance.Load{Running: -1}
+	most := -1.0
+	for _, w := range answers {
+		if total := w.GetGenerating() + w.GetPrefilling(); w.GetMeasured() && total > most {
+			most = total
+			load = balance.Load{Running: w.GetGenerating(), Prefilling: w.GetPrefilling(), Transferring: w.GetTransferring()}
+		}
+	}
+	return load
+}
+
 // engineServices returns the names of the configured services that run engines.
 func (c *Core) engineServices() []camphorhinge.ServiceName {
 	current := c.routes.Current()
@@ -196,6 +230,7 @@
 	g.Go(func() error { return c.peerPort.Serve(work, c.services()) })
 	g.Go(func() error { return c.discovery.RunWithoutPolls(work) })
 	g.Go(func() error { return c.scheduler.Run(work) })
+	g.Go(func() error { return logTraffic(work, c.log, c.metrics) })
 	g.Go(func() error { return c.balancer.Run(work) })
 	g.Go(func() error { return c.durable.run(work) })
 	g.Go(func() error {
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -104,9 +104,10 @@
 	}
 	s := e.cfg.Settings
 	e.pool = pool
+	pool.CountTraffic(e.metrics)
 	e.registry = registry.New(registry.Config{Clock: e.clock, Expiry: entryExpiry, Exclusive: true, Metrics: e.metrics, OnAnnouncement: e.onAnnouncement})
 	e.follower = feed.NewFollower(feed.FollowerConfig{
-		Node: s.Node, Pool: pool, Seeds: e.cfg.Peers, Registry: e.registry, OnScores: e.mergeScores, Log: e.log,
+		Node: s.Node, Zone: s.Zone, Pool: pool, Seeds: e.cfg.Peers, Registry: e.registry, OnScores: e.mergeScores, Log: e.log,
 	})
 	e.exchange = newExchange(e.metrics, e.cfg.Dialect)
 	e.crashes = quarantine.New(quarantine.Config{
@@ -185,6 +186,7 @@
 	defer closeCallers()
 	g.Go(func() error { return e.follower.Run(work) })
 	g.Go(func() error { return e.placer.Run(work) })
+	g.Go(func() error { return logTraffic(work, e.log, e.metrics) })
 	g.Go(func() error { return e.readyPort.Serve(work, 0) })
 	if e.metricsPort != nil {
 		g.Go(func() error { return e.metricsPort.Serve(work, 0) })
--- a/internal/node/server/report.go
+++ b/internal/node/server/report.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
+	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app"
@@ -11,6 +14,7 @@
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/fleet/registry"
+	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/status"
 	"example.org/camphorhinge/internal/node/web"
 )
@@ -40,6 +44,29 @@
 	return s, nil
 }
 
+// trafficInterval is the time between two log lines with the calls to other nodes.
+const trafficInterval = 10 * time.Second
+
+// logTraffic logs the number of calls to other nodes and their bytes by method, until ctx ends.
+func logTraffic(ctx context.Context, log *slog.Logger, set *metrics.Set) error {
+	ticker := time.NewTicker(trafficInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		var totals []any
+		for _, name := range set.ListMetricNames() {
+			if short, ok := strings.CutPrefix(name, peer.TrafficPrefix); ok {
+				totals = append(totals, slog.Uint64(short, set.GetOrCreateCounter(name).Get()))
+			}
+		}
+		log.Info("calls to other nodes since the start", slog.Group("totals", totals...))
+	}
+}
+
 // nodeStatus returns the status of a core node.
 func (c *Core) nodeStatus() *status.Status {
 	st := newStatus(c.cfg.Node, c.cfg.Zone, c.registry, c.clock.Now())
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -209,6 +209,7 @@
 		pool.SetSource(source)
 	}
 	s.pool = pool
+	pool.CountTraffic(s.metrics)
 	s.client = control.NewClient(pool, s.leaderCandidates)
 	s.lease = config.NewLease(s.clock, s.cfg.StaleLimit)
 	s.leases = config.NewLeases(s.clock, s.cfg.StaleLimit)
--- a/internal/request/place/placement.go
+++ b/internal/request/place/placement.go
@@ -63,10 +63,10 @@
 	firstEventSeen bool
 	firstEventAt   camphorhinge.Instant
 	// output is the limit of generated tokens and decodeSpeed the speed at which they are generated; nil for a separate
-	// prefill and for a plain service. freeAt is when the attempt is expected to free its slot.
+	// prefill and for a plain service. endsAt is when the attempt is expected to end.
 	output      float64
 	decodeSpeed *speed
-	freeAt      camphorhinge.Instant
+	endsAt      camphorhinge.Instant
 	// speed is that of the prefill's service and role, and uncached the number of tokens to prefill. fetches is set when
 	// the engine waits for the transfer of a KV cache as well.
 	speed    *speed
@@ -111,14 +111,14 @@
 	return f
 }
 
-// expectEnd records when an attempt whose first event is expected at the given time will free its slot.
+// expectEnd records when an attempt whose first event is expected at the given time is expected to end.
 func (f *InFlight) expectEnd(first camphorhinge.Instant) {
 	if f.decodeSpeed == nil {
 		return
 	}
-	f.state.slots.remove(f.freeAt)
-	f.freeAt = first.Add(time.Duration(decodeMargin * f.decodeSpeed.estimate(f.output) * float64(time.Millisecond)))
-	f.state.slots.add(f.freeAt)
+	f.state.ends.remove(f.endsAt)
+	f.endsAt = first.Add(time.Duration(decodeMargin * f.decodeSpeed.estimate(f.output) * float64(time.Millisecond)))
+	f.state.ends.add(f.endsAt)
 }
 
 // RecordFirstEvent records that the first event has arrived, which means that the prefill is complete. Repeated calls
@@ -188,7 +188,7 @@
 func (f *InFlight) end(now camphorhinge.Instant, o Outcome) {
 	f.ended = true
 	f.state.running--
-	f.state.slots.remove(f.freeAt)
+	f.state.ends.remove(f.endsAt)
 	if o == Served && f.firstEventSeen && f.decodeSpeed != nil {
 		f.decodeSpeed.observe(f.output, now.Sub(f.firstEventAt))
 	}
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -48,6 +48,8 @@
 	plainLatency map[camphorhinge.ServiceName]time.Duration
 	// speeds are the measured speeds of engines.
 	speeds map[speedKey]*speed
+	// demands are the work of each service's requests.
+	demands map[camphorhinge.ServiceName]*demand
 }
 
 // New returns a Placer without any recorded work, load or cache contents.
@@ -62,6 +64,7 @@
 		lastSeen:     map[camphorhinge.TargetName]camphorhinge.Instant{},
 		plainLatency: map[camphorhinge.ServiceName]time.Duration{},
 		speeds:       map[speedKey]*speed{},
+		demands:      map[camphorhinge.ServiceName]*demand{},
 	}
 }
 
--- a/internal/request/place/speed.go
+++ b/internal/request/place/speed.go
@@ -178,7 +178,7 @@
 			continue
 		}
 		out.OtherRoles++
-		if t.Slots > 0 && float64(s.occupied(now, t.Slots)) >= fullShare*float64(t.Slots) || s.awaited >= t.Slots {
+		if t.Slots > 0 && float64(s.occupied(now)) >= fullShare*float64(t.Slots) || s.awaited >= t.Slots {
 			out.Full++
 		}
 	}
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -51,8 +51,8 @@
 	prefilling int
 	// awaited is the number of attempts in flight that another engine still prefills.
 	awaited int
-	// slots holds when the attempts in flight are expected to end.
-	slots    timeline
+	// ends holds when the attempts in flight are expected to end.
+	ends     timeline
 	reserved camphorhinge.Tokens
 	// prefillDues holds when each incomplete prefill is expected to be complete.
 	prefillDues timeline
@@ -91,11 +91,11 @@
 	return max(n, 0) * math.Exp2(-float64(age)/float64(loadHalfLife))
 }
 
-// occupied returns the number of attempts that take a slot of the target now. Attempts whose end is overdue don't count:
-// reports of ends are late, and most of them are only not reported yet. Those above twice the slots count in any case.
-func (s *targetState) occupied(now camphorhinge.Instant, slots int) int {
-	n := s.running - s.awaited
-	return max(s.slots.countAfter(now)-s.awaited, n-2*slots, 0)
+// occupied returns the number of attempts that take a slot of the target now. One whose end is due is taken to have ended
+// until its report is overdue as well.
+func (s *targetState) occupied(now camphorhinge.Instant) int {
+	due := s.ends.countAfter(now.Add(-reportDelay)) - s.ends.countAfter(now)
+	return max(s.running-s.awaited-due, 0)
 }
 
 // timeline holds expected times, in ascending order.
