Divide engines between prefill and decode by measured work

Cause: a quarter of the engines decoded, whatever the load.

Change: the placing core node averages the work that requests need, by the measured speeds: generating requests, prefills and transfers. The leader asks for it and gives both roles the same utilization, a tenth of the engines at a time. A prefill on a decode engine also costs what it delays the answers that run there.

--- a/internal/fleet/balance/balancer.go
+++ b/internal/fleet/balance/balancer.go
@@ -17,9 +17,10 @@
 	planInterval = 250 * time.Millisecond
 	// orderTimeout bounds one call to an engine.
 	orderTimeout = time.Second
-	// backoff is how long an engine gets no order after one that failed, and a service no change after one under
-	// load.
+	// backoff is how long an engine gets no order after one that failed.
 	backoff = 10 * time.Second
+	// changePause is how long a service gets no change after one under load, so that its effect is measured first.
+	changePause = 4 * time.Second
 	// changeTimeout bounds the time until an announcement shows a change that was accepted.
 	changeTimeout = 15 * time.Second
 	// settleTime is how long a service's set of engines must not have grown before a plan.
@@ -194,7 +195,7 @@
 		return
 	}
 	if load.Running >= 0 {
-		b.pausedUntil[service] = now.Add(backoff)
+		b.pausedUntil[service] = now.Add(changePause)
 	}
 	var g errgroup.Group
 	for _, c := range changes {
@@ -232,7 +233,7 @@
 	}
 	err := b.cfg.Engines.Order(ctx, c.Engine, Order{Role: c.To, Holder: b.cfg.Node, Fence: term, Accepted: k.accepted})
 	b.cfg.Log.Info("role ordered", "target", c.Engine.Name, "from", c.Engine.Role, "to", c.To, "fence", term,
-		"accepted", k.accepted, "running", load.Running, "error", err)
+		"accepted", k.accepted, "load", load, "error", err)
 	if err == nil {
 		b.orders.Inc()
 		k.accepted++
--- a/internal/fleet/balance/plan.go
+++ b/internal/fleet/balance/plan.go
@@ -21,9 +21,7 @@
 	minDecode = 2
 	// decodeSlotShare is the intended number of requests at once on an engine in the decode role, as a share of its
 	// slots: a larger batch makes each step slower.
-	decodeSlotShare = 0.4
-	// loadHeadroom is the factor by which the measured load is raised, since the load varies.
-	loadHeadroom = 1.3
+	decodeSlotShare = 0.6
 	// deadband is the surplus of decode engines that is tolerated under load.
 	deadband = 1
 	// maxChangingShare is the share of a service's engines that may change at the same time once there is load.
@@ -34,6 +32,9 @@
 type Load struct {
 	// Running is the mean number of requests that generate tokens at once; negative when it has not been measured.
 	Running float64
+	// Prefilling is the mean number of engines that prefill at once, and Transferring that of engines in the decode role
+	// whose links receive KV caches.
+	Prefilling, Transferring float64
 }
 
 // Change is a role change of one engine.
@@ -42,20 +43,30 @@
 	To     camphorhinge.Role
 }
 
-// DesiredDecode returns how many of n engines should have the decode role, given the slots of each.
+// DesiredDecode returns how many of n engines should have the decode role, given the slots of each. Once the load is
+// known, both roles are used to the same share.
 func DesiredDecode(n, slots int, load Load) int {
 	if n < 2 {
 		return n
 	}
+	if load.Running < 0 || slots == 0 {
+		return min(max(initialDecode(n, slots), minDecode), n-1)
+	}
+	decode := load.Running/(decodeSlotShare*float64(slots)) + load.Transferring
+	want := 0
+	if total := decode + load.Prefilling; total > 0 {
+		want = int(math.Round(float64(n) * decode / total))
+	}
+	return min(max(want, minDecode), n-1)
+}
+
+// initialDecode returns how many engines get the decode role before the load is known.
+func initialDecode(n, slots int) int {
 	share := initialDecodeShare
 	if slots > 0 {
 		share = min(max(share, share*math.Sqrt(referenceSlots/float64(slots))), maxInitialDecodeShare)
 	}
-	want := int(math.Ceil(float64(n) * share))
-	if load.Running >= 0 && slots > 0 {
-		want = int(math.Ceil(load.Running * loadHeadroom / (decodeSlotShare * float64(slots))))
-	}
-	return min(max(want, minDecode), n-1)
+	return int(math.Ceil(float64(n) * share))
 }
 
 // Engine is the input of Plan for one engine.
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -40,6 +40,9 @@
 	// maxCostJitter bounds the random part of a cost, which keeps nodes with the same state from choosing the same
 	// target.
 	maxCostJitter = 10 * time.Millisecond
+	// interferenceCost is the share of a prefill's time that counts for each request which the prefill delays on an
+	// engine of the decode role.
+	interferenceCost = 0.2
 	// runningRequestCost is the time by which each running request of an engine delays one that it receives after a
 	// separate prefill.
 	runningRequestCost = 2 * time.Millisecond
@@ -116,8 +119,9 @@
 	for _, t := range servers {
 		o := p.directPlan(c, t)
 		if len(prefillers) > 0 && t.Role == camphorhinge.RoleDecode {
-			// The prefill is interleaved with the decode steps of all requests that run there.
-			o.cost += p.prefillTime(t, float64(o.Uncached))
+			// The prefill is interleaved with the decode steps of all requests that run there, and delays each of them.
+			running := float64(p.stateOf(now, t).occupied(now))
+			o.cost += time.Duration((1 + interferenceCost*running) * float64(p.prefillTime(t, float64(o.Uncached))))
 		}
 		consider(o)
 	}
@@ -147,7 +151,7 @@
 	var out []*camphorhinge.Target
 	for _, t := range servers {
 		s := p.stateOf(now, t)
-		slots := t.Slots == 0 || float64(s.occupied(now, t.Slots)) < fullShare*float64(t.Slots) && s.awaited < t.Slots
+		slots := t.Slots == 0 || float64(s.occupied(now)) < fullShare*float64(t.Slots) && s.awaited < t.Slots
 		memory := req.Engine.CacheCapacity == 0 || s.running == 0 ||
 			float64(s.reserved+req.Prompt+req.Output) < fullShare*float64(req.Engine.CacheCapacity)
 		if slots && memory {
@@ -276,7 +280,7 @@
 	for _, t := range servers {
 		s := p.stateOf(c.now, t)
 		transfer := transferTime(c.req.Prompt, c.req.Engine, prefiller, t)
-		busy := s.backlog(c.now) + time.Duration((float64(s.occupied(c.now, t.Slots))+p.otherNodesRequests(s, c.now))*float64(runningRequestCost))
+		busy := s.backlog(c.now) + time.Duration((float64(s.occupied(c.now))+p.otherNodesRequests(s, c.now))*float64(runningRequestCost))
 		cost := 2*transfer + busy + p.crowdingCost(c, t) + c.crossZoneCost(t)
 		if best.target == nil || cost < best.cost {
 			best = receiver{t, transfer + p.cfg.Rates.Setup, cost}
@@ -305,7 +309,7 @@
 	s := p.stateOf(c.now, t)
 	used := 0.0
 	if t.Slots > 0 {
-		used = (float64(s.occupied(c.now, t.Slots)) + p.otherNodesRequests(s, c.now)) / float64(t.Slots)
+		used = (float64(s.occupied(c.now)) + p.otherNodesRequests(s, c.now)) / float64(t.Slots)
 	}
 	if c.req.Engine.CacheCapacity > 0 {
 		used = max(used, float64(s.reserved+c.req.Prompt)/float64(c.req.Engine.CacheCapacity))
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -125,6 +125,11 @@
 	}
 	r := q.rateOf(w.Rank)
 	r.arrivals = append(r.arrivals, now)
+	if w.Engine != nil {
+		q.placer.mu.Lock()
+		q.placer.recordDemand(now, &w.Request)
+		q.placer.mu.Unlock()
+	}
 	if len(q.waiting) == 0 && q.decide(now, w, 0) {
 		return
 	}
@@ -221,6 +226,7 @@
 	case best.wait <= maxEngineBacklog:
 		r := q.rateOf(w.Rank)
 		r.placements = append(r.placements, now)
+		q.placer.recordPlanDemand(now, best.Plan, &w.Request)
 		w.OnDecision(q.placer.adopt(now, best.Plan, &w.Request), 0)
 	default:
 		w.late = !w.neverOnTime && w.Due > 0 && now.Add(best.Expected) > w.Due
