Let the reading goroutine close an idle connection at a planned stop

Closed at that moment, the connection could also make the server's header parser panic, which ends the process.

Change: CloseIdle ends the wait by a read deadline in the past, under a lock, and only if nothing has arrived; the goroutine that waits then closes the connection, unless a request has arrived meanwhile, which it serves.

--- a/internal/request/ingress/guard.go
+++ b/internal/request/ingress/guard.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,16 +50,14 @@
 	delete(c.open, g)
 }
 
-// CloseIdle closes the connections on which no byte of a request was received since the last answer, and returns their
+// CloseIdle ends the connections on which no byte of a request has arrived since the last answer, and returns their
 // number. A stopping server calls it, since callers send requests on open connections.
 func (c *Conns) CloseIdle() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for g := range c.open {
-		if g.idle.Load() {
-			g.netConn.Close()
-			delete(c.open, g)
+		if g.endIdle() {
 			n++
 		}
 	}
@@ -120,8 +118,10 @@
 	limits  Limits
 	reply   Reply
 	phase   phase
-	// idle is true while no byte of a request was received since the last answer.
-	idle atomic.Bool
+	// mu guards idle, which is true while the connection waits for the first byte of a request, and ending, which is set
+	// once endIdle has ended this wait.
+	mu           sync.Mutex
+	idle, ending bool
 	// headerStart is when the first byte of the current header was received, or zero.
 	headerStart time.Time
 	// headerTimedOut is true when a header was not received within Limits.HeaderTimeout.
@@ -140,6 +140,65 @@
 	c.Next(ctx)
 }
 
+// endIdle ends the wait for the first byte of a request, and reports whether there was one. The goroutine that waits
+// closes the connection itself: closed by another one, a request that it has just received would be lost.
+func (g *guardedConn) endIdle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.idle || g.ending || g.hasUnread() {
+		return false
+	}
+	g.ending = g.netConn.SetReadDeadline(time.Unix(1, 0)) == nil
+	return g.ending
+}
+
+// hasUnread reports whether bytes have arrived that were not read from the socket yet.
+func (g *guardedConn) hasUnread() bool {
+	sc, ok := g.netConn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	// Unlike Read, Control does not wait for the goroutine that reads from the connection.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
+
+// peekFirst waits for the first byte of a request. It returns io.EOF when endIdle has ended the wait and nothing has
+// arrived meanwhile.
+func (g *guardedConn) peekFirst(n int) ([]byte, error) {
+	for {
+		g.mu.Lock()
+		g.idle = true
+		g.mu.Unlock()
+		b, err := g.Conn.Peek(n)
+		g.mu.Lock()
+		ended := g.ending
+		g.idle, g.ending = false, false
+		g.mu.Unlock()
+		if !ended {
+			return b, err
+		}
+		if err != nil && !g.hasUnread() {
+			return nil, io.EOF
+		}
+		if derr := g.netConn.SetReadDeadline(time.Time{}); derr != nil {
+			return nil, derr
+		}
+		if err == nil {
+			return b, nil
+		}
+	}
+}
+
 // Peek implements network.Reader; hertz reads headers through it.
 func (g *guardedConn) Peek(n int) ([]byte, error) {
 	if g.phase == answering {
@@ -158,14 +217,16 @@
 			return nil, err
 		}
 	}
-	g.idle.Store(g.headerStart.IsZero())
+	if g.headerStart.IsZero() {
+		b, err := g.peekFirst(n)
+		if err == nil {
+			g.headerStart = time.Now()
+		}
+		return b, err
+	}
 	b, err := g.Conn.Peek(n)
-	g.idle.Store(false)
-	switch {
-	case err != nil:
-		g.headerTimedOut = !g.headerStart.IsZero() && time.Since(g.headerStart) >= g.limits.HeaderTimeout
-	case g.headerStart.IsZero():
-		g.headerStart = time.Now()
+	if err != nil {
+		g.headerTimedOut = time.Since(g.headerStart) >= g.limits.HeaderTimeout
 	}
 	return b, err
 }
