Bound the time and the bytes of answers that never become complete

Cause: each read of an answer began a new time-out, so that a target that sends a byte, a comment or an informational answer now and then held a request until its deadline, and without one for ever; comments and empty lines also reset the size of an event, and went to the caller as events.

Change: a header must be complete within the time of its first byte, an event within twelve stall time-outs of the one before, the body of an error or a refusal within one. Comments and empty lines count towards the event after them.

Tests over sockets: TestEndlessAnswers (11 forms, fast and slow), TestSlowSoundStream (sound events further apart than the stall time-out stay whole). The number of connections from peers is counted.

--- a/internal/node/peer/peer_test.go
+++ b/internal/node/peer/peer_test.go
@@ -255,7 +255,6 @@
 			}
 			s, err := peer.NewServer("127.0.0.1:0", files)
 			require.NoError(t, err)
-			counting := s.CountConnections()
 			w := &waiting{released: make(chan struct{})}
 			ctx, cancel := context.WithCancel(context.Background())
 			var g, callers errgroup.Group
@@ -270,7 +269,7 @@
 				})
 			}
 			require.Eventually(t, func() bool { return w.calls.Load() == 1+calls }, 5*time.Second, time.Millisecond)
-			require.LessOrEqual(t, counting(), connections)
+			require.LessOrEqual(t, s.Connections(), int64(connections))
 			close(w.released)
 			require.NoError(t, callers.Wait())
 			cancel()
--- a/internal/node/peer/server.go
+++ b/internal/node/peer/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"path"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -41,6 +42,8 @@
 type Server struct {
 	listener net.Listener
 	http     *http.Server
+	// connections is the number of open connections.
+	connections atomic.Int64
 }
 
 // NewServer opens the peer port at address, an IP:port; calls are answered once Serve runs. If files is nil, the port
@@ -62,7 +65,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(files == nil)
-	return &Server{
+	s := &Server{
 		listener: listener,
 		http: &http.Server{
 			ReadHeaderTimeout: headerTimeout,
@@ -72,9 +75,23 @@
 			TLSConfig:         config,
 			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxCalls},
 		},
-	}, nil
+	}
+	s.http.ConnState = s.countConnection
+	return s, nil
 }
 
+func (s *Server) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.connections.Add(-1)
+	}
+}
+
+// Connections returns the number of open connections from peers.
+func (s *Server) Connections() int64 { return s.connections.Load() }
+
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -230,7 +230,7 @@
 	g.Go(func() error { return c.peerPort.Serve(work, c.services()) })
 	g.Go(func() error { return c.discovery.RunWithoutPolls(work) })
 	g.Go(func() error { return c.scheduler.Run(work) })
-	g.Go(func() error { return logTraffic(work, c.log, c.metrics) })
+	g.Go(func() error { return logTraffic(work, c.log, c.metrics, c.peerPort.Connections) })
 	g.Go(func() error { return c.balancer.Run(work) })
 	g.Go(func() error { return c.durable.run(work) })
 	g.Go(func() error {
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -186,7 +186,7 @@
 	defer closeCallers()
 	g.Go(func() error { return e.follower.Run(work) })
 	g.Go(func() error { return e.placer.Run(work) })
-	g.Go(func() error { return logTraffic(work, e.log, e.metrics) })
+	g.Go(func() error { return logTraffic(work, e.log, e.metrics, func() int64 { return 0 }) })
 	g.Go(func() error { return e.readyPort.Serve(work, 0) })
 	if e.metricsPort != nil {
 		g.Go(func() error { return e.metricsPort.Serve(work, 0) })
--- a/internal/node/server/report.go
+++ b/internal/node/server/report.go
@@ -47,8 +47,9 @@
 // trafficInterval is the time between two log lines with the calls to other nodes.
 const trafficInterval = 10 * time.Second
 
-// logTraffic logs the number of calls to other nodes and their bytes by method, until ctx ends.
-func logTraffic(ctx context.Context, log *slog.Logger, set *metrics.Set) error {
+// logTraffic logs the number of calls to other nodes and their bytes by method, and the number of connections from other
+// nodes, until ctx ends.
+func logTraffic(ctx context.Context, log *slog.Logger, set *metrics.Set, connections func() int64) error {
 	ticker := time.NewTicker(trafficInterval)
 	defer ticker.Stop()
 	for {
@@ -59,11 +60,11 @@
 		}
 		var totals []any
 		for _, name := range set.ListMetricNames() {
-			if short, ok := strings.CutPrefix(name, peer.TrafficPrefix); ok {
+			if short, ok := strings.CutPrefix(name, peer.TrafficPrefix); ok && strings.Contains(short, "_total") {
 				totals = append(totals, slog.Uint64(short, set.GetOrCreateCounter(name).Get()))
 			}
 		}
-		log.Info("calls to other nodes since the start", slog.Group("totals", totals...))
+		log.Info("calls to other nodes since the start", "connections", connections(), slog.Group("totals", totals...))
 	}
 }
 
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -218,6 +218,7 @@
 	if err != nil {
 		return err
 	}
+	s.metrics.NewGauge(peer.TrafficPrefix+"connections", func() float64 { return float64(s.peerPort.Connections()) })
 	address := s.cfg.PeerAddress
 	if address == "" {
 		address = s.peerPort.Address()
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -181,6 +181,16 @@
 	err       error
 }
 
+// maxQuietFactor is the number of stall timeouts that may pass between two events of a stream: a target that computes for
+// long may send comments meanwhile.
+const maxQuietFactor = 12
+
+// ExpectEvent sets the time in which the next event of a streamed answer must be complete. Without it, a target that sends
+// comments or single bytes would hold the request for ever.
+func (a *Answer) ExpectEvent() {
+	a.conn.progressBy = time.Now().Add(maxQuietFactor * a.client.cfg.StallTimeout)
+}
+
 // Class returns the run class that the answer states according to Config.Dialect.
 func (a *Answer) Class() camphorhinge.RunClass {
 	return a.client.cfg.Dialect.Class(a.Status, a.Header)
@@ -227,7 +237,7 @@
 		c.probeAfterSilence(err, call.Target.Address)
 		return nil, err
 	}
-	cn.headerBudget, cn.readTimeout, cn.probe = math.MaxInt64, c.cfg.StallTimeout, nil
+	cn.headerBudget, cn.readTimeout, cn.probe, cn.progressBy = math.MaxInt64, c.cfg.StallTimeout, nil, time.Time{}
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		client: c, ctx: ctx, conn: cn, resp: resp, span: span, stopWatch: stop, start: start, firstByte: time.Since(start),
@@ -239,6 +249,7 @@
 	cn.setKeepAlive(resp.Header)
 	if a.Class() == camphorhinge.NotRun {
 		// The header makes the refusal certain; a truncated body only shortens the message.
+		cn.progressBy = time.Now().Add(c.cfg.StallTimeout)
 		body, _ := io.ReadAll(io.LimitReader(a, maxErrorBytes))
 		a.finish()
 		return nil, &Error{
@@ -309,6 +320,9 @@
 	if werr != nil && (cn.sentBytes.Load() == 0 || ctx.Err() != nil) {
 		return nil, newError(ctx, "write", cn, werr)
 	}
+	// The whole header must arrive in the time that its first byte may take: a target may send single bytes or
+	// informational answers without end.
+	cn.progressBy = time.Now().Add(cn.readTimeout)
 	// After a failed write there may still be an answer, such as the refusal of a large body. Informational answers (1xx)
 	// are skipped, up to a limit.
 	for range 5 {
--- a/internal/request/exchange/conn.go
+++ b/internal/request/exchange/conn.go
@@ -32,6 +32,9 @@
 	// readTimeout and writeTimeout bound the time of one read and one write.
 	readTimeout  time.Duration
 	writeTimeout time.Duration
+	// progressBy is the time by which the part of the answer that is being read must be complete, however many bytes
+	// arrive; zero means no bound.
+	progressBy time.Time
 	// probe, if set, is called once when a read has waited for probeDelay. If it fails, the read times out early.
 	probe func() error
 }
@@ -46,6 +49,7 @@
 func (c *conn) reset(readTimeout, writeTimeout time.Duration, headerBudget int64) {
 	c.sentBytes.Store(0)
 	c.readTimeout, c.writeTimeout, c.headerBudget, c.probe = readTimeout, writeTimeout, headerBudget, nil
+	c.progressBy = time.Time{}
 }
 
 // keepAlivePercent is the percentage of a target's announced keep-alive time for which an idle connection is reused.
@@ -91,7 +95,11 @@
 }
 
 func (c *conn) readWithin(p []byte, timeout time.Duration) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+	deadline := time.Now().Add(timeout)
+	if !c.progressBy.IsZero() && c.progressBy.Before(deadline) {
+		deadline = c.progressBy
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
--- a/internal/request/exchange/exchange_test.go
+++ b/internal/request/exchange/exchange_test.go
@@ -367,3 +367,91 @@
 		})
 	}
 }
+
+// endless answers a request with a head and then with the same bytes again and again, until the caller closes.
+func endless(head, repeated string, pause time.Duration) func(int, net.Conn) {
+	return func(_ int, c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, head)
+		for err == nil {
+			_, err = io.WriteString(c, repeated)
+			time.Sleep(pause)
+		}
+	}
+}
+
+// TestEndlessAnswers guards against targets that send bytes without end that make up no answer, in a head or a body: the
+// attempt must fail within a few timeouts, whether they come fast or one at a time.
+func TestEndlessAnswers(t *testing.T) {
+	const (
+		stall  = 40 * time.Millisecond
+		limit  = 2 * time.Second
+		stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	)
+	for _, tc := range []struct {
+		name           string
+		head, repeated string
+		pause          time.Duration
+		kind           Kind
+	}{
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n", 0, KindProtocol},
+		{"header lines, slowly", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n", stall / 4, KindSilent},
+		{"one header line, a byte at a time", "HTTP/1.1 200 OK\r\nX-A: ", "a", stall / 4, KindSilent},
+		{"informational answers, slowly", "", "HTTP/1.1 102 Processing\r\n\r\n", stall / 4, KindProtocol},
+		{"comments", stream, "400\r\n" + strings.Repeat(":aa\n", 256) + "\r\n", 0, KindProtocol},
+		{"comments, slowly", stream, "3\r\n:a\n\r\n", stall / 4, KindSilent},
+		{"empty lines", stream, "400\r\n" + strings.Repeat("\n", 1024) + "\r\n", 0, KindProtocol},
+		{"empty lines, slowly", stream, "1\r\n\n\r\n", stall / 4, KindSilent},
+		{"one event, a byte at a time", stream, "1\r\na\r\n", stall / 4, KindSilent},
+		{"body of an error", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 99999999\r\n\r\n", "a", stall / 4, KindSilent},
+		{"body of a refusal", "HTTP/1.1 503 Service Unavailable\r\nCamphorhinge-Run: not-run\r\nContent-Length: 99999999\r\n\r\n", "a", stall / 4, KindRefused},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			x := newClient(Config{FirstByteTimeout: 4 * stall, StallTimeout: stall})
+			defer func() { require.NoError(t, x.Close()) }()
+			began := time.Now()
+			s, err := x.Stream(t.Context(), Call{Target: listen(t, endless(tc.head, tc.repeated, tc.pause)), Method: "GET", Path: "/x", Attempt: "a1"})
+			if err == nil {
+				_, err = s.Next()
+				s.Close()
+			}
+			var e *Error
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, tc.kind, e.Kind, err)
+			require.Less(t, time.Since(began), limit)
+		})
+	}
+}
+
+// TestSlowSoundStream guards against the opposite: a stream whose events are further apart than the stall timeout, with
+// comments in between, is complete.
+func TestSlowSoundStream(t *testing.T) {
+	const stall = 60 * time.Millisecond
+	target := listen(t, func(_ int, c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, event := range []string{"id: a1/0\ndata: x\n\n", "id: a1/1\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n", "data: [DONE]\n\n"} {
+			for range 4 {
+				time.Sleep(stall / 2)
+				_, _ = io.WriteString(c, "3\r\n:a\n\r\n")
+			}
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	x := newClient(Config{FirstByteTimeout: 4 * stall, StallTimeout: stall})
+	defer func() { require.NoError(t, x.Close()) }()
+	s, err := x.Stream(t.Context(), Call{Target: target, Method: "GET", Path: "/x", Attempt: "a1"})
+	require.NoError(t, err)
+	defer s.Close()
+	for range 2 {
+		_, err := s.Next()
+		require.NoError(t, err)
+	}
+	_, err = s.Next()
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -55,6 +55,7 @@
 	}
 	if a.Status != http.StatusOK {
 		defer a.Close()
+		a.conn.progressBy = time.Now().Add(c.cfg.StallTimeout)
 		body, err := io.ReadAll(io.LimitReader(a, maxErrorBytes))
 		if err != nil {
 			return nil, err
@@ -72,6 +73,7 @@
 	}
 	// A target may send the header before it has computed the first event.
 	a.conn.readTimeout = c.cfg.FirstByteTimeout
+	a.ExpectEvent()
 	if c.probePath() != "" {
 		a.conn.probe = c.probeFunc(call.Target.Address)
 	}
@@ -96,6 +98,7 @@
 	switch {
 	case err == nil:
 		s.answer.conn.readTimeout = s.answer.client.cfg.StallTimeout
+		s.answer.ExpectEvent()
 		return e, nil
 	case s.ended:
 		return Event{}, io.EOF
@@ -107,7 +110,8 @@
 	return Event{}, s.err
 }
 
-// readEvent reads lines up to the end of the next event that has data, and checks it.
+// readEvent reads lines up to the end of the next event that has data, and checks it. Comments and empty lines before it
+// count towards its size.
 func (s *Stream) readEvent() (Event, error) {
 	var id string
 	var data []byte
@@ -119,7 +123,7 @@
 		}
 		if len(line) == 0 {
 			if !seen {
-				id, size = "", 0
+				id = ""
 				continue
 			}
 			return s.checkEvent(id, data)
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -20,6 +20,7 @@
 func (j *job) streamAnswer(answer *exchange.Answer, inFlight *place.InFlight) *exchange.Error {
 	events := bufio.NewReaderSize(answer, 4<<10)
 	for {
+		answer.ExpectEvent()
 		event, id, err := nextEvent(events)
 		atEOF := errors.Is(err, io.EOF)
 		if err != nil && !atEOF {
@@ -60,9 +61,11 @@
 // errEventTooLarge marks an event that exceeds maxEventSize.
 var errEventTooLarge = errors.New("an event exceeds the size limit")
 
-// nextEvent returns the bytes of the next event, including the empty line that ends it, and its id. At the end of the
-// stream it returns the remaining bytes with io.EOF. When the stream breaks off, the incomplete event is dropped.
+// nextEvent returns the bytes of the next event, including comments and empty lines before it and the empty line that ends
+// it, and its id. At the end of the stream it returns the remaining bytes with io.EOF. When the stream breaks off, the
+// incomplete event is dropped.
 func nextEvent(r *bufio.Reader) (event []byte, id string, err error) {
+	hasField := false
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
@@ -81,9 +84,13 @@
 		}
 		start := bytes.LastIndexByte(event[:len(event)-1], '\n') + 1
 		text := bytes.TrimRight(event[start:], "\r\n")
-		if len(text) == 0 {
+		switch {
+		case len(text) == 0 && hasField:
 			return event, id, nil
+		case len(text) == 0 || text[0] == ':':
+			continue
 		}
+		hasField = true
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
--- a/internal/request/place/speed.go
+++ b/internal/request/place/speed.go
@@ -20,6 +20,9 @@
 	// minSizeSpread is the least variance of prompt sizes, relative to the square of their mean, at which the overhead
 	// and the time per token can be told apart.
 	minSizeSpread = 0.02
+	// maxOverheadFactor bounds the overhead relative to the initial one: when nodes are late, their delays must not count
+	// as time that every prefill takes.
+	maxOverheadFactor = 4.0
 	// maxSpeedup and maxSlowing bound the time per token relative to the initial rates.
 	maxSpeedup, maxSlowing = 50.0, 10.0
 )
@@ -102,7 +105,7 @@
 		perToken = covariance / variance
 	}
 	s.perToken = min(max(perToken, s.initialPerToken/maxSpeedup), s.initialPerToken*maxSlowing)
-	s.overhead = max(meanY-s.perToken*meanX, 0)
+	s.overhead = min(max(meanY-s.perToken*meanX, 0), maxOverheadFactor*s.initialOverhead)
 }
 
 // speedOf returns the speed of a kind of work on a service's engines.
