Change roles only when one is short, and refuse what can't be complete in time

A core node that takes over learns speeds from engines that still do work it does not know.

Change: no role changes while the load keeps at most 80 % of each role busy. An observation well above the estimated time counts less, since unknown work only ever delays. A request is refused at once when its caller would leave before the answer is complete, not only when it would leave before the first event.

Tests: TestPlan (two cases), TestAnswerMustBeCompleteInTime.

--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -83,6 +83,8 @@
 		{"load: a surplus of one is tolerated", engines(15, 3), idle, 0, 0},
 		{"load: few at a time", engines(4, 14), idle, 1, 0},
 		{"load: long answers", engines(15, 3), busy, 0, 1},
+		{"load: both roles have enough engines", engines(180, 60), Load{Running: 500, Prefilling: 110, Transferring: 6}, 0, 0},
+		{"load: prefill is short, decode is not", engines(12, 6), Load{Running: 20, Prefilling: 12}, 1, 0},
 		{"load: one is already changing", changing(engines(4, 14), 1), idle, 0, 0},
 		{"engines in backoff", backingOff(engines(6, 12)), unknown, 0, 0},
 		{"engines of both roles", mixed(6), unknown, 0, 0},
--- a/internal/fleet/balance/plan.go
+++ b/internal/fleet/balance/plan.go
@@ -22,6 +22,8 @@
 	// decodeSlotShare is the intended number of requests at once on an engine in the decode role, as a share of its
 	// slots: a larger batch makes each step slower.
 	decodeSlotShare = 0.6
+	// maxUtilization is the share of a role's engines that the load may keep busy before the roles change.
+	maxUtilization = 0.8
 	// deadband is the surplus of decode engines that is tolerated under load.
 	deadband = 1
 	// maxChangingShare is the share of a service's engines that may change at the same time once there is load.
@@ -43,6 +45,21 @@
 	To     camphorhinge.Role
 }
 
+// decodeEngines returns the number of engines in the decode role that the load keeps busy.
+func (l Load) decodeEngines(slots int) float64 {
+	return l.Running/(decodeSlotShare*float64(slots)) + l.Transferring
+}
+
+// balanced reports whether both roles have enough engines for a measured load. An engine serves nothing while its role
+// changes, so that changes are only worth it when a role is short.
+func balanced(prefills, decodes, slots int, load Load) bool {
+	if load.Running < 0 || slots == 0 || load.Running == 0 && load.Prefilling == 0 {
+		return false
+	}
+	return decodes >= minDecode && load.decodeEngines(slots) <= maxUtilization*float64(decodes) &&
+		load.Prefilling <= maxUtilization*float64(prefills)
+}
+
 // DesiredDecode returns how many of n engines should have the decode role, given the slots of each. Once the load is
 // known, both roles are used to the same share.
 func DesiredDecode(n, slots int, load Load) int {
@@ -52,7 +69,7 @@
 	if load.Running < 0 || slots == 0 {
 		return min(max(initialDecode(n, slots), minDecode), n-1)
 	}
-	decode := load.Running/(decodeSlotShare*float64(slots)) + load.Transferring
+	decode := load.decodeEngines(slots)
 	want := 0
 	if total := decode + load.Prefilling; total > 0 {
 		want = int(math.Round(float64(n) * decode / total))
@@ -107,6 +124,9 @@
 		limit = max(int(maxChangingShare*float64(n)), 1)
 	}
 	limit -= changing
+	if balanced(counts[camphorhinge.RolePrefill], counts[camphorhinge.RoleDecode], slots, load) {
+		return nil
+	}
 	surplus := counts[camphorhinge.RoleDecode] - DesiredDecode(n, slots, load)
 	var out []Change
 	switch {
--- a/internal/request/place/load_test.go
+++ b/internal/request/place/load_test.go
@@ -426,3 +426,37 @@
 	t.Logf("%d tokens prefilled, %d at least", f.prefilled, least)
 	require.Less(t, float64(f.prefilled), 1.15*float64(least))
 }
+
+// TestAnswerMustBeCompleteInTime guards against work for callers that leave before the end of their answer: a request whose
+// first event would be in time, but not the last one, is refused at once.
+func TestAnswerMustBeCompleteInTime(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		output  camphorhinge.Tokens
+		refused bool
+	}{
+		{"short answer", 20, false},
+		{"answer of four seconds", 2000, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(13, 5, false)
+			f.decode = 4 * time.Second
+			// The speed of the decode is measured first: 2 ms a token.
+			for range 200 {
+				f.placer.speedOf("s", decodeWork).observe(2000, f.decode)
+				f.placer.speedOf("s", decodeWork).observe(20, 40*time.Millisecond)
+			}
+			decided, refused := false, false
+			f.queue.Add(f.now, &QueuedRequest{
+				Request: Request{
+					Service: "s", Engine: f.engine, Segments: []Segment{{Hash: 1, Tokens: 1000}}, Prompt: 1000, Output: tc.output,
+					Due: f.now.Add(objective), Deadline: f.now.Add(patience),
+				},
+				Live:       f.announced,
+				OnDecision: func(p *Placement, _ time.Duration) { decided, refused = true, p == nil },
+			})
+			require.True(t, decided)
+			require.Equal(t, tc.refused, refused)
+		})
+	}
+}
--- a/internal/request/place/speed.go
+++ b/internal/request/place/speed.go
@@ -17,6 +17,9 @@
 	// maxOutlier bounds an observation relative to the estimate, so that a few slow engines don't hide the speed of the
 	// others.
 	maxOutlier = 3.0
+	// An observation above delayedFactor times the estimate has the weight delayedWeight: work that this node does not
+	// know of, as after its restart, only ever delays others.
+	delayedFactor, delayedWeight = 1.25, 0.3
 	// minSizeSpread is the least variance of prompt sizes, relative to the square of their mean, at which the overhead
 	// and the time per token can be told apart.
 	minSizeSpread = 0.02
@@ -96,7 +99,11 @@
 	for _, sum := range []*float64{&s.n, &s.x, &s.y, &s.xx, &s.xy} {
 		*sum *= keep
 	}
-	s.add(tokens, min(max(milliseconds(took), 0), maxOutlier*s.estimate(tokens)), 1)
+	y, weight := max(milliseconds(took), 0), 1.0
+	if estimate := s.estimate(tokens); y > delayedFactor*estimate {
+		y, weight = min(y, maxOutlier*estimate), delayedWeight
+	}
+	s.add(tokens, y, weight)
 
 	meanX, meanY := s.x/s.n, s.y/s.n
 	variance, covariance := s.xx/s.n-meanX*meanX, s.xy/s.n-meanX*meanY
@@ -146,6 +153,14 @@
 	return time.Duration(n * p.prefillSpeedOf(t).perToken * p.targets[t.Name].slowdown * float64(time.Millisecond))
 }
 
+// generationTime returns the expected time from the first event of a request to the end of its answer.
+func (p *Placer) generationTime(req *Request) time.Duration {
+	if req.Engine == nil {
+		return 0
+	}
+	return time.Duration(p.speedOf(req.Service, decodeWork).estimate(float64(req.Output)) * float64(time.Millisecond))
+}
+
 // prefillOverhead returns the time of a prefill that does not depend on its size.
 func (p *Placer) prefillOverhead(t *camphorhinge.Target) time.Duration {
 	return time.Duration(p.prefillSpeedOf(t).overhead * float64(time.Millisecond))
