Withdraw the refusal of answers that can't be complete in time

TestAnswerMustBeCompleteInTime had measured the speed first and did not show it.

Change: requests are refused by the time of their first event again.

--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -58,8 +58,6 @@
 	// estimated is set once serviceTime, the expected time without the wait, has been estimated.
 	estimated   bool
 	serviceTime time.Duration
-	// generationTime is the expected time from the first event to the end of the answer.
-	generationTime time.Duration
 	// retried is set for a request that was refused recently.
 	retried bool
 	// neverOnTime is set when the request could not meet its due time even without a wait. late is set while any other
@@ -181,7 +179,7 @@
 		wait := q.rateOf(w.Rank).waitFor(now, ahead[w.Rank])
 		// When several requests of a rank found no engine, the others won't either; only their deadlines are checked.
 		if w.estimated && unplaced[w.Rank] >= maxUnplacedPerRank {
-			if q.refuseIfTooLate(now, w, w.serviceTime+wait+w.generationTime, wait) {
+			if q.refuseIfTooLate(now, w, w.serviceTime+wait, wait) {
 				continue
 			}
 		} else if q.decide(now, w, wait) {
@@ -196,8 +194,8 @@
 	q.waiting = kept
 }
 
-// refuseIfTooLate refuses w if its caller's deadline does not leave the given duration, in which the whole answer could be
-// complete, and refuseMargin, and reports whether it did. The retry-after time is the wait, within its bounds.
+// refuseIfTooLate refuses w if its caller's deadline does not leave the given duration and refuseMargin, and reports
+// whether it did. The retry-after time is the wait, within its bounds.
 func (q *Queue) refuseIfTooLate(now camphorhinge.Instant, w *QueuedRequest, duration, wait time.Duration) bool {
 	if w.Deadline == 0 || now.Add(duration+refuseMargin) <= w.Deadline {
 		return false
@@ -218,13 +216,13 @@
 	best, ok := q.placer.bestPlan(now, live, &w.Request)
 	if ok && !best.full && !w.estimated {
 		w.estimated = true
-		w.serviceTime, w.generationTime = best.Expected-best.wait, q.placer.generationTime(&w.Request)
+		w.serviceTime = best.Expected - best.wait
 		w.neverOnTime = w.Due > 0 && now.Add(w.serviceTime) > w.Due
 	}
 	switch {
 	case !ok:
 		w.OnDecision(nil, 0)
-	case q.refuseIfTooLate(now, w, max(best.Expected, w.serviceTime+ahead)+q.placer.generationTime(&w.Request), best.wait+ahead):
+	case q.refuseIfTooLate(now, w, max(best.Expected, w.serviceTime+ahead), best.wait+ahead):
 	case best.wait <= maxEngineBacklog:
 		r := q.rateOf(w.Rank)
 		r.placements = append(r.placements, now)
--- a/internal/request/place/speed.go
+++ b/internal/request/place/speed.go
@@ -153,14 +153,6 @@
 	return time.Duration(n * p.prefillSpeedOf(t).perToken * p.targets[t.Name].slowdown * float64(time.Millisecond))
 }
 
-// generationTime returns the expected time from the first event of a request to the end of its answer.
-func (p *Placer) generationTime(req *Request) time.Duration {
-	if req.Engine == nil {
-		return 0
-	}
-	return time.Duration(p.speedOf(req.Service, decodeWork).estimate(float64(req.Output)) * float64(time.Millisecond))
-}
-
 // prefillOverhead returns the time of a prefill that does not depend on its size.
 func (p *Placer) prefillOverhead(t *camphorhinge.Target) time.Duration {
 	return time.Duration(p.prefillSpeedOf(t).overhead * float64(time.Millisecond))
