Send only suspect crash scores to entry nodes, and weigh the entry nodes' links

Cause: each response to a watch carried the crash scores of all fingerprints.

Change: entry nodes get refused fingerprints and those in more than one crash, with the time in steps of 10 s, once from each source. A plan counts the time to send the request over the entry node's link, twice for a separate prefill, and more the fuller the link is. Engines change to the prefill role only after 10 s of load that keeps all of them busy.

--- a/internal/fleet/balance/plan.go
+++ b/internal/fleet/balance/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"example.org/camphorhinge"
 )
@@ -22,8 +23,10 @@
 	// decodeSlotShare is the intended number of requests at once on an engine in the decode role, as a share of its
 	// slots: a larger batch makes each step slower.
 	decodeSlotShare = 0.6
-	// maxUtilization is the share of a role's engines that the load may keep busy before the roles change.
+	// maxUtilization is the share of the engines in the decode role that the load may keep busy before the roles change.
 	maxUtilization = 0.8
+	// cacheFillTime is the time in which caches are filled after the first request.
+	cacheFillTime = 10 * time.Second
 	// deadband is the surplus of decode engines that is tolerated under load.
 	deadband = 1
 	// maxChangingShare is the share of a service's engines that may change at the same time once there is load.
@@ -37,6 +40,8 @@
 	// Prefilling is the mean number of engines that prefill at once, and Transferring that of engines in the decode role
 	// whose links receive KV caches.
 	Prefilling, Transferring float64
+	// Age is the time since the first request.
+	Age time.Duration
 }
 
 // Change is a role change of one engine.
@@ -51,13 +56,16 @@
 }
 
 // balanced reports whether both roles have enough engines for a measured load. An engine serves nothing while its role
-// changes, so that changes are only worth it when a role is short.
+// changes, so that changes are only worth it when a role is short. Engines in the decode role prefill too, only slower, and
+// many prompts are prefilled in full until the caches are filled: a shortage of prefill engines must be plain and last.
 func balanced(prefills, decodes, slots int, load Load) bool {
 	if load.Running < 0 || slots == 0 || load.Running == 0 && load.Prefilling == 0 {
 		return false
 	}
-	return decodes >= minDecode && load.decodeEngines(slots) <= maxUtilization*float64(decodes) &&
-		load.Prefilling <= maxUtilization*float64(prefills)
+	if decodes < minDecode || load.decodeEngines(slots) > maxUtilization*float64(decodes) {
+		return false
+	}
+	return load.Age < cacheFillTime || load.Prefilling <= float64(prefills)
 }
 
 // DesiredDecode returns how many of n engines should have the decode role, given the slots of each. Once the load is
--- a/internal/node/feed/follower.go
+++ b/internal/node/feed/follower.go
@@ -71,7 +71,6 @@
 	mu       sync.Mutex
 	watching map[string]*watchedCore
 	entries  map[string]int
-	scores   string
 }
 
 // watchedCore is the state of the watch of one core node.
@@ -82,6 +81,8 @@
 	failures int
 	// legacy is set for a core node of an earlier version, which knows no light watches.
 	legacy bool
+	// scores is the hash of the crash scores that the core node has sent.
+	scores uint64
 	// interrupt ends the light watch in progress; nil without one.
 	interrupt context.CancelFunc
 }
@@ -286,7 +287,7 @@
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
-	req.Scores = xxhash.Sum64String(f.scores)
+	req.Scores = f.watching[address].scores
 	if light = !f.isSource(address); light {
 		req.Light, req.Wait = true, uint64(lightWait.Milliseconds())
 		f.watching[address].interrupt = cancel
@@ -342,7 +343,7 @@
 	f.entries[address] = int(resp.GetEntries())
 	scores := resp.GetScores()
 	if len(scores) > 0 {
-		f.scores = string(scores)
+		f.watching[address].scores = xxhash.Sum64(scores)
 	}
 	f.mu.Unlock()
 	if len(scores) > 0 {
--- a/internal/node/feed/source.go
+++ b/internal/node/feed/source.go
@@ -127,12 +127,12 @@
 	resp := &peerpb.WatchResponse{
 		Start: s.start, Version: uint64(version), Cores: s.cfg.Cores(), Zone: string(s.cfg.Zone),
 	}
-	if scores := s.cfg.Scores(); xxhash.Sum64(scores) != req.GetScores() {
-		resp.Scores = scores
-	}
 	if req.GetLight() {
 		return resp, false
 	}
+	if scores := s.cfg.Scores(); xxhash.Sum64(scores) != req.GetScores() {
+		resp.Scores = scores
+	}
 	if req.GetStart() != s.start && req.GetStart() != 0 {
 		// The caller repeats the call with its digests.
 		resp.Start = 0
--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -34,10 +35,12 @@
 	// Cores returns the peer addresses of the core nodes, sorted.
 	Cores func() []string
 	// Local places requests when no core node answers, and all requests to plain services.
-	Local   *place.Placer
-	Clock   camphorhinge.Clock
-	Log     *slog.Logger
-	Metrics *metrics.Set
+	Local *place.Placer
+	// LinkMbps is the speed of the entry node's link in Mbit/s; 0 means unknown.
+	LinkMbps float64
+	Clock    camphorhinge.Clock
+	Log      *slog.Logger
+	Metrics  *metrics.Set
 }
 
 // Client places the requests of one entry node through a core node, or locally when none answers; it implements
@@ -54,6 +57,8 @@
 	lastCore string
 	// links holds the state of each current core node, by peer address.
 	links map[string]*link
+	// uplink estimates the time to send a request.
+	uplink *uplink
 
 	placedByCore, placedLocally *metrics.Counter
 }
@@ -63,6 +68,7 @@
 	return &Client{
 		cfg: cfg, startID: rand.Uint64() | 1, //nolint:gosec // Identifies the process start; needs no secrecy.
 		links:         map[string]*link{},
+		uplink:        newUplink(cfg.LinkMbps),
 		placedByCore:  cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="core"}`),
 		placedLocally: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="node"}`),
 	}
@@ -127,6 +133,7 @@
 		address := c.preferredCore()
 		c.lastID++
 		id := c.lastID
+		req.Upload = c.uplink.timeFor(now, req.Bytes)
 		c.mu.Unlock()
 		if address == "" {
 			return nil, 0, false
@@ -157,7 +164,15 @@
 
 // adopt records the work of a core node's plan in the local placer and reports its events to the core node.
 func (c *Client) adopt(plan place.Plan, req place.Request, report func(prefill bool, e place.Event)) *place.Placement {
-	p := c.cfg.Local.Adopt(c.cfg.Clock.Now(), plan, req)
+	now := c.cfg.Clock.Now()
+	sends := 1
+	if plan.Prefill != nil {
+		sends = 2
+	}
+	c.mu.Lock()
+	c.uplink.record(now, sends*req.Bytes)
+	c.mu.Unlock()
+	p := c.cfg.Local.Adopt(now, plan, req)
 	p.ServeAttempt.OnEvent = func(e place.Event) { report(false, e) }
 	if p.PrefillAttempt != nil {
 		p.PrefillAttempt.OnEvent = func(e place.Event) { report(true, e) }
@@ -231,7 +246,7 @@
 	call := &peerpb.PlaceRequest{
 		Node: string(c.cfg.Node), Start: c.startID, Placement: id, Service: string(req.Service),
 		Prompt: uint32(req.Prompt), Output: uint32(req.Output), Direct: req.Direct, Rank: uint32(max(req.Rank, 0)),
-		Zone: string(req.Zone), Bytes: uint32(req.Bytes),
+		Zone: string(req.Zone), Bytes: uint32(req.Bytes), Upload: uint32(min(req.Upload.Microseconds(), math.MaxUint32)),
 	}
 	if req.Due > 0 {
 		call.Objective = req.Due.Sub(now).Milliseconds()
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -181,7 +181,9 @@
 // Work returns the measured work of a service's engines. It is not measured while this node places no requests.
 func (s *Scheduler) Work(_ context.Context, req *peerpb.WorkRequest) (*peerpb.WorkResponse, error) {
 	w, ok := s.placer.Work(s.cfg.Clock.Now(), camphorhinge.ServiceName(req.GetService()))
-	return &peerpb.WorkResponse{Measured: ok, Generating: w.Generating, Prefilling: w.Prefilling, Transferring: w.Transferring}, nil
+	return &peerpb.WorkResponse{
+		Measured: ok, Generating: w.Generating, Prefilling: w.Prefilling, Transferring: w.Transferring, Age: uint64(w.Age.Milliseconds()),
+	}, nil
 }
 
 // receive applies the events of a call and queues its request. It returns the pending request, or nil if there is none
@@ -286,6 +288,7 @@
 		Service: camphorhinge.ServiceName(req.GetService()), Prompt: camphorhinge.Tokens(req.GetPrompt()),
 		Output: camphorhinge.Tokens(req.GetOutput()), Direct: req.GetDirect(), Rank: int(req.GetRank()),
 		Zone: camphorhinge.Zone(req.GetZone()), Bytes: int(req.GetBytes()),
+		Upload: time.Duration(req.GetUpload()) * time.Microsecond,
 	}
 	if ms := req.GetObjective(); ms != 0 {
 		r.Due = now.Add(time.Duration(ms) * time.Millisecond)
--- a/internal/node/server/control.go
+++ b/internal/node/server/control.go
@@ -101,7 +101,7 @@
 
 // scores returns the crash scores that are sent to the nodes, as JSON, or nil if there are none.
 func (d *durableState) scores() []byte {
-	scores := d.crashes.Scores(time.Now().UnixMilli())
+	scores := d.crashes.Suspects(time.Now().UnixMilli())
 	if len(scores) == 0 {
 		return nil
 	}
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -163,7 +163,10 @@
 	for _, w := range answers {
 		if total := w.GetGenerating() + w.GetPrefilling(); w.GetMeasured() && total > most {
 			most = total
-			load = balance.Load{Running: w.GetGenerating(), Prefilling: w.GetPrefilling(), Transferring: w.GetTransferring()}
+			load = balance.Load{
+				Running: w.GetGenerating(), Prefilling: w.GetPrefilling(), Transferring: w.GetTransferring(),
+				Age: time.Duration(w.GetAge()) * time.Millisecond,
+			}
 		}
 	}
 	return load
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -115,7 +115,7 @@
 	})
 	e.placer = schedule.NewClient(schedule.ClientConfig{
 		Node: s.Node, Feed: func(address string) peerpb.Feed { return pool.Get(address).Feed }, Cores: e.follower.Cores,
-		Local: place.New(place.Config{Zone: s.Zone, Seed: seedOf(s.Node)}), Clock: e.clock, Log: e.log, Metrics: e.metrics,
+		Local: place.New(place.Config{Zone: s.Zone, Seed: seedOf(s.Node)}), LinkMbps: s.LinkMbps, Clock: e.clock, Log: e.log, Metrics: e.metrics,
 	})
 	e.forward = forward.New(forward.Config{
 		Index: e.follower.Index, Targets: e.registry,
--- a/internal/node/setting/core.go
+++ b/internal/node/setting/core.go
@@ -73,6 +73,8 @@
 	RetryWindow                time.Duration
 	// StopDelay is the time from failing readiness to closing the caller port at a planned stop; Grace bounds the stop.
 	StopDelay, Grace time.Duration
+	// LinkMbps is the speed of the node's link in Mbit/s; 0 means unknown.
+	LinkMbps float64
 }
 
 // Check returns an error for each invalid setting, joined, or nil.
--- a/internal/request/place/demand.go
+++ b/internal/request/place/demand.go
@@ -24,6 +24,8 @@
 	// Prefilling is the mean number of engines that prefill at once, and Transferring that of engines whose links
 	// transfer KV caches.
 	Prefilling, Transferring float64
+	// Age is the time since the first request.
+	Age time.Duration
 }
 
 // demand averages the work of a service's requests.
@@ -91,5 +93,5 @@
 	d.decay(now)
 	// Soon after the first request, the sums cover less than demandTime.
 	span := demandTime.Seconds() * (1 - math.Exp(-now.Sub(d.began).Seconds()/demandTime.Seconds()))
-	return Work{Generating: d.generating / span, Prefilling: d.prefilling / span, Transferring: d.transferring / span}, true
+	return Work{Generating: d.generating / span, Prefilling: d.prefilling / span, Transferring: d.transferring / span, Age: now.Sub(d.began)}, true
 }
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -244,7 +244,7 @@
 	r := p.estimatePrefill(c, t)
 	return scoredPlan{
 		Plan: Plan{Serve: t, Fetch: r.fetch, Expected: r.total, Uncached: r.uncached, Reason: reason("direct", r.fetch)},
-		cost: r.cost + p.crowdingCost(c, t) + c.crossZoneCost(t), wait: r.wait,
+		cost: r.cost + c.req.Upload + p.crowdingCost(c, t) + c.crossZoneCost(t), wait: r.wait,
 	}
 }
 
@@ -265,7 +265,7 @@
 	expected := r.total + handover
 	return scoredPlan{
 		Plan: Plan{Prefill: prefiller, Serve: server, Fetch: r.fetch, Expected: expected, Uncached: r.uncached, Reason: reason("separate prefill", r.fetch)},
-		cost: r.cost + handover + separatePrefillPenalty + p.crowdingCost(c, server) + c.crossZoneCost(prefiller) + c.crossZoneCost(server),
+		cost: r.cost + 2*c.req.Upload + handover + separatePrefillPenalty + p.crowdingCost(c, server) + c.crossZoneCost(prefiller) + c.crossZoneCost(server),
 		wait: r.wait,
 	}
 }
--- a/internal/request/place/load_test.go
+++ b/internal/request/place/load_test.go
@@ -460,3 +460,27 @@
 		})
 	}
 }
+
+// TestSlowUplink guards against entry nodes whose links are filled by sending each request twice: the slower the link, the
+// rather one engine both prefills and decodes.
+func TestSlowUplink(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		upload   time.Duration
+		separate bool
+	}{
+		{"fast link", 0, true},
+		{"link with a queue", 100 * time.Millisecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(3, 1, true)
+			f.placer = New(Config{Central: true, Seed: 1, Rates: Rates{Prefill: 330, Decode: 165, Step: time.Millisecond}})
+			p, ok := f.placer.Place(f.now, f.announced(), Request{
+				Service: "s", Engine: f.engine, Segments: []Segment{{Hash: 1, Tokens: 6300}, {Hash: 2, Tokens: 2890}}, Prompt: 9190, Output: 20,
+				Bytes: 18_000, Upload: tc.upload,
+			})
+			require.True(t, ok)
+			require.Equal(t, tc.separate, p.Prefill != nil)
+		})
+	}
+}
--- a/internal/request/place/types.go
+++ b/internal/request/place/types.go
@@ -30,6 +30,8 @@
 	// Zone is that of the entry node that sends the request, Bytes the size of the request.
 	Zone  camphorhinge.Zone
 	Bytes int
+	// Upload is the time in which the entry node's link sends the request once. A separate prefill sends it twice.
+	Upload time.Duration
 	// Rank is the rank of the route; 0 is the most urgent.
 	Rank int
 	// Due is when the first event becomes late, Deadline when the caller gives up; 0 means no bound.
--- a/internal/request/quarantine/machine.go
+++ b/internal/request/quarantine/machine.go
@@ -241,6 +241,24 @@
 	return out
 }
 
+// remainingStep is the step to which Suspects rounds up the remaining time of a refusal, so that its result changes rarely.
+const remainingStep = 10_000
+
+// Suspects returns the Scores of refused fingerprints and of those that were in more than one crash. A large fleet has very
+// many fingerprints with a single crash, as when connections are reset, and other nodes don't need them.
+func (m *Machine) Suspects(now int64) []Score {
+	all := m.Scores(now)
+	out := all[:0]
+	for _, s := range all {
+		if s.RemainingMillis == 0 && s.Value <= 1 {
+			continue
+		}
+		s.RemainingMillis = (s.RemainingMillis + remainingStep - 1) / remainingStep * remainingStep
+		out = append(out, s)
+	}
+	return out
+}
+
 // snapshot is the encoded state.
 type snapshot struct {
 	Stamp   int64                              `json:"at"`
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,3 +172,24 @@
 		require.Empty(t, c.inFlight)
 	})
 }
+
+// TestSuspects guards against scores that fill the links of a large fleet: fingerprints with a single crash are left out,
+// and the result stays the same while only time passes.
+func TestSuspects(t *testing.T) {
+	m := NewMachine()
+	report := func(index uint64, target string, fps ...camphorhinge.Fingerprint) {
+		data, err := json.Marshal(command{Target: camphorhinge.TargetName(target), Incarnation: 1, Fingerprints: fps})
+		require.NoError(t, err)
+		m.Apply(camphorhinge.Entry{Index: camphorhinge.Index(index), Stamp: 1000 + int64(index)}, data)
+	}
+	for i := range uint64(500) {
+		report(i, fmt.Sprintf("t%d", i), camphorhinge.Fingerprint(i))
+	}
+	require.Empty(t, m.Suspects(2000))
+	report(500, "u1", 7)
+	first := m.Suspects(2000)
+	require.Len(t, first, 1)
+	require.Equal(t, camphorhinge.Fingerprint(7), first[0].Fingerprint)
+	require.Positive(t, first[0].RemainingMillis)
+	require.Equal(t, first, m.Suspects(2500))
+}
