Let all observations of an engine's speed weigh the same

Cause: observations well above the estimate counted 0.3 since they may show unknown work.

Change: the weight is taken out.

--- a/internal/request/place/speed.go
+++ b/internal/request/place/speed.go
@@ -17,9 +17,6 @@
 	// maxOutlier bounds an observation relative to the estimate, so that a few slow engines don't hide the speed of the
 	// others.
 	maxOutlier = 3.0
-	// An observation above delayedFactor times the estimate has the weight delayedWeight: work that this node does not
-	// know of, as after its restart, only ever delays others.
-	delayedFactor, delayedWeight = 1.25, 0.3
 	// minSizeSpread is the least variance of prompt sizes, relative to the square of their mean, at which the overhead
 	// and the time per token can be told apart.
 	minSizeSpread = 0.02
@@ -99,11 +96,7 @@
 	for _, sum := range []*float64{&s.n, &s.x, &s.y, &s.xx, &s.xy} {
 		*sum *= keep
 	}
-	y, weight := max(milliseconds(took), 0), 1.0
-	if estimate := s.estimate(tokens); y > delayedFactor*estimate {
-		y, weight = min(y, maxOutlier*estimate), delayedWeight
-	}
-	s.add(tokens, y, weight)
+	s.add(tokens, min(max(milliseconds(took), 0), maxOutlier*s.estimate(tokens)), 1)
 
 	meanX, meanY := s.x/s.n, s.y/s.n
 	variance, covariance := s.xx/s.n-meanX*meanX, s.xy/s.n-meanX*meanY
