Ask a core node that failed for an answer at once

Cause: after a failed call a core node was watched for its presence only, and answered such a watch after 2 s.

--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -346,3 +346,56 @@
 	require.Equal(t, core.Digests(), entry.Digests())
 	require.Len(t, watch(0, registry.Digests{}).GetStates(), targets)
 }
+
+// failingFeed fails watches while it is cut.
+type failingFeed struct {
+	*Source
+	cut atomic.Bool
+}
+
+func (f *failingFeed) Watch(ctx context.Context, req *peerpb.WatchRequest) (*peerpb.WatchResponse, error) {
+	if f.cut.Load() {
+		return nil, errUnimplemented
+	}
+	return f.Source.Watch(ctx, req)
+}
+
+// Guards against changes that arrive late after all core nodes were out of reach for a moment: the first answer must not
+// wait like that of a core node that is watched for its presence only.
+func TestSourceAfterFailures(t *testing.T) {
+	var feeds []*failingFeed
+	var cores []*core
+	for range 2 {
+		c := newCore(t)
+		feeds = append(feeds, &failingFeed{Source: c.source})
+		c.feed = feeds[len(feeds)-1]
+		cores = append(cores, c)
+	}
+	f, r := follow(t, cores...)
+	require.Eventually(t, f.Synced, waitLimit, time.Millisecond)
+	for _, c := range cores {
+		c.announce(t, 1, false)
+	}
+	require.Eventually(t, func() bool { return len(r.Live("s")) == 1 }, waitLimit, time.Millisecond)
+	for _, feed := range feeds {
+		feed.cut.Store(true)
+	}
+	failed := func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, c := range f.watching {
+			if c.failures == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, failed, waitLimit, time.Millisecond)
+	for i, c := range cores {
+		c.announce(t, 2, true)
+		feeds[i].cut.Store(false)
+	}
+	began := time.Now()
+	require.Eventually(t, func() bool { return !r.Live("s")[0].Serving }, waitLimit, time.Millisecond)
+	require.Less(t, time.Since(began), time.Second)
+}
--- a/internal/node/feed/follower.go
+++ b/internal/node/feed/follower.go
@@ -292,6 +292,9 @@
 		req.Light, req.Wait = true, uint64(lightWait.Milliseconds())
 		f.watching[address].interrupt = cancel
 	}
+	if f.watching[address].failures > 0 {
+		req.Wait = 0 // Any answer shows that the core node may be a source again.
+	}
 	f.mu.Unlock()
 	if !light {
 		req.Start, req.Change = start, change
