Separate the bounds of size and time in TestEndlessAnswers

Both ends are right; the test did not say which it checks.

Change: cases with fast bytes have a stall time-out of 1 s, so that only the bound on their number can end them within 4 s. The cases with slow bytes are unchanged.

--- a/internal/request/exchange/exchange_test.go
+++ b/internal/request/exchange/exchange_test.go
@@ -386,9 +386,12 @@
 // attempt must fail within a few timeouts, whether they come fast or one at a time.
 func TestEndlessAnswers(t *testing.T) {
 	const (
-		stall  = 40 * time.Millisecond
-		limit  = 2 * time.Second
-		stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+		stall = 40 * time.Millisecond
+		limit = 2 * time.Second
+		// Bytes that come fast must be ended by their number, long before any time-out.
+		longStall = time.Second
+		longLimit = 4 * longStall
+		stream    = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	)
 	for _, tc := range []struct {
 		name           string
@@ -409,6 +412,10 @@
 		{"body of a refusal", "HTTP/1.1 503 Service Unavailable\r\nCamphorhinge-Run: not-run\r\nContent-Length: 99999999\r\n\r\n", "a", stall / 4, KindRefused},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
+			stall, limit := stall, limit
+			if tc.pause == 0 {
+				stall, limit = longStall, longLimit
+			}
 			x := newClient(Config{FirstByteTimeout: 4 * stall, StallTimeout: stall})
 			defer func() { require.NoError(t, x.Close()) }()
 			began := time.Now()
