--- a/internal/request/place/speed.go
+++ b/internal/request/place/speed.go
@@ -151,8 +151,10 @@
 	return time.Duration(p.prefillSpeedOf(t).overhead * float64(time.Millisecond))
 }
 
-// Speeds are the estimated speeds of a service's engines: fixed times in milliseconds, and times in milliseconds per
-// token.
+// Speeds are the estimated speeds of a service's engines, for logs: overheads in milliseconds and times in milliseconds
+// per token of a prefill in the prefill role, of one in the decode role and of the generation. Full is the number of
+// engines without a free slot and Backlogged that of engines with too much prefill ahead, of PrefillEngines and of
+// OtherRoles, which are all other engines.
 type Speeds struct {
 	PrefillOverhead, PrefillPerToken             float64
 	DecodeRoleOverhead, DecodeRolePerToken       float64
