Log crashes, the count of each report, and what failed requests consisted of

Cause: the log told of a crash only as a failed request. Whether a crash was counted, with which score, and which parts the prompts of the crashed requests had in common could be read from metrics in part, and from the log not at all.

Change: the quarantine logs each crash with the fingerprints in flight, the result of its report and the begin of a refusal, and reports that are dropped with the reason. 'request ended' of a failed request has its fingerprint and the hashes of its prompt's segments.

--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -111,7 +111,7 @@
 	})
 	e.exchange = newExchange(e.metrics, e.cfg.Dialect)
 	e.crashes = quarantine.New(quarantine.Config{
-		Proposer: control.NewClient(pool, e.follower.Cores), Node: s.Node, Clock: e.clock, Decisions: decision.New(ringSize), Metrics: e.metrics,
+		Proposer: control.NewClient(pool, e.follower.Cores), Node: s.Node, Clock: e.clock, Decisions: decision.New(ringSize), Log: e.log, Metrics: e.metrics,
 	})
 	e.placer = schedule.NewClient(schedule.ClientConfig{
 		Node: s.Node, Feed: func(address string) peerpb.Feed { return pool.Get(address).Feed }, Cores: e.follower.Cores,
--- a/internal/request/forward/outcome.go
+++ b/internal/request/forward/outcome.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"log/slog"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/place"
 )
 
 // meters holds the request metrics by service and outcome.
@@ -24,6 +27,18 @@
 	}
 }
 
+// segmentHashes returns the hashes of a prompt's segments in hexadecimal, in order.
+func segmentHashes(segments []place.Segment) string {
+	var b strings.Builder
+	for i, s := range segments {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(s.Hash, 16))
+	}
+	return b.String()
+}
+
 // recordOutcome logs the outcome of a request and updates the metrics.
 func (f *Forwarder) recordOutcome(j *job, err *Error) {
 	now := f.cfg.Clock.Now()
@@ -65,7 +80,7 @@
 	level := slog.LevelInfo
 	if err != nil {
 		level = slog.LevelWarn
-		attrs = append(attrs, "run", err.Run, "retry_after_ms", err.RetryAfter.Milliseconds(), "error", err.Err)
+		attrs = append(attrs, "fingerprint", j.fingerprint, "segments", segmentHashes(j.info.Segments), "run", err.Run, "retry_after_ms", err.RetryAfter.Milliseconds(), "error", err.Err)
 	}
 	f.cfg.Log.Log(nil, level, "request ended", attrs...) //nolint:staticcheck // No context carries anything for the log.
 }
--- a/internal/request/quarantine/client.go
+++ b/internal/request/quarantine/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	Node      camphorhinge.NodeID
 	Clock     camphorhinge.Clock
 	Decisions camphorhinge.Decisions
+	Log       *slog.Logger
 	Metrics   *metrics.Set
 }
 
@@ -32,6 +34,8 @@
 	maxReports = 64
 	// maxScores bounds the stored scores; in practice, the Machine refuses fewer fingerprints at a time.
 	maxScores = 65_536
+	// maxLogged bounds the fingerprints in a log line.
+	maxLogged = 16
 )
 
 // localScore is a node's copy of the score of a fingerprint.
@@ -163,6 +167,8 @@
 		}
 	}
 	c.crashes.Inc()
+	c.cfg.Log.Warn("target crashed", "target", target, "incarnation", incarnation,
+		"fingerprints", cmd.Fingerprints[:min(len(cmd.Fingerprints), maxLogged)], "in_flight", len(cmd.Fingerprints))
 	c.cfg.Decisions.Record("quarantine", string(target), "crash reported", map[string]string{
 		"incarnation": strconv.FormatUint(uint64(incarnation), 10), "inFlight": strconv.Itoa(len(cmd.Fingerprints)),
 	})
@@ -175,12 +181,14 @@
 		return
 	}
 	if !c.reports.TryGo(func() error {
-		if c.propose(cmd) != nil {
+		if err := c.propose(cmd); err != nil {
 			c.dropped.Inc()
+			c.cfg.Log.Warn("crash report dropped", "target", cmd.Target, "success", cmd.Success, "error", err)
 		}
 		return nil
 	}) {
 		c.dropped.Inc()
+		c.cfg.Log.Warn("crash report dropped", "target", cmd.Target, "success", cmd.Success, "error", "too many reports at a time")
 	}
 }
 
@@ -199,6 +207,7 @@
 				return &Error{Op: "report", Kind: KindCorrupt, Err: err}
 			}
 			c.MergeScores(scores)
+			c.cfg.Log.Info("crash report counted", "target", cmd.Target, "success", cmd.Success, "highest", highestScore(scores))
 			return nil
 		}
 		// A report with an uncertain outcome is not retried: counted twice, a single crash could get an innocent
@@ -214,6 +223,14 @@
 	}
 }
 
+func highestScore(scores []Score) float64 {
+	highest := 0.0
+	for _, s := range scores {
+		highest = max(highest, s.Value)
+	}
+	return highest
+}
+
 // MergeScores stores scores of a Machine, such as those that the leader sends to nodes without a replica. A score of 0
 // removes the stored one.
 func (c *Client) MergeScores(scores []Score) {
@@ -233,6 +250,7 @@
 			value: s.Value, refusedUntil: now.Add(time.Duration(s.RemainingMillis) * time.Millisecond), expiresAt: now.Add(Window),
 		}
 		if s.RemainingMillis > 0 && old.refusedUntil <= now {
+			c.cfg.Log.Warn("requests refused after crashes", "fingerprint", s.Fingerprint, "crashes", s.Value, "remaining_ms", s.RemainingMillis)
 			c.cfg.Decisions.Record("quarantine", strconv.FormatUint(uint64(s.Fingerprint), 16), "refused after crashes", map[string]string{
 				"left": time.Duration(s.RemainingMillis * int64(time.Millisecond)).String(),
 			})
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,7 +128,7 @@
 		zero := time.Now()
 		l := &fakeProposer{Machine: NewMachine(), zero: zero, failures: 2}
 		start := func(node camphorhinge.NodeID) *Client {
-			return New(Config{Proposer: l, Node: node, Clock: clock{zero}, Decisions: noDecisions{}, Metrics: metrics.NewSet()})
+			return New(Config{Proposer: l, Node: node, Clock: clock{zero}, Decisions: noDecisions{}, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet()})
 		}
 		c, other := start("n1"), start("n2")
 		defer func() { require.NoError(t, errors.Join(c.Close(), other.Close())) }()
