--- a/internal/node/feed/source.go
+++ b/internal/node/feed/source.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// WakeWatches makes waiting watches check for changes. It must be called after each change of the registry or of the
-// configuration.
+// WakeWatches makes waiting watches check for changes. It must be called after each change of the registry, of the
+// configuration or of the crash scores.
 func (s *Source) WakeWatches() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,7 +130,7 @@
 	if req.GetLight() {
 		return resp, false
 	}
-	if scores := s.cfg.Scores(); xxhash.Sum64(scores) != req.GetScores() {
+	if scores := s.cfg.Scores(); len(scores) > 0 && xxhash.Sum64(scores) != req.GetScores() {
 		resp.Scores = scores
 	}
 	if req.GetStart() != s.start && req.GetStart() != 0 {
@@ -158,7 +158,7 @@
 		}
 		resp.Targets = append(resp.Targets, &peerpb.Announced{Announcement: data, Age: uint64(max(c.Age, 0).Milliseconds())})
 	}
-	return resp, req.GetStart() != s.start || last != since || uint64(version) > req.GetVersion()
+	return resp, req.GetStart() != s.start || last != since || uint64(version) > req.GetVersion() || len(resp.GetScores()) > 0
 }
 
 // Routing returns the difference between the entry node's version of the configuration and the current one, or an empty
--- a/internal/node/server/durable.go
+++ b/internal/node/server/durable.go
@@ -118,7 +118,7 @@
 		Storage: log, Transport: d, Clock: s.clock, Wall: func() int64 { return time.Now().UnixMilli() },
 		Machines: map[camphorhinge.CommandKind]camphorhinge.Machine{
 			camphorhinge.CommandRecord: notifyingMachine{d.records, s.notifyApplied}, camphorhinge.CommandMember: notifyingMachine{d.members, s.notifyApplied},
-			camphorhinge.CommandClaim: d.claims, camphorhinge.CommandCrash: d.crashes,
+			camphorhinge.CommandClaim: d.claims, camphorhinge.CommandCrash: notifyingMachine{d.crashes, s.notifyApplied},
 			camphorhinge.CommandOrder:   notifyingMachine{d.orderTable, s.notifyApplied},
 			camphorhinge.CommandRouting: notifyingMachine{s.routes, s.notifyApplied},
 		},
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -113,6 +113,9 @@
 	e.exchange = newExchange(e.metrics, e.cfg.Dialect)
 	e.crashes = quarantine.New(quarantine.Config{
 		Proposer: control.NewClient(pool, e.follower.Cores), Node: s.Node, Clock: e.clock, Decisions: decision.New(ringSize), Log: e.log, Metrics: e.metrics,
+		Survived: func(ctx context.Context, t *camphorhinge.Target) bool {
+			return survived(ctx, e.exchange, e.registry, t)
+		},
 	})
 	e.placer = schedule.NewClient(schedule.ClientConfig{
 		Node: s.Node, Feed: feedOf, Cores: e.follower.Cores,
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -265,6 +265,9 @@
 	s.exchange = exchange.New(exchange.Config{Dialer: dial.New(exchange.DefaultConnectTimeout, nil), Metrics: s.metrics, Tracer: s.traces.Tracer("exchange")})
 	s.quarantine = quarantine.New(quarantine.Config{
 		Proposer: s.client, Node: s.cfg.Node, Clock: s.clock, Decisions: s.ring, Log: s.log, Metrics: s.metrics,
+		Survived: func(ctx context.Context, t *camphorhinge.Target) bool {
+			return survived(ctx, s.exchange, s.registry, t)
+		},
 	})
 	claims := claim.New(claim.Config{Proposer: s.client, Node: s.cfg.Node, Metrics: s.metrics, Retention: s.cfg.ClaimRetention})
 	s.configuration = &configuration{mirror: s.mirror, lease: s.lease, synced: s.discovery.Warm}
--- a/internal/node/server/targets.go
+++ b/internal/node/server/targets.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/prefix"
 	"example.org/camphorhinge/internal/request/quarantine"
 )
@@ -41,6 +43,16 @@
 	crashes.MergeScores(scores)
 }
 
+// survived reports whether a target still accepts connections, or has announced that it leaves.
+func survived(ctx context.Context, client *exchange.Client, targets camphorhinge.Targets, t *camphorhinge.Target) bool {
+	for _, x := range targets.Live(t.Service) {
+		if x.Name == t.Name && x.Incarnation == t.Incarnation && x.Leaving {
+			return true
+		}
+	}
+	return client.Reachable(ctx, t.Address)
+}
+
 // maxPrefixes bounds the hashes of one prompt; 256 blocks cover a prompt of 256,000 tokens.
 const maxPrefixes = 256
 
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -290,6 +290,16 @@
 	return cn, nil
 }
 
+// Reachable reports whether a target accepts a new connection, which is then kept for later requests.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	cn, err := c.connect(ctx, address, true)
+	if err != nil {
+		return false
+	}
+	c.pool.release(cn)
+	return true
+}
+
 // callerBody records an error of reading the caller's body, to distinguish it from a failure of the target.
 type callerBody struct {
 	io.Reader
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -135,8 +135,14 @@
 	return false
 }
 
+// errQuarantined marks a request that the quarantine began to refuse while it waited for its placement or its prefill.
+var errQuarantined = errors.New("the request crashes targets")
+
 // openExchange starts an exchange. It counts an arrival if the request may have reached the target.
 func (j *job) openExchange(ctx context.Context, call exchange.Call) (*exchange.Answer, *exchange.Error) {
+	if _, refused := j.f.cfg.Quarantine.Refused(j.fingerprint, j.segments...); refused {
+		return nil, &exchange.Error{Op: "open", Kind: exchange.KindConnect, Run: camphorhinge.NotRun, Err: errQuarantined}
+	}
 	if !j.isServing(call.Target) {
 		return nil, &exchange.Error{Op: "open", Kind: exchange.KindConnect, Run: camphorhinge.NotRun, Err: errTargetLeaving}
 	}
@@ -176,6 +182,9 @@
 
 // targetOutcome maps the error of a failed attempt to the outcome that is recorded for its target.
 func targetOutcome(ctx context.Context, e *exchange.Error) place.Outcome {
+	if errors.Is(e, errQuarantined) {
+		return place.Abandoned
+	}
 	switch e.Kind {
 	case exchange.KindConnect:
 		return place.Unreachable
@@ -201,7 +210,7 @@
 // and the placer.
 func (j *job) execute(ctx context.Context, call exchange.Call, inFlight *place.InFlight) *exchange.Error {
 	clock := j.f.cfg.Clock
-	end := j.f.cfg.Quarantine.Begin(call.Target, j.fingerprint)
+	end := j.f.cfg.Quarantine.Begin(call.Target, j.fingerprint, j.segments...)
 	result, err := j.relayAnswer(ctx, call, inFlight)
 	if err != nil {
 		if err.Kind != exchange.KindStatus { // relayAnswer returns the outcome of a server error itself.
--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -229,11 +229,11 @@
 // noQuarantine refuses no request, or all of them when until is above 0.
 type noQuarantine struct{ until time.Duration }
 
-func (q noQuarantine) Refused(camphorhinge.Fingerprint) (time.Duration, bool) {
+func (q noQuarantine) Refused(camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) (time.Duration, bool) {
 	return q.until, q.until > 0
 }
 
-func (noQuarantine) Begin(*camphorhinge.Target, camphorhinge.Fingerprint) func(bool, bool) {
+func (noQuarantine) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(bool, bool) {
 	return func(bool, bool) {}
 }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -105,11 +105,12 @@
 
 // Quarantine refuses requests that crash targets; *quarantine.Client implements it.
 type Quarantine interface {
-	// Refused reports whether a fingerprint is refused, and for how long.
-	Refused(fp camphorhinge.Fingerprint) (time.Duration, bool)
-	// Begin records that a request is in flight at a target. The returned function must be called once when the attempt
-	// ends: crashed means that the connection was reset or closed during it, succeeded that the answer was complete.
-	Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
+	// Refused reports whether a request is refused, by its fingerprint or by a segment of its prompt, and for how long.
+	Refused(fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (time.Duration, bool)
+	// Begin records that a request is in flight at a target; segments are those of its prompt that other requests may have
+	// as well. The returned function must be called once when the attempt ends: crashed means that the connection was reset
+	// or closed during it, succeeded that the answer was complete.
+	Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
 }
 
 // Sink receives the answer for a caller; *ingress.Sink implements it.
@@ -256,6 +257,21 @@
 	return camphorhinge.Fingerprint(d.Sum64())
 }
 
+// segmentFingerprints returns the hashes by which the quarantine counts the segments of the prompt that other requests may
+// have as well, which are all but the last.
+func (j *job) segmentFingerprints() []camphorhinge.Fingerprint {
+	if len(j.info.Segments) == 0 {
+		return nil
+	}
+	var out []camphorhinge.Fingerprint
+	for _, s := range j.info.Segments[:len(j.info.Segments)-1] {
+		d := xxhash.NewWithSeed(s.Hash)
+		_, _ = d.WriteString(string(j.service.Name)) // Writes to a hash don't fail.
+		out = append(out, camphorhinge.Fingerprint(d.Sum64()))
+	}
+	return out
+}
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -28,7 +28,9 @@
 	body   []byte
 	// fingerprint is the hash by which the quarantine counts crashes of the request.
 	fingerprint camphorhinge.Fingerprint
-	began       camphorhinge.Instant
+	// segments are the hashes by which it counts crashes of the prompt's segments.
+	segments []camphorhinge.Fingerprint
+	began    camphorhinge.Instant
 
 	// arrivals counts the attempts that reached a target, runs the attempts that may have run the request.
 	arrivals, runs int
@@ -56,11 +58,11 @@
 
 // runAttempts places and sends the request until an attempt succeeds or no further attempt is allowed.
 func (j *job) runAttempts(ctx context.Context) *Error {
-	j.fingerprint = j.crashFingerprint()
+	j.fingerprint, j.segments = j.crashFingerprint(), j.segmentFingerprints()
 	var last *exchange.Error
 	for try := 0; ; try++ {
-		if wait, refused := j.f.cfg.Quarantine.Refused(j.fingerprint); refused && j.runs == 0 {
-			return newUnavailable(KindQuarantined, wait, "requests with this fingerprint crashed several targets")
+		if err := j.quarantineError(ctx, last); err != nil {
+			return err
 		}
 		if err := j.allowAttempt(ctx, try, last); err != nil {
 			return err
@@ -90,6 +92,19 @@
 	}
 }
 
+// quarantineError returns the Error of a request that the quarantine refuses, or nil. last is the error of the attempt
+// before, or nil.
+func (j *job) quarantineError(ctx context.Context, last *exchange.Error) *Error {
+	wait, refused := j.f.cfg.Quarantine.Refused(j.fingerprint, j.segments...)
+	if !refused {
+		return nil
+	}
+	if j.runs == 0 {
+		return newUnavailable(KindQuarantined, wait, "requests with this fingerprint or prompt segment crashed several targets")
+	}
+	return j.finalError(ctx, last)
+}
+
 // interruptedError returns the Error of a request whose deadline passed or whose caller closed the connection while it
 // waited for its placement.
 func (j *job) interruptedError(ctx context.Context) *Error {
--- a/internal/request/frontend/frontend.go
+++ b/internal/request/frontend/frontend.go
@@ -71,11 +71,12 @@
 
 // Quarantine refuses requests that crash targets; *quarantine.Client implements it.
 type Quarantine interface {
-	// Refused reports whether a fingerprint is refused, and for how long.
-	Refused(fp camphorhinge.Fingerprint) (time.Duration, bool)
-	// Begin records that a request is in flight at a target. The returned function must be called once when the attempt
-	// ends: crashed means that the connection was reset or closed during it, succeeded that the answer was complete.
-	Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
+	// Refused reports whether a request is refused, by its fingerprint or by a segment of its prompt, and for how long.
+	Refused(fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (time.Duration, bool)
+	// Begin records that a request is in flight at a target; segments are those of its prompt that other requests may have
+	// as well. The returned function must be called once when the attempt ends: crashed means that the connection was reset
+	// or closed during it, succeeded that the answer was complete.
+	Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
 }
 
 // jitterer is an optional interface of an Admission that provides a random delay before a retry.
--- a/internal/request/frontend/job.go
+++ b/internal/request/frontend/job.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/request/exchange"
 )
@@ -27,11 +29,26 @@
 	mayHaveRun bool
 }
 
+// maxSegments bounds the leading blocks of a prompt by which crashes are counted.
+const maxSegments = 32
+
+// segmentFingerprints returns the hashes by which the quarantine counts the leading blocks of the prompt, which other
+// requests may have as well.
+func (j *job) segmentFingerprints() []camphorhinge.Fingerprint {
+	var out []camphorhinge.Fingerprint
+	for _, hash := range j.route.Prefixes[:min(len(j.route.Prefixes), maxSegments)] {
+		d := xxhash.NewWithSeed(hash)
+		_, _ = d.WriteString(string(j.in.service)) // Writes to a hash don't fail.
+		out = append(out, camphorhinge.Fingerprint(d.Sum64()))
+	}
+	return out
+}
+
 // admit decides whether the request may start. It returns its first target and a function that releases the admission.
 func (j *job) admit(ctx context.Context) (camphorhinge.RouteChoice, func(), *Error) {
 	var none camphorhinge.RouteChoice
 	if q := j.f.cfg.Quarantine; q != nil {
-		if left, refused := q.Refused(j.fingerprint); refused {
+		if left, refused := q.Refused(j.fingerprint, j.segmentFingerprints()...); refused {
 			j.f.cfg.Decisions.Record("quarantine", string(j.in.id), "fingerprint refused", map[string]string{
 				"fingerprint": strconv.FormatUint(uint64(j.fingerprint), 16), "left": left.String(),
 			})
@@ -197,7 +214,7 @@
 ) *leg {
 	l := &leg{choice: choice, attempt: attempt, began: time.Now(), endRoute: endRoute, endInFlight: func(bool, bool) {}}
 	if q := j.f.cfg.Quarantine; q != nil {
-		l.endInFlight = q.Begin(choice.Target, j.fingerprint)
+		l.endInFlight = q.Begin(choice.Target, j.fingerprint, j.segmentFingerprints()...)
 	}
 	return l
 }
--- a/internal/request/frontend/refuse_test.go
+++ b/internal/request/frontend/refuse_test.go
@@ -31,11 +31,11 @@
 	return func() { g.released++ }, nil
 }
 
-func (g *gate) Refused(camphorhinge.Fingerprint) (time.Duration, bool) {
+func (g *gate) Refused(camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) (time.Duration, bool) {
 	return g.quarantined, g.quarantined > 0
 }
 
-func (g *gate) Begin(*camphorhinge.Target, camphorhinge.Fingerprint) func(crashed, succeeded bool) {
+func (g *gate) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(crashed, succeeded bool) {
 	return func(crashed, succeeded bool) {
 		switch {
 		case crashed:
--- a/internal/request/quarantine/client.go
+++ b/internal/request/quarantine/client.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -17,7 +20,10 @@
 
 // Config holds the dependencies of a Client.
 type Config struct {
-	Proposer  camphorhinge.Proposer
+	Proposer camphorhinge.Proposer
+	// Survived reports whether a target still runs although a connection to it broke, or has left as planned; nil means
+	// that it ended. Crashes count against the segments of a prompt only when the target ended.
+	Survived  func(ctx context.Context, t *camphorhinge.Target) bool
 	Node      camphorhinge.NodeID
 	Clock     camphorhinge.Clock
 	Decisions camphorhinge.Decisions
@@ -28,6 +34,16 @@
 const (
 	// reportTimeout bounds the retries of one report; it covers a change of the leader, which takes up to 2 s.
 	reportTimeout = 5 * time.Second
+	// survivalTimeout bounds the check whether a target survived.
+	survivalTimeout = time.Second
+	// maxSoundDelay bounds the random delay of a report that a suspect segment is sound, so that the first of many nodes
+	// spares the others theirs.
+	maxSoundDelay = 200 * time.Millisecond
+	// soundRetention is how long successes are kept at least when there are too many.
+	soundRetention = time.Minute
+	// undeliveredRefusal is the remaining time that is returned for a segment that only this node refuses, since it can't
+	// report its crashes.
+	undeliveredRefusal = 2 * time.Second
 	// reportRetryInterval is the time between two proposals of a report.
 	reportRetryInterval = 500 * time.Millisecond
 	// maxReports bounds the concurrent reports; further ones are dropped and counted.
@@ -43,15 +59,32 @@
 	value float64
 	// refusedUntil is when the refusal ends, expiresAt when the score expires.
 	refusedUntil, expiresAt camphorhinge.Instant
+	// index is the Score's index.
+	index camphorhinge.Index
 }
 
 // inFlight is one attempt at a target.
 type inFlight struct {
 	target      *camphorhinge.Target
 	fingerprint camphorhinge.Fingerprint
+	segments    []camphorhinge.Fingerprint
 	reported    bool
 }
 
+// lastSuccess is the time of the last success with a segment, and whether it has been reported.
+type lastSuccess struct {
+	at       camphorhinge.Instant
+	reported bool
+}
+
+// observed is a crash that has not been reported yet, or a success to report.
+type observed struct {
+	command
+	at camphorhinge.Instant
+	// unconfirmed is the target of a crash that may have survived, or nil.
+	unconfirmed *camphorhinge.Target
+}
+
 // Client reports the crashes seen by one node and refuses quarantined requests there. It is safe for concurrent use.
 type Client struct {
 	cfg     Config
@@ -65,6 +98,9 @@
 	mu       sync.Mutex
 	inFlight map[camphorhinge.TargetName]map[*inFlight]struct{}
 	scores   map[camphorhinge.Fingerprint]localScore
+	// sound holds the last success with each segment, pending the crashes whose report is not delivered.
+	sound   map[camphorhinge.Fingerprint]lastSuccess
+	pending map[*observed]struct{}
 }
 
 // New returns a Client, which must be closed by Close.
@@ -73,6 +109,8 @@
 		cfg:      cfg,
 		inFlight: make(map[camphorhinge.TargetName]map[*inFlight]struct{}),
 		scores:   make(map[camphorhinge.Fingerprint]localScore),
+		sound:    make(map[camphorhinge.Fingerprint]lastSuccess),
+		pending:  make(map[*observed]struct{}),
 		dropped:  cfg.Metrics.GetOrCreateCounter("camphorhinge_crash_reports_dropped_total"),
 		refused:  cfg.Metrics.GetOrCreateCounter("camphorhinge_quarantine_refused_total"),
 		crashes:  cfg.Metrics.GetOrCreateCounter("camphorhinge_crashes_total"),
@@ -90,31 +128,58 @@
 	return c.reports.Wait()
 }
 
-// Refused reports whether a fingerprint is refused, and returns the remaining time of the refusal. It counts each
-// refusal.
-func (c *Client) Refused(fp camphorhinge.Fingerprint) (time.Duration, bool) {
+// Refused reports whether a request is refused, by its fingerprint or by a segment of its prompt, and returns the
+// remaining time of the refusal. It counts each refusal.
+func (c *Client) Refused(fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	score, ok := c.scores[fp]
-	if !ok {
-		return 0, false
-	}
 	now := c.cfg.Clock.Now()
-	if score.expiresAt <= now {
+	left := c.remaining(now, fp)
+	for _, seg := range segments {
+		left = max(left, c.remaining(now, seg))
+		if left == 0 && c.refusedLocally(now, seg) {
+			left = undeliveredRefusal
+		}
+	}
+	if left > 0 {
+		c.refused.Inc()
+	}
+	return left, left > 0
+}
+
+// remaining returns the remaining time of a refusal, or 0.
+func (c *Client) remaining(now camphorhinge.Instant, fp camphorhinge.Fingerprint) time.Duration {
+	score, ok := c.scores[fp]
+	if ok && score.expiresAt <= now {
 		delete(c.scores, fp)
-		return 0, false
+		return 0
+	}
+	return max(score.refusedUntil.Sub(now), 0)
+}
+
+// refusedLocally reports whether the crashes of a segment that this node could not report yet, together with those that
+// the cluster has counted, reach the threshold.
+func (c *Client) refusedLocally(now camphorhinge.Instant, seg camphorhinge.Fingerprint) bool {
+	if len(c.pending) == 0 {
+		return false
 	}
-	if score.refusedUntil <= now {
-		return 0, false
+	last, sound := c.sound[seg]
+	crashes := int(c.scores[seg].value)
+	for o := range c.pending {
+		if o.at > last.at && slices.Contains(o.Segments, seg) {
+			crashes++
+		}
 	}
-	c.refused.Inc()
-	return score.refusedUntil.Sub(now), true
+	return crashes >= suspect{sound: sound && now.Sub(last.at) < Window}.threshold()
 }
 
-// Begin records an attempt at a target. The returned function must be called once when the attempt ends: crashed means
-// that the connection was reset or closed during the attempt, succeeded that the answer was complete.
-func (c *Client) Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint) func(crashed, succeeded bool) {
-	f := &inFlight{target: target, fingerprint: fp}
+// Begin records an attempt at a target; segments are those of its prompt that other requests may have as well. The
+// returned function must be called once when the attempt ends: crashed means that the connection was reset or closed
+// during the attempt, succeeded that the answer was complete.
+func (c *Client) Begin(
+	target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint,
+) func(crashed, succeeded bool) {
+	f := &inFlight{target: target, fingerprint: fp, segments: segments}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	set := c.inFlight[target.Name]
@@ -127,79 +192,155 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if crashed && !f.reported {
-			c.reportCrash(target.Name, target.Incarnation)
+			c.reportCrash(target.Name, target.Incarnation, target)
 		}
 		delete(set, f)
 		if len(set) == 0 && len(c.inFlight[target.Name]) == 0 {
 			delete(c.inFlight, target.Name)
 		}
-		if score := c.scores[fp]; succeeded && score.value > 0 {
-			delete(c.scores, fp)
-			c.report(command{Node: c.cfg.Node, Fingerprints: []camphorhinge.Fingerprint{fp}, Success: true})
+		if succeeded {
+			c.recordSuccess(f)
 		}
 	}
 }
 
+// recordSuccess records the success of an attempt and reports it if the cluster has counted crashes against the request or
+// its segments.
+func (c *Client) recordSuccess(f *inFlight) {
+	now := c.cfg.Clock.Now()
+	o := &observed{command: command{Node: c.cfg.Node, Success: true}, at: now}
+	if c.scores[f.fingerprint].value > 0 {
+		delete(c.scores, f.fingerprint)
+		o.Fingerprints = []camphorhinge.Fingerprint{f.fingerprint}
+	}
+	if len(c.sound) >= maxScores {
+		maps.DeleteFunc(c.sound, func(_ camphorhinge.Fingerprint, x lastSuccess) bool { return now.Sub(x.at) > soundRetention })
+	}
+	for _, seg := range f.segments {
+		score := c.scores[seg]
+		if len(c.sound) < maxScores {
+			c.sound[seg] = lastSuccess{at: now, reported: score.value > 0}
+		}
+		if score.value > 0 {
+			score.value = 0
+			c.scores[seg] = score
+			o.Sound = append(o.Sound, success{Segment: seg})
+		}
+	}
+	if len(o.Fingerprints) > 0 || len(o.Sound) > 0 {
+		c.report(o)
+	}
+}
+
 // RecordRestart records that a target announced a new incarnation: attempts on earlier ones ended in a crash.
 func (c *Client) RecordRestart(target camphorhinge.TargetName, incarnation camphorhinge.Incarnation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for f := range c.inFlight[target] {
 		if f.target.Incarnation < incarnation && !f.reported {
-			c.reportCrash(target, f.target.Incarnation)
+			c.reportCrash(target, f.target.Incarnation, nil)
 			return
 		}
 	}
 }
 
-// reportCrash reports all unreported attempts up to an incarnation of a target as one crash.
-func (c *Client) reportCrash(target camphorhinge.TargetName, incarnation camphorhinge.Incarnation) {
-	cmd := command{Node: c.cfg.Node, Target: target, Incarnation: incarnation}
-	seen := make(map[camphorhinge.Fingerprint]struct{})
+// reportCrash reports all unreported attempts up to an incarnation of a target as one crash. If unconfirmed is not nil,
+// the target may have survived.
+func (c *Client) reportCrash(target camphorhinge.TargetName, incarnation camphorhinge.Incarnation, unconfirmed *camphorhinge.Target) {
+	now := c.cfg.Clock.Now()
+	o := &observed{command: command{Node: c.cfg.Node, Target: target, Incarnation: incarnation}, at: now, unconfirmed: unconfirmed}
+	requests, segments := make(map[camphorhinge.Fingerprint]struct{}), make(map[camphorhinge.Fingerprint]struct{})
 	for f := range c.inFlight[target] {
 		if f.reported || f.target.Incarnation > incarnation {
 			continue
 		}
 		f.reported = true
-		if _, ok := seen[f.fingerprint]; !ok {
-			seen[f.fingerprint] = struct{}{}
-			cmd.Fingerprints = append(cmd.Fingerprints, f.fingerprint)
+		requests[f.fingerprint] = struct{}{}
+		for _, seg := range f.segments {
+			segments[seg] = struct{}{}
+		}
+	}
+	o.Fingerprints, o.Segments = slices.Sorted(maps.Keys(requests)), slices.Sorted(maps.Keys(segments))
+	for _, seg := range o.Segments {
+		if last, ok := c.sound[seg]; ok {
+			o.Sound = append(o.Sound, success{Segment: seg, Age: now.Sub(last.at).Milliseconds()})
+			c.sound[seg] = lastSuccess{at: last.at, reported: true}
 		}
 	}
 	c.crashes.Inc()
 	c.cfg.Log.Warn("target crashed", "target", target, "incarnation", incarnation,
-		"fingerprints", cmd.Fingerprints[:min(len(cmd.Fingerprints), maxLogged)], "in_flight", len(cmd.Fingerprints))
+		"fingerprints", o.Fingerprints[:min(len(o.Fingerprints), maxLogged)], "in_flight", len(o.Fingerprints),
+		"segments", o.Segments[:min(len(o.Segments), maxLogged)], "sound", len(o.Sound))
 	c.cfg.Decisions.Record("quarantine", string(target), "crash reported", map[string]string{
-		"incarnation": strconv.FormatUint(uint64(incarnation), 10), "inFlight": strconv.Itoa(len(cmd.Fingerprints)),
+		"incarnation": strconv.FormatUint(uint64(incarnation), 10), "inFlight": strconv.Itoa(len(o.Fingerprints)),
 	})
-	c.report(cmd)
+	c.report(o)
 }
 
-// report proposes a command in the background and merges the resulting scores.
-func (c *Client) report(cmd command) {
+// report proposes a command in the background and merges the resulting scores. The caller holds c.mu.
+func (c *Client) report(o *observed) {
 	if c.ctx.Err() != nil {
 		return
 	}
 	if !c.reports.TryGo(func() error {
-		if err := c.propose(cmd); err != nil {
+		if err := c.deliver(o); err != nil {
 			c.dropped.Inc()
-			c.cfg.Log.Warn("crash report dropped", "target", cmd.Target, "success", cmd.Success, "error", err)
+			c.cfg.Log.Warn("crash report dropped", "target", o.Target, "success", o.Success, "error", err)
 		}
 		return nil
 	}) {
 		c.dropped.Inc()
-		c.cfg.Log.Warn("crash report dropped", "target", cmd.Target, "success", cmd.Success, "error", "too many reports at a time")
+		c.cfg.Log.Warn("crash report dropped", "target", o.Target, "success", o.Success, "error", "too many reports at a time")
+	}
+}
+
+// deliver checks whether the target of a crash ended, and proposes the command.
+func (c *Client) deliver(o *observed) error {
+	if len(o.Segments) > 0 && o.unconfirmed != nil && c.survived(o.unconfirmed) {
+		c.cfg.Log.Info("target survived a broken connection", "target", o.Target)
+		o.Segments = nil
+	}
+	if len(o.Segments) > 0 {
+		c.mu.Lock()
+		c.pending[o] = struct{}{}
+		c.mu.Unlock()
+		defer func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			delete(c.pending, o)
+		}()
 	}
+	return c.propose(o)
 }
 
-func (c *Client) propose(cmd command) error {
-	ctx, cancel := context.WithTimeout(c.ctx, reportTimeout)
+func (c *Client) survived(t *camphorhinge.Target) bool {
+	if c.cfg.Survived == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, survivalTimeout)
 	defer cancel()
-	encoded, err := json.Marshal(cmd)
-	if err != nil {
-		return &Error{Op: "report", Kind: KindCorrupt, Err: err}
+	return c.cfg.Survived(ctx, t)
+}
+
+// propose proposes a command until it is committed. A crash that has segments is reported for as long as it counts: the
+// cluster counts it once, however often it is reported.
+func (c *Client) propose(o *observed) error {
+	timeout := reportTimeout
+	if len(o.Segments) > 0 {
+		timeout = Window
 	}
+	ctx, cancel := context.WithTimeout(c.ctx, timeout)
+	defer cancel()
+	sound := slices.Clone(o.Sound)
 	for {
+		o.Age = c.cfg.Clock.Now().Sub(o.at).Milliseconds()
+		for i := range o.Sound {
+			o.Sound[i].Age = sound[i].Age + o.Age
+		}
+		encoded, err := json.Marshal(o.command)
+		if err != nil {
+			return &Error{Op: "report", Kind: KindCorrupt, Err: err}
+		}
 		out, err := c.cfg.Proposer.Propose(ctx, camphorhinge.CommandCrash, encoded)
 		if err == nil {
 			var scores []Score
@@ -207,12 +348,15 @@
 				return &Error{Op: "report", Kind: KindCorrupt, Err: err}
 			}
 			c.MergeScores(scores)
-			c.cfg.Log.Info("crash report counted", "target", cmd.Target, "success", cmd.Success, "highest", highestScore(scores))
+			c.cfg.Log.Info("crash report counted", "target", o.Target, "success", o.Success, "highest", highestScore(scores))
 			return nil
 		}
-		// A report with an uncertain outcome is not retried: counted twice, a single crash could get an innocent
-		// request refused.
-		if errors.Is(err, camphorhinge.ErrUncertain) {
+		// A report of requests with an uncertain outcome is not repeated: counted twice, a single crash could get an
+		// innocent request refused.
+		if errors.Is(err, camphorhinge.ErrUncertain) || o.Age > reportTimeout.Milliseconds() {
+			o.Fingerprints = nil
+		}
+		if len(o.Fingerprints) == 0 && len(o.Segments) == 0 && len(o.Sound) == 0 {
 			return &Error{Op: "report", Kind: KindPropose, Err: err}
 		}
 		select {
@@ -232,13 +376,15 @@
 }
 
 // MergeScores stores scores of a Machine, such as those that the leader sends to nodes without a replica. A score of 0
-// removes the stored one.
+// removes the stored one of a request. Scores of segments that are older than the stored one are ignored. If this node
+// knows of successes with a suspect segment, it reports the last one.
 func (c *Client) MergeScores(scores []Score) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Clock.Now()
+	var sound []camphorhinge.Fingerprint
 	for _, s := range scores {
-		if s.Value == 0 && s.RemainingMillis == 0 {
+		if s.Value == 0 && s.RemainingMillis == 0 && !s.Segment {
 			delete(c.scores, s.Fingerprint)
 			continue
 		}
@@ -246,17 +392,68 @@
 			c.evictScores(now)
 		}
 		old := c.scores[s.Fingerprint]
+		if s.Segment && s.Index < old.index {
+			continue
+		}
+		if last, ok := c.sound[s.Fingerprint]; ok && !last.reported && s.Value > 0 {
+			sound = append(sound, s.Fingerprint)
+		}
 		score := localScore{
 			value: s.Value, refusedUntil: now.Add(time.Duration(s.RemainingMillis) * time.Millisecond), expiresAt: now.Add(Window),
+			index: s.Index,
 		}
 		if s.RemainingMillis > 0 && old.refusedUntil <= now {
-			c.cfg.Log.Warn("requests refused after crashes", "fingerprint", s.Fingerprint, "crashes", s.Value, "remaining_ms", s.RemainingMillis)
+			c.cfg.Log.Warn("requests refused after crashes", "fingerprint", s.Fingerprint, "segment", s.Segment, "crashes", s.Value,
+				"remaining_ms", s.RemainingMillis)
 			c.cfg.Decisions.Record("quarantine", strconv.FormatUint(uint64(s.Fingerprint), 16), "refused after crashes", map[string]string{
 				"left": time.Duration(s.RemainingMillis * int64(time.Millisecond)).String(),
 			})
 		}
+		if s.RemainingMillis == 0 && old.refusedUntil > now {
+			c.cfg.Log.Info("refusal after crashes ended", "fingerprint", s.Fingerprint, "segment", s.Segment)
+		}
 		c.scores[s.Fingerprint] = score
 	}
+	if len(sound) > 0 {
+		c.reportSound(sound)
+	}
+}
+
+// reportSound reports the last success with segments that are still suspect after a random delay. The caller holds c.mu.
+func (c *Client) reportSound(segments []camphorhinge.Fingerprint) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.reports.TryGo(func() error {
+		select {
+		case <-c.ctx.Done():
+			return nil
+		case <-time.After(rand.N(maxSoundDelay)): //nolint:gosec // Timing needs no secrecy.
+		}
+		o := c.collectSuccesses(segments)
+		if len(o.Sound) == 0 {
+			return nil
+		}
+		if err := c.propose(o); err != nil {
+			c.cfg.Log.Warn("success with suspect segments not reported", "segments", len(o.Sound), "error", err)
+		}
+		return nil
+	})
+}
+
+// collectSuccesses returns a report of the last successes with those of the segments that are still suspect.
+func (c *Client) collectSuccesses(segments []camphorhinge.Fingerprint) *observed {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	o := &observed{command: command{Node: c.cfg.Node, Success: true}, at: now}
+	for _, seg := range segments {
+		if last := c.sound[seg]; !last.reported && c.scores[seg].value > 0 {
+			o.Sound = append(o.Sound, success{Segment: seg, Age: now.Sub(last.at).Milliseconds()})
+			c.sound[seg] = lastSuccess{at: last.at, reported: true}
+		}
+	}
+	return o
 }
 
 // evictScores removes expired scores, and if that is not enough, all that don't cause a refusal.
--- a/internal/request/quarantine/machine.go
+++ b/internal/request/quarantine/machine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -62,14 +63,23 @@
 	Incarnation  camphorhinge.Incarnation   `json:"i,omitempty"`
 	Fingerprints []camphorhinge.Fingerprint `json:"f"`
 	Success      bool                       `json:"s,omitempty"`
+	// Segments are those of the prompts in flight when the target ended, Sound successes with any segments.
+	Segments []camphorhinge.Fingerprint `json:"g,omitempty"`
+	Sound    []success                  `json:"o,omitempty"`
+	// Age is the time from the crash to the sending of the command, in milliseconds.
+	Age int64 `json:"a,omitempty"`
 }
 
-// Score is the score of one fingerprint.
+// Score is the score of one fingerprint, of a whole request or of a prompt segment.
 type Score struct {
 	Fingerprint camphorhinge.Fingerprint `json:"f"`
 	Value       float64                  `json:"c"`
 	// RemainingMillis is the remaining time of the refusal in milliseconds, or 0 if the fingerprint is not refused.
 	RemainingMillis int64 `json:"l"`
+	// Index is the log index of the last change of a segment's score; of two scores, that with the higher one is newer.
+	Index camphorhinge.Index `json:"i,omitempty"`
+	// Segment is true for the score of a prompt segment.
+	Segment bool `json:"g,omitempty"`
 }
 
 // crash is one crash of a target.
@@ -81,6 +91,10 @@
 	// Fingerprints are those in flight, sorted; Cleared are those that succeeded later.
 	Fingerprints []camphorhinge.Fingerprint `json:"f"`
 	Cleared      []camphorhinge.Fingerprint `json:"c,omitempty"`
+	// At is the stamp of the crash, which a delayed report may put before Stamp; it counts for Segments, those in flight,
+	// sorted.
+	At       int64                      `json:"w,omitempty"`
+	Segments []camphorhinge.Fingerprint `json:"g,omitempty"`
 }
 
 // Machine is the replicated state of crashes and scores; it implements camphorhinge.Machine.
@@ -91,7 +105,8 @@
 	// refusedUntil is the stamp at which the refusal of a fingerprint ends, in milliseconds.
 	refusedUntil map[camphorhinge.Fingerprint]int64
 	// index lists the stored crashes of each fingerprint, without those from which it was cleared.
-	index map[camphorhinge.Fingerprint][]*crash
+	index    map[camphorhinge.Fingerprint][]*crash
+	segments segmentScores
 	// stamp is that of the last applied entry.
 	stamp int64
 }
@@ -103,10 +118,12 @@
 	return &Machine{
 		refusedUntil: make(map[camphorhinge.Fingerprint]int64),
 		index:        make(map[camphorhinge.Fingerprint][]*crash),
+		segments:     newSegmentScores(),
 	}
 }
 
-// Apply implements camphorhinge.Machine. The result is the encoded list of Scores of the command's fingerprints.
+// Apply implements camphorhinge.Machine. The result is the encoded list of Scores of the command's fingerprints and
+// segments.
 func (m *Machine) Apply(e camphorhinge.Entry, encoded []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -116,15 +133,22 @@
 	if json.Unmarshal(encoded, &c) != nil {
 		return []byte("[]")
 	}
+	m.segments.addSuccesses(e, c.Sound)
 	if c.Success {
 		m.clear(c.Fingerprints)
 	} else {
-		m.recordCrash(c)
+		m.recordCrash(e, c)
 	}
-	scores := make([]Score, 0, len(c.Fingerprints))
+	scores := make([]Score, 0, len(c.Fingerprints)+len(c.Segments)+len(c.Sound))
 	for _, fp := range c.Fingerprints {
 		scores = append(scores, m.score(fp, m.stamp))
 	}
+	for _, seg := range c.Segments {
+		scores = append(scores, m.segments.score(seg, m.stamp))
+	}
+	for _, x := range c.Sound {
+		scores = append(scores, m.segments.score(x.Segment, m.stamp))
+	}
 	out, err := json.Marshal(scores)
 	if err != nil {
 		panic("scores of plain numbers can't be encoded: " + err.Error())
@@ -133,7 +157,7 @@
 }
 
 // recordCrash merges a report into the crash that it belongs to, or adds a new crash.
-func (m *Machine) recordCrash(c command) {
+func (m *Machine) recordCrash(e camphorhinge.Entry, c command) {
 	var current *crash
 	for _, cr := range slices.Backward(m.crashes) {
 		if m.stamp-cr.Stamp > mergeWindow.Milliseconds() {
@@ -145,7 +169,7 @@
 		}
 	}
 	if current == nil {
-		current = &crash{Stamp: m.stamp, Target: c.Target, Incarnation: c.Incarnation}
+		current = &crash{Stamp: m.stamp, At: m.stamp - max(c.Age, 0), Target: c.Target, Incarnation: c.Incarnation}
 		if len(m.crashes) >= maxCrashes {
 			m.dropOldest(1)
 		}
@@ -162,6 +186,7 @@
 			m.refusedUntil[fp] = m.stamp + Window.Milliseconds()
 		}
 	}
+	m.segments.addCrash(e, current, c.Segments)
 }
 
 // total returns the score of a fingerprint in scoreUnits, over the crashes within Window.
@@ -184,6 +209,7 @@
 				delete(m.index, fp)
 			}
 		}
+		m.segments.drop(cr)
 	}
 	m.crashes = slices.Delete(m.crashes, 0, n)
 }
@@ -215,6 +241,7 @@
 			delete(m.refusedUntil, fp)
 		}
 	}
+	m.segments.dropExpired(m.stamp)
 }
 
 // Scores returns the scores above 0 and those of refused fingerprints, sorted by fingerprint, for Client.MergeScores on
@@ -237,6 +264,7 @@
 			out = append(out, s)
 		}
 	}
+	out = append(out, m.segments.scores(now)...)
 	slices.SortFunc(out, func(a, b Score) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return out
 }
@@ -244,13 +272,14 @@
 // remainingStep is the step to which Suspects rounds up the remaining time of a refusal, so that its result changes rarely.
 const remainingStep = 10_000
 
-// Suspects returns the Scores of refused fingerprints and of those that were in more than one crash. A large fleet has very
-// many fingerprints with a single crash, as when connections are reset, and other nodes don't need them.
+// Suspects returns the Scores of refused fingerprints, of those that were in more than one crash, and of released segments.
+// A large fleet has very many fingerprints with a single crash, as when connections are reset, and other nodes don't need
+// them.
 func (m *Machine) Suspects(now int64) []Score {
 	all := m.Scores(now)
 	out := all[:0]
 	for _, s := range all {
-		if s.RemainingMillis == 0 && s.Value <= 1 {
+		if s.RemainingMillis == 0 && s.Value <= 1 && !m.isReleased(s) {
 			continue
 		}
 		s.RemainingMillis = (s.RemainingMillis + remainingStep - 1) / remainingStep * remainingStep
@@ -259,18 +288,30 @@
 	return out
 }
 
+// isReleased reports whether a score is that of a segment whose refusal has ended before its time.
+func (m *Machine) isReleased(s Score) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.segments.refused[s.Fingerprint]
+	return s.Segment && ok && r.Until == 0
+}
+
 // snapshot is the encoded state.
 type snapshot struct {
 	Stamp   int64                              `json:"at"`
 	Crashes []*crash                           `json:"crashes"`
 	Refused map[camphorhinge.Fingerprint]int64 `json:"refused"`
+	// Sound, Segments and Index are the state of the segments, except their crashes.
+	Sound    map[camphorhinge.Fingerprint]int64              `json:"sound,omitempty"`
+	Segments map[camphorhinge.Fingerprint]refusal            `json:"segments,omitempty"`
+	Index    map[camphorhinge.Fingerprint]camphorhinge.Index `json:"index,omitempty"`
 }
 
 // Snapshot implements camphorhinge.Machine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out, err := json.Marshal(snapshot{m.stamp, m.crashes, m.refusedUntil})
+	out, err := json.Marshal(snapshot{m.stamp, m.crashes, m.refusedUntil, m.segments.soundAt, m.segments.refused, m.segments.index})
 	if err != nil {
 		return nil, &Error{Op: "snapshot", Kind: KindCorrupt, Err: err}
 	}
@@ -292,8 +333,15 @@
 	if m.refusedUntil == nil {
 		m.refusedUntil = make(map[camphorhinge.Fingerprint]int64)
 	}
+	m.segments = newSegmentScores()
+	maps.Copy(m.segments.soundAt, s.Sound)
+	maps.Copy(m.segments.refused, s.Segments)
+	maps.Copy(m.segments.index, s.Index)
 	m.index = make(map[camphorhinge.Fingerprint][]*crash)
 	for _, cr := range m.crashes {
+		for _, seg := range cr.Segments {
+			m.segments.crashes[seg] = append(m.segments.crashes[seg], cr)
+		}
 		for _, fp := range cr.Fingerprints {
 			if !slices.Contains(cr.Cleared, fp) {
 				m.index[fp] = append(m.index[fp], cr)
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -75,7 +75,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			m := NewMachine()
 			for _, r := range tc.reports {
-				cmd, err := json.Marshal(command{r.node, r.target, r.inc, r.prints, r.success})
+				cmd, err := json.Marshal(command{Node: r.node, Target: r.target, Incarnation: r.inc, Fingerprints: r.prints, Success: r.success})
 				require.NoError(t, err)
 				m.Apply(camphorhinge.Entry{Stamp: r.at}, cmd)
 				saved, err := m.Snapshot()
--- /dev/null
+++ b/internal/request/quarantine/segments_test.go
@@ -0,0 +1,260 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+)
+
+type segments = []camphorhinge.Fingerprint
+
+// crashAt returns a report on a target's first incarnation.
+func crashAt(target string, sound []success, in ...camphorhinge.Fingerprint) command {
+	return command{Node: "n", Target: camphorhinge.TargetName(target), Incarnation: 1, Segments: in, Sound: sound}
+}
+
+// TestSegments guards against engines that end one after the other under one prompt segment, and against the refusal of
+// segments that were only in flight beside it.
+func TestSegments(t *testing.T) {
+	type step struct {
+		at      int64
+		command command
+	}
+	soundAt := func(age int64, in ...camphorhinge.Fingerprint) []success {
+		var out []success
+		for _, seg := range in {
+			out = append(out, success{Segment: seg, Age: age})
+		}
+		return out
+	}
+	ok := func(in ...camphorhinge.Fingerprint) command {
+		return command{Node: "n", Success: true, Sound: soundAt(0, in...)}
+	}
+	for _, tc := range []struct {
+		name    string
+		steps   []step
+		refused segments
+	}{
+		{"two crashes", []step{{0, crashAt("a", nil, 7)}, {1000, crashAt("b", nil, 7)}}, nil},
+		{"three crashes beside changing segments", []step{
+			{0, crashAt("a", nil, 7, 20, 21)}, {1000, crashAt("b", nil, 7, 22, 23)}, {2000, crashAt("c", nil, 7, 20, 24)},
+		}, segments{7}},
+		{"two nodes report one crash late", []step{
+			{0, crashAt("a", nil, 7)}, {1000, crashAt("a", nil, 7)}, {9000, crashAt("a", nil, 7)}, {9500, crashAt("b", nil, 7)},
+		}, nil},
+		{"the common first segment is known to be sound", []step{
+			{0, crashAt("a", soundAt(50, 1), 1, 7)},
+			{1000, crashAt("b", soundAt(400, 1), 1, 7)},
+			{2000, crashAt("c", soundAt(1400, 1), 1, 7)},
+			{3000, crashAt("d", nil, 1, 7)},
+			{4000, crashAt("e", nil, 1, 7)},
+			{5000, crashAt("f", nil, 1, 7)},
+		}, segments{7}},
+		{"a sound segment that no other explains", []step{
+			{0, crashAt("a", soundAt(50, 1), 1, 7)},
+			{1000, crashAt("b", nil, 1, 8)},
+			{2000, crashAt("c", nil, 1, 9)},
+			{3000, crashAt("d", nil, 1, 10)},
+			{4000, crashAt("e", nil, 1, 11)},
+		}, segments{1}},
+		{"a success in between", []step{
+			{0, crashAt("a", nil, 7)}, {1000, crashAt("b", nil, 7)}, {1500, ok(7)}, {2000, crashAt("c", nil, 7)}, {3000, crashAt("d", nil, 7)},
+		}, nil},
+		{"a success of before the crashes does not count", []step{
+			{0, crashAt("a", nil, 7)},
+			{1000, crashAt("b", nil, 7)},
+			{2000, crashAt("c", soundAt(5000, 7), 7)},
+			{3000, crashAt("d", nil, 7)},
+			{4000, crashAt("e", nil, 7)},
+		}, segments{7}},
+		{"targets that end together count once", []step{
+			{0, crashAt("a", nil, 7)}, {10, crashAt("b", nil, 7)}, {20, crashAt("c", nil, 7)}, {30, crashAt("d", nil, 7)},
+		}, nil},
+		{"beside the crashing segment three times, until that is in another crash", []step{
+			{0, crashAt("a", nil, 7, 8)}, {1000, crashAt("b", nil, 7, 8)}, {2000, crashAt("c", nil, 7, 8)}, {3000, crashAt("d", nil, 7)},
+		}, segments{7}},
+		{"success when refused", []step{
+			{0, crashAt("a", nil, 7)}, {1000, crashAt("b", nil, 7)}, {2000, crashAt("c", nil, 7)}, {3000, ok(7)},
+		}, nil},
+		{"a delayed report counts at the time of the crash", []step{
+			{0, crashAt("a", nil, 7)},
+			{1000, crashAt("b", nil, 7)},
+			{1500, ok(7)},
+			{2000, command{Node: "n", Target: "c", Incarnation: 1, Segments: segments{7}, Age: 1800}},
+			{2500, crashAt("d", nil, 7)},
+			{3500, crashAt("e", nil, 7)},
+		}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := NewMachine()
+			var last int64
+			for i, s := range tc.steps {
+				last = 1_000_000 + s.at
+				data, err := json.Marshal(s.command)
+				require.NoError(t, err)
+				m.Apply(camphorhinge.Entry{Index: camphorhinge.Index(i + 1), Stamp: last}, data)
+				saved, err := m.Snapshot()
+				require.NoError(t, err)
+				m = NewMachine()
+				require.NoError(t, m.Restore(saved))
+			}
+			var refused segments
+			for _, s := range m.Suspects(last) {
+				if s.Segment && s.RemainingMillis > 0 {
+					refused = append(refused, s.Fingerprint)
+				}
+			}
+			require.Equal(t, tc.refused, refused)
+			for _, s := range m.Scores(last + Window.Milliseconds() + 1) {
+				require.Zero(t, s.RemainingMillis, "refused after the window")
+			}
+		})
+	}
+}
+
+// TestReleaseReachesNodes guards against a node that refuses a segment for ten minutes though the cluster has released it,
+// and against an old score that brings the refusal back.
+func TestReleaseReachesNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, zero := NewMachine(), time.Now()
+		apply := func(index camphorhinge.Index, c command) []Score {
+			data, err := json.Marshal(c)
+			require.NoError(t, err)
+			m.Apply(camphorhinge.Entry{Index: index, Stamp: 1000 * int64(index)}, data)
+			return m.Suspects(1000 * int64(index))
+		}
+		c := newTestClient(&unreachable{}, zero, nil)
+		defer func() { require.NoError(t, c.Close()) }()
+		apply(1, crashAt("a", nil, 7, 8))
+		apply(2, crashAt("b", nil, 7, 8))
+		old := apply(3, crashAt("c", nil, 7, 8))
+		c.MergeScores(old)
+		_, refused := c.Refused(1, 8)
+		require.True(t, refused)
+		c.MergeScores(apply(4, crashAt("d", nil, 7)))
+		_, refused = c.Refused(1, 8)
+		require.False(t, refused)
+		c.MergeScores(old)
+		_, refused = c.Refused(1, 8)
+		require.False(t, refused, "an old score")
+		_, refused = c.Refused(1, 9, 7)
+		require.True(t, refused)
+	})
+}
+
+// unreachable is a Proposer whose leader can't be reached while down is set; it records what is committed.
+type unreachable struct {
+	mu       sync.Mutex
+	down     bool
+	commands []command
+}
+
+func (u *unreachable) Propose(_ context.Context, _ camphorhinge.CommandKind, data []byte) ([]byte, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.down {
+		return nil, errors.New("no leader")
+	}
+	var c command
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, err
+	}
+	u.commands = append(u.commands, c)
+	return []byte("[]"), nil
+}
+
+func newTestClient(p camphorhinge.Proposer, zero time.Time, survived func(context.Context, *camphorhinge.Target) bool) *Client {
+	return New(Config{
+		Proposer: p, Node: "n", Clock: clock{zero}, Decisions: noDecisions{}, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		Survived: survived,
+	})
+}
+
+// TestCrashesWithoutLeader guards against a node that can't reach a leader and sends requests with a crashing segment to
+// engine after engine, and against reports that are lost when the leader is away for longer than a change of leaders.
+func TestCrashesWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &unreachable{down: true}
+		c := newTestClient(p, time.Now(), nil)
+		defer func() { require.NoError(t, c.Close()) }()
+		time.Sleep(time.Second)
+		c.Begin(target("x"), 1, 5)(false, true)
+		for i, name := range []camphorhinge.TargetName{"a", "b", "c"} {
+			_, refused := c.Refused(1, 5, 7)
+			require.False(t, refused, "crash %d", i)
+			c.Begin(target(name), camphorhinge.Fingerprint(10+i), 5, 7)(true, false)
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		_, refused := c.Refused(1, 5, 7)
+		require.True(t, refused)
+		_, refused = c.Refused(1, 5)
+		require.False(t, refused, "a segment that was sound")
+		time.Sleep(20 * time.Second)
+		p.mu.Lock()
+		p.down = false
+		p.mu.Unlock()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.Len(t, p.commands, 3)
+		for _, x := range p.commands {
+			require.Equal(t, segments{5, 7}, x.Segments)
+			require.GreaterOrEqual(t, x.Age, int64(20_000))
+			require.Empty(t, x.Fingerprints, "reported too late to count for requests")
+		}
+	})
+}
+
+func target(name camphorhinge.TargetName) *camphorhinge.Target {
+	return &camphorhinge.Target{Announcement: camphorhinge.Announcement{Name: name, Incarnation: 1}}
+}
+
+// TestSurvivingTarget guards against segments that are refused because targets break off answers without ending.
+func TestSurvivingTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &unreachable{}
+		c := newTestClient(p, time.Now(), func(_ context.Context, t *camphorhinge.Target) bool { return t.Name == "alive" })
+		defer func() { require.NoError(t, c.Close()) }()
+		for _, name := range []camphorhinge.TargetName{"alive", "gone"} {
+			c.Begin(target(name), 1, 7)(true, false)
+		}
+		synctest.Wait()
+		require.Len(t, p.commands, 2)
+		slices.SortFunc(p.commands, func(a, b command) int { return len(a.Target) - len(b.Target) })
+		require.Equal(t, segments{7}, p.commands[0].Segments)
+		require.Empty(t, p.commands[1].Segments)
+		require.NotEmpty(t, p.commands[1].Fingerprints)
+	})
+}
+
+// TestSoundReport guards against a sound segment that is refused because the node that knows of its success was not asked:
+// a node reports its last success when a segment becomes suspect, and only once.
+func TestSoundReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &unreachable{}
+		c := newTestClient(p, time.Now(), nil)
+		defer func() { require.NoError(t, c.Close()) }()
+		time.Sleep(time.Second)
+		c.Begin(target("a"), 1, 7)(false, true)
+		time.Sleep(time.Minute)
+		for index := range camphorhinge.Index(3) {
+			c.MergeScores([]Score{{Fingerprint: 7, Value: 2, Index: index + 1, Segment: true}})
+			time.Sleep(time.Second)
+		}
+		synctest.Wait()
+		require.Len(t, p.commands, 1)
+		require.Equal(t, camphorhinge.Fingerprint(7), p.commands[0].Sound[0].Segment)
+		require.InDelta(t, 60_000, p.commands[0].Sound[0].Age, 300)
+	})
+}
--- a/internal/standin/site/core.go
+++ b/internal/standin/site/core.go
@@ -127,6 +127,7 @@
 	var out []byte
 	for ; c.applied < len(log); c.applied++ {
 		out = c.crashes.Apply(log[c.applied].entry, log[c.applied].data)
+		c.source.WakeWatches()
 	}
 	return out
 }
--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -23,6 +24,9 @@
 	maxAfterFifth = 3
 )
 
+// seedCount is the number of seeds for which each disturbance is simulated.
+var seedCount = flag.Uint64("site.seeds", 2, "number of seeds for each disturbance") //nolint:gochecknoglobals // Flags are global.
+
 // sent is a request of the traffic.
 type sent struct {
 	at    time.Time
@@ -191,8 +195,9 @@
 // and the same first segment are served as before.
 func TestCrashingSegment(t *testing.T) {
 	for _, d := range disturbances() {
-		for seed := range uint64(2) {
+		for seed := range *seedCount {
 			t.Run(fmt.Sprintf("%s, seed %d", d.name, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { checkCrashingSegment(t, d, seed) })
 			})
 		}
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -97,6 +96,7 @@
 	feedOf := func(address string) peerpb.Feed { return remoteFeed{core: e.site.coreOf(address), from: e} }
 	p.crashes = quarantine.New(quarantine.Config{
 		Proposer: proposer{e.site, e}, Node: name, Clock: clock, Decisions: decision.New(16), Log: log, Metrics: set,
+		Survived: func(ctx context.Context, t *camphorhinge.Target) bool { return p.exchange.Reachable(ctx, t.Address) },
 	})
 	crashes := p.crashes
 	targets := registry.New(registry.Config{
@@ -223,8 +223,8 @@
 	}
 	out := &sink{}
 	p.forwarder.Serve(s.ctx, &forward.Request{
-		Method: http.MethodPost, Path: routePrefix + "x", RequestTarget: routePrefix + "x", Host: routeHost, Caller: "caller", Length: 4,
-		Body: io.LimitReader(strings.NewReader("body"), 4),
+		Method: http.MethodPost, Path: routePrefix + "x", RequestTarget: routePrefix + "x", Host: routeHost, Caller: "caller",
+		Length: int64(len(r.Attempt)), Body: strings.NewReader(string(r.Attempt)),
 		Header: http.Header{
 			headerAttempt: {string(r.Attempt)}, headerSegments: {strings.Join(segments, ",")}, headerOutput: {strconv.Itoa(r.Output)},
 			headerTimeout: {strconv.FormatInt(r.Timeout.Milliseconds(), 10)},
