Treat a stream that ends inside or before an event as broken off

What callers saw: nothing yet; the users state that answers may have neither a length nor chunks and end with their connection, and that a stream that ends inside an event has been broken off. A crashed engine ended such a stream as if it were complete: the caller got a half event, or an empty stream with status 200, as a success, a resumable stream was not resumed, and the crash counted as a success with its prompt segments.

Cause: the end of the connection was taken for the end of the stream wherever it came. Plain answers can't be told apart in this way; those that are reset already failed.

Change: bytes after the last event other than comments and empty lines, or no event at all in an answer without framing, are a broken answer and count as a broken connection.

--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -390,9 +390,9 @@
 	return req, src, nil
 }
 
-// framed reports whether the end of the body is marked by a content length or the last chunk, so that a lost connection
+// Framed reports whether the end of the body is marked by a content length or the last chunk, so that a lost connection
 // can be detected.
-func (a *Answer) framed() bool {
+func (a *Answer) Framed() bool {
 	chunked := len(a.resp.TransferEncoding) > 0 && strings.EqualFold(a.resp.TransferEncoding[0], "chunked")
 	return a.resp.ContentLength >= 0 || chunked || a.resp.Body == http.NoBody
 }
@@ -405,7 +405,7 @@
 	if a.err != nil {
 		return 0, a.err
 	}
-	if !a.framed() && !a.client.cfg.Dialect.CloseDelimited() {
+	if !a.Framed() && !a.client.cfg.Dialect.CloseDelimited() {
 		return 0, a.recordFailure("read body", errFraming)
 	}
 	n, err := a.resp.Body.Read(p)
@@ -431,6 +431,12 @@
 	return e
 }
 
+// BrokenOff records that the target ended the body before its content was complete, and returns the failure as an *Error.
+func (a *Answer) BrokenOff(cause error) error {
+	a.complete = false
+	return a.recordFailure("read body", fmt.Errorf("%w: %w", cause, io.ErrUnexpectedEOF))
+}
+
 // Close ends the exchange. Unless the complete body was received, it closes the connection.
 func (a *Answer) Close() {
 	if !a.closed {
@@ -443,7 +449,7 @@
 func (a *Answer) finish() {
 	a.closed = true
 	// A stopped AfterFunc did not run, so the connection is still open.
-	if a.stopWatch() && a.complete && a.err == nil && !a.resp.Close && a.framed() {
+	if a.stopWatch() && a.complete && a.err == nil && !a.resp.Close && a.Framed() {
 		a.client.pool.release(a.conn)
 		return
 	}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -19,10 +19,15 @@
 // attempt that breaks off earlier can still be retried or answered with an error.
 func (j *job) streamAnswer(answer *exchange.Answer, inFlight *place.InFlight) *exchange.Error {
 	events := bufio.NewReaderSize(answer, 4<<10)
-	for {
+	for received := 0; ; received++ {
 		answer.ExpectEvent()
 		event, id, err := nextEvent(events)
 		atEOF := errors.Is(err, io.EOF)
+		// Without framing, the end of the connection is the only sign of the end, and a crash before the first event looks the
+		// same.
+		if atEOF && (insideEvent(event) || received == 0 && !answer.Framed()) {
+			return asExchangeError(answer.BrokenOff(errIncompleteStream))
+		}
 		if err != nil && !atEOF {
 			return asExchangeError(err)
 		}
@@ -61,6 +66,19 @@
 // errEventTooLarge marks an event that exceeds maxEventSize.
 var errEventTooLarge = errors.New("an event exceeds the size limit")
 
+// errIncompleteStream marks a stream that ended inside an event, or without any event and framing.
+var errIncompleteStream = errors.New("the stream ended inside or before an event")
+
+// insideEvent reports whether the bytes after the last event of a stream contain more than comments and empty lines.
+func insideEvent(rest []byte) bool {
+	for line := range bytes.Lines(rest) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // nextEvent returns the bytes of the next event, including comments and empty lines before it and the empty line that ends
 // it, and its id. At the end of the stream it returns the remaining bytes with io.EOF. When the stream breaks off, the
 // incomplete event is dropped.
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -213,15 +213,22 @@
 	if _, err := io.WriteString(c, streamHeader(attempt, t)); err != nil {
 		return err
 	}
+	sentAhead := 0
 	for i := after + 1; i <= output; i++ {
 		if !pause(ended, eventInterval) {
 			return io.ErrUnexpectedEOF
 		}
-		event := fmt.Sprintf("id: %d\ndata: p%d\n\n", i, i)
-		if !t.CloseDelimited {
-			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		text := fmt.Sprintf("id: %d\ndata: p%d\n\n", i, i)
+		if t.CloseDelimited {
+			// The begin of the next event follows at once, so that a crash always ends the stream inside an event.
+			text = text[sentAhead:]
+			if next := fmt.Sprintf("id: %d\nda", i+1); i < output {
+				text, sentAhead = text+next, len(next)
+			}
+		} else {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 		}
-		if _, err := io.WriteString(c, event); err != nil {
+		if _, err := io.WriteString(c, text); err != nil {
 			return err
 		}
 	}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -229,6 +229,9 @@
 	e.trouble = t
 }
 
+// Crash ends the process of one engine, by its index; another one starts in its place.
+func (s *Site) Crash(i int) { s.engines[i].crash() }
+
 func (s *Site) announce(a camphorhinge.Announcement) {
 	for _, c := range s.cores {
 		if c.reachable() {
