--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -49,6 +49,8 @@
 	Segments []uint64
 	Prefill  bool
 	Target   camphorhinge.TargetName
+	// Told is for how long the entry node had known that the engine states a limit; 0 if it did not.
+	Told time.Duration
 }
 
 // engine is one place for an engine. After a crash another process with a new name starts at the same address.
@@ -65,10 +67,12 @@
 	// ended is closed when the current process ends.
 	ended chan struct{}
 	conns map[net.Conn]struct{}
+	// toldAt is when the engine first stated its limit to each entry node.
+	toldAt map[int]time.Time
 }
 
 func newEngine(s *Site, address string, role camphorhinge.Role) *engine {
-	e := &engine{site: s, address: address, role: role, conns: map[net.Conn]struct{}{}}
+	e := &engine{site: s, address: address, role: role, conns: map[net.Conn]struct{}{}, toldAt: map[int]time.Time{}}
 	e.start()
 	return e
 }
@@ -173,10 +177,13 @@
 			hashes = append(hashes, x.Hash)
 		}
 		attempt := camphorhinge.AttemptID(r.Header.Get(headerAttempt))
-		e.site.recordArrival(Arrival{At: time.Now(), Entry: from, Attempt: attempt, Segments: hashes, Prefill: prefill, Target: name})
+		e.site.recordArrival(Arrival{
+			At: time.Now(), Entry: from, Attempt: attempt, Segments: hashes, Prefill: prefill, Target: name, Told: e.told(from),
+		})
 		if !pause(ended, prefillTime) {
 			return
 		}
+		e.recordTold(from, trouble)
 		if prefill {
 			err = e.answerPrefill(c, attempt, trouble)
 		} else if trouble.CrashSegment != 0 && slices.Contains(hashes, trouble.CrashSegment) {
@@ -194,6 +201,28 @@
 	}
 }
 
+// told returns for how long an entry node has known the limit of the engine, or 0.
+func (e *engine) told(entry int) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if at, ok := e.toldAt[entry]; ok {
+		return time.Since(at)
+	}
+	return 0
+}
+
+// recordTold records that an entry node gets an answer.
+func (e *engine) recordTold(entry int, t Trouble) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.toldAt[entry]; t.Limit > 0 && !ok {
+		e.toldAt[entry] = time.Now()
+	}
+	if t.Limit == 0 {
+		delete(e.toldAt, entry)
+	}
+}
+
 func (e *engine) answerPrefill(c net.Conn, attempt camphorhinge.AttemptID, t Trouble) error {
 	body := "handle 1"
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s%s\r\n%s", headerAttempt, attempt, limitHeader(t), lengthHeader(len(body), t), body)
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -143,6 +143,11 @@
 	if err := s.entries[i].shut(); err != nil {
 		return err
 	}
+	for _, e := range s.engines {
+		e.mu.Lock()
+		delete(e.toldAt, i)
+		e.mu.Unlock()
+	}
 	s.entries[i].start()
 	return nil
 }
--- /dev/null
+++ b/internal/standin/site/limit_test.go
@@ -0,0 +1,90 @@
+package site
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// limitWindow is the span in which a limit is checked, and toldFor how long an entry node must have known of it.
+	limitWindow = 4 * time.Second
+	toldFor     = 500 * time.Millisecond
+)
+
+// TestStatedLimit guards against an engine in trouble that gets more requests than the limit that it states in its answers,
+// summed over all entry nodes, and against a limit that stays in force after the engine no longer states it.
+func TestStatedLimit(t *testing.T) {
+	for _, d := range disturbances() {
+		for seed := range *seedCount {
+			t.Run(fmt.Sprintf("%s, seed %d", d.name, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { checkStatedLimit(t, d, seed) })
+			})
+		}
+	}
+}
+
+func checkStatedLimit(t *testing.T, d disturbance, seed uint64) {
+	t.Helper()
+	const from, length = 8 * time.Second, 32 * time.Second
+	s := New(Config{Entries: 24, Cores: 5, Prefill: 4, Decode: 4})
+	defer func() { require.NoError(t, s.Close()) }()
+	limits := map[int]float64{0: 2, 4: 2.5, 5: 3.25, 6: 0.5}
+	time.Sleep(3 * time.Second)
+	began := time.Now()
+	out := &outages{}
+	var g group
+	g.Go(func() error {
+		d.run(t, s, out.begin)
+		return nil
+	})
+	g.Go(func() error {
+		time.Sleep(from)
+		for i, limit := range limits {
+			s.SetTrouble(i, Trouble{Limit: limit})
+		}
+		time.Sleep(length - from)
+		for i := range limits {
+			s.SetTrouble(i, Trouble{})
+		}
+		return nil
+	})
+	load := &traffic{site: s, length: length + 10*time.Second, crashFrom: time.Hour, interval: 25 * time.Millisecond, seed: seed}
+	load.run()
+	require.NoError(t, g.Wait())
+
+	for i, limit := range limits {
+		var counted []time.Time
+		after := 0
+		for _, a := range s.Arrivals() {
+			if !strings.HasPrefix(string(a.Target), s.engines[i].address+"-") {
+				continue
+			}
+			at := a.At.Sub(began)
+			if at > from+contact && at < length && a.Told >= toldFor && out.inTouch(a.Entry, a.At) {
+				counted = append(counted, a.At)
+			}
+			if at > length+5*time.Second {
+				after++
+			}
+		}
+		most := 0
+		for j, end := range counted {
+			n := 0
+			for _, at := range counted[:j+1] {
+				if end.Sub(at) < limitWindow {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		allowed := 1.5*limit*limitWindow.Seconds() + 5
+		require.LessOrEqual(t, float64(most), allowed, "engine %d states a limit of %g a second", i, limit)
+		require.Greater(t, float64(after)/5, limit, "engine %d states no limit any more", i)
+	}
+}
