Keep to the limits that targets state in their answers

Cause: the header was unknown to the code. The class: a statement of a target about all nodes together needs one place that counts for all, and that survives a change of that place; a limit that each node applies alone is exceeded by the number of nodes.

Change: an entry node records the limit from each answer, refusals included, and passes on what it knows with every call to the core node that places requests. That node spends the limit for all; engines at their limit count as full, so that requests wait or are refused at once as with any lack of capacity. A node that learns of a limit first pauses for a second, since another one may have spent it until then. Where nodes place by themselves (plain services, or no core node answers) each has an equal part, which it uses with the probability that the part allows: a whole request in reserve at each of 300 nodes would exceed any limit. An answer without a limit lifts it. Requests for which all targets are at their limits get a Retry-After of when there is room.

--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -90,8 +90,21 @@
 		}
 		c.placedLocally.Inc()
 	}
-	p, ok = c.cfg.Local.Place(c.cfg.Clock.Now(), live, req)
-	return p, 0, ok
+	now := c.cfg.Clock.Now()
+	if p, ok = c.cfg.Local.Place(now, live, req); !ok {
+		refusal = c.cfg.Local.LimitWait(now, live, &req)
+	}
+	return p, refusal, ok
+}
+
+func encodeLimits(limits []place.Limit) []*peerpb.Limit {
+	out := make([]*peerpb.Limit, 0, len(limits))
+	for _, l := range limits {
+		out = append(out, &peerpb.Limit{
+			Target: string(l.Target), Incarnation: uint64(l.Incarnation), Rate: l.PerSecond, Age: uint32(min(l.Age.Milliseconds(), math.MaxUint32)),
+		})
+	}
+	return out
 }
 
 // link returns the state of a core node and creates it if needed. The caller holds c.mu.
@@ -221,7 +234,7 @@
 	events := l.takeEvents(now)
 	call.Session = l.session
 	c.mu.Unlock()
-	call.Events = call.Events[:0]
+	call.Events, call.Limits = call.Events[:0], encodeLimits(c.cfg.Local.Limits(now))
 	for _, e := range events {
 		e.Age = uint32(max(now.Sub(e.at).Milliseconds(), 0))
 		call.Events = append(call.Events, e.PlaceEvent)
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -198,6 +198,7 @@
 	}
 	unknown = unknown && s.askForCaches(now)
 	s.mergeCaches(now, req.GetHoldings())
+	s.mergeLimits(now, req.GetLimits())
 	for _, e := range req.GetEvents() {
 		s.applyEvent(now, sess, e)
 	}
@@ -245,6 +246,23 @@
 	}
 }
 
+// mergeLimits records the limits that targets stated to an entry node.
+func (s *Scheduler) mergeLimits(now camphorhinge.Instant, stated []*peerpb.Limit) {
+	if len(stated) == 0 {
+		return
+	}
+	limits := make([]place.Limit, 0, len(stated))
+	for _, l := range stated {
+		limits = append(limits, place.Limit{
+			Target: camphorhinge.TargetName(l.GetTarget()), Incarnation: camphorhinge.Incarnation(l.GetIncarnation()), PerSecond: l.GetRate(),
+			Age: time.Duration(l.GetAge()) * time.Millisecond,
+		})
+	}
+	for _, l := range s.placer.MergeLimits(now, s.engines(), limits) {
+		s.cfg.Log.Info("limit of an engine changed", "target", l.Target, "per_second", l.PerSecond, "age_ms", l.Age.Milliseconds())
+	}
+}
+
 // enqueue queues a new request.
 func (s *Scheduler) enqueue(now camphorhinge.Instant, sess *session, req *peerpb.PlaceRequest, service *routing.Service) *pendingRequest {
 	s.requestedAt = now
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -59,7 +59,7 @@
 	call.Role, call.FetchFrom = camphorhinge.RolePrefill, fetch
 	clock := j.f.cfg.Clock
 	arrivalsBefore, began := j.arrivals, clock.Now()
-	answer, body, err := j.exchangeBuffered(ctx, call)
+	answer, body, err := j.exchangeBuffered(ctx, call, inFlight)
 	if err == nil {
 		if l, ok := j.f.cfg.Protocol.ParseLoad(answer.Header); ok {
 			inFlight.RecordLoad(clock.Now(), l)
@@ -111,8 +111,8 @@
 }
 
 // exchangeBuffered runs an exchange and returns its complete answer.
-func (j *job) exchangeBuffered(ctx context.Context, call exchange.Call) (*exchange.Answer, []byte, *exchange.Error) {
-	answer, err := j.openExchange(ctx, call)
+func (j *job) exchangeBuffered(ctx context.Context, call exchange.Call, inFlight *place.InFlight) (*exchange.Answer, []byte, *exchange.Error) {
+	answer, err := j.openExchange(ctx, call, inFlight)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -138,8 +138,9 @@
 // errQuarantined marks a request that the quarantine began to refuse while it waited for its placement or its prefill.
 var errQuarantined = errors.New("the request crashes targets")
 
-// openExchange starts an exchange. It counts an arrival if the request may have reached the target.
-func (j *job) openExchange(ctx context.Context, call exchange.Call) (*exchange.Answer, *exchange.Error) {
+// openExchange starts an exchange and records the limit that the target states in its answer. It counts an arrival if the
+// request may have reached the target.
+func (j *job) openExchange(ctx context.Context, call exchange.Call, inFlight *place.InFlight) (*exchange.Answer, *exchange.Error) {
 	if _, refused := j.f.cfg.Quarantine.Refused(j.fingerprint, j.segments...); refused {
 		return nil, &exchange.Error{Op: "open", Kind: exchange.KindConnect, Run: camphorhinge.NotRun, Err: errQuarantined}
 	}
@@ -149,15 +150,25 @@
 	answer, err := j.f.cfg.Exchange.Open(ctx, call)
 	if err == nil {
 		j.arrivals++
+		j.recordLimit(answer.Header, inFlight)
 		return answer, nil
 	}
 	e := asExchangeError(err)
+	if e.Header != nil {
+		j.recordLimit(e.Header, inFlight)
+	}
 	if e.Run != camphorhinge.NotRun || e.Kind == exchange.KindRefused {
 		j.arrivals++
 	}
 	return nil, e
 }
 
+func (j *job) recordLimit(h http.Header, inFlight *place.InFlight) {
+	if limit, ok := j.f.cfg.Protocol.ParseLimit(h); ok {
+		inFlight.RecordLimit(j.f.cfg.Clock.Now(), limit)
+	}
+}
+
 func asExchangeError(err error) *exchange.Error {
 	var e *exchange.Error
 	if errors.As(err, &e) {
@@ -229,7 +240,7 @@
 // relayAnswer opens an exchange and forwards its answer: an event stream event by event, any other answer once it is
 // complete.
 func (j *job) relayAnswer(ctx context.Context, call exchange.Call, inFlight *place.InFlight) (place.Outcome, *exchange.Error) {
-	answer, err := j.openExchange(ctx, call)
+	answer, err := j.openExchange(ctx, call, inFlight)
 	if err != nil {
 		return place.Abandoned, err
 	}
--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -44,8 +44,13 @@
 }
 
 func (protocol) ParseLoad(http.Header) (place.Load, bool) { return place.Load{}, false }
-func (protocol) StripInternal(h http.Header)              { h.Del("Load") }
-func (protocol) StripStamp(h http.Header)                 { h.Del("Stamp") }
+func (protocol) ParseLimit(h http.Header) (float64, bool) {
+	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	return limit, err == nil || h.Get("Limit") == ""
+}
+
+func (protocol) StripInternal(h http.Header) { h.Del("Load") }
+func (protocol) StripStamp(h http.Header)    { h.Del("Stamp") }
 
 func (protocol) ParsePrefill(t *camphorhinge.Target, body []byte) (string, error) {
 	if !strings.HasPrefix(string(body), "handle ") {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -64,6 +64,9 @@
 	// ParseLoad reads the load that a target reports in the header of an answer; ok is false when there is no valid
 	// report.
 	ParseLoad(h http.Header) (l place.Load, ok bool)
+	// ParseLimit reads the number of requests a second that a target states, in the header of an answer, to take from all
+	// nodes together. It returns 0 when there is none, and false when it is not valid.
+	ParseLimit(h http.Header) (perSecond float64, ok bool)
 	// StripInternal removes the fields of an answer's header that callers must not get.
 	StripInternal(h http.Header)
 	// StripStamp removes the target's signature from the header of an answer whose status was replaced, so that the
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -94,16 +94,21 @@
 
 // bestEnginePlan returns the plan with the least cost; the result is false when none of the targets can run the
 // request. The targets are those of live that may receive it. When none has capacity, a central Placer returns a plan
-// with a wait of fullWait, while another one ignores the capacity.
+// with a wait of fullWait, while another one ignores the capacity, but not the limits that targets state.
 func (p *Placer) bestEnginePlan(now camphorhinge.Instant, live, targets []*camphorhinge.Target, req *Request) (scoredPlan, bool) {
 	prefillers, servers := splitByRole(targets)
 	if len(servers) == 0 {
 		return scoredPlan{}, false
 	}
+	full := scoredPlan{wait: fullWait, full: true, Plan: Plan{Serve: servers[0], Expected: fullWait}}
+	prefillers, servers = p.underLimit(now, prefillers), p.underLimit(now, servers)
+	if len(servers) == 0 {
+		return full, p.cfg.Central
+	}
 	if free := p.withCapacity(now, servers, req); len(free) > 0 {
 		servers = free
 	} else if p.cfg.Central {
-		return scoredPlan{wait: fullWait, full: true, Plan: Plan{Serve: servers[0], Expected: fullWait}}, true
+		return full, true
 	}
 	c := &planInput{now: now, req: req, receivers: map[camphorhinge.Zone]receiver{}}
 	c.shared, c.sharedTokens = req.shared()
--- a/internal/request/place/placement.go
+++ b/internal/request/place/placement.go
@@ -93,6 +93,7 @@
 	s := p.stateOf(now, t)
 	f := &InFlight{placer: p, service: req.Service, state: s, sentAt: now}
 	s.running++
+	p.takeFromLimit(now, s)
 	if s.currentFailureShare(now) >= suspectShare {
 		s.lastTrial = now
 	}
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -33,6 +33,8 @@
 	Rates Rates
 	// Central is set when the Placer places the requests of all nodes, so that its record of the work is complete.
 	Central bool
+	// Nodes returns the number of nodes that share the limits of targets, unless the Placer is central; nil means 1.
+	Nodes func() int
 }
 
 // Placer chooses targets. It is safe for concurrent use.
@@ -133,6 +135,9 @@
 	if req.Engine != nil {
 		return p.bestEnginePlan(now, live, targets, req)
 	}
+	if targets = p.underLimit(now, targets); len(targets) == 0 {
+		return scoredPlan{}, false
+	}
 	return scoredPlan{Plan: p.bestPlainPlan(now, targets, req)}, true
 }
 
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -79,6 +79,7 @@
 	slowdown float64
 
 	cache cache
+	limit limiter
 }
 
 // otherNodesRequests estimates the number of requests of other nodes at the target, from the decayed reported load.
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -108,7 +108,7 @@
 		OnScores: func(data []byte) { mergeScores(crashes, data) },
 	})
 	placer := schedule.NewClient(schedule.ClientConfig{
-		Node: name, Feed: feedOf, Cores: p.follower.Cores, Local: place.New(place.Config{Zone: "z", Seed: uint64(e.index)}),
+		Node: name, Feed: feedOf, Cores: p.follower.Cores, Local: place.New(place.Config{Zone: "z", Seed: uint64(e.index), Nodes: p.follower.Entries}),
 		Clock: clock, Log: log, Metrics: set,
 	})
 	p.exchange = exchange.New(exchange.Config{
--- a/internal/standin/site/protocol.go
+++ b/internal/standin/site/protocol.go
@@ -66,6 +66,12 @@
 // ParseLoad implements forward.Protocol.
 func (protocol) ParseLoad(http.Header) (place.Load, bool) { return place.Load{}, false }
 
+// ParseLimit implements forward.Protocol.
+func (protocol) ParseLimit(h http.Header) (float64, bool) {
+	limit, err := strconv.ParseFloat(h.Get(headerLimit), 64)
+	return limit, err == nil || h.Get(headerLimit) == ""
+}
+
 // StripInternal implements forward.Protocol.
 func (protocol) StripInternal(http.Header) {}
 
