--- a/internal/request/place/limit.go
+++ b/internal/request/place/limit.go
@@ -45,9 +45,9 @@
 	refilledAt camphorhinge.Instant
 }
 
-// state records the content of an answer that came at the given time, and reports whether it changed the limit. tokens is the number
+// record stores the content of an answer that came at the given time, and reports whether it changed the limit. tokens is the number
 // of requests that may be sent at once when the limit is new.
-func (l *limiter) state(now, at camphorhinge.Instant, perSecond, tokens float64) bool {
+func (l *limiter) record(now, at camphorhinge.Instant, perSecond, tokens float64) bool {
 	if at < l.statedAt || perSecond <= 0 && l.statedAt == 0 {
 		return false
 	}
@@ -126,7 +126,7 @@
 	if p.cfg.Central {
 		tokens = -perSecond * limitPause.Seconds()
 	}
-	return s.limit.state(now, at, perSecond, tokens)
+	return s.limit.record(now, at, perSecond, tokens)
 }
 
 // RecordLimit records the limit that the target stated in an answer, in requests a second from all nodes together; 0 stands
--- a/internal/request/quarantine/client.go
+++ b/internal/request/quarantine/client.go
@@ -77,8 +77,8 @@
 	reported bool
 }
 
-// observed is a crash that has not been reported yet, or a success to report.
-type observed struct {
+// observation is a crash or a success that this node reports.
+type observation struct {
 	command
 	at camphorhinge.Instant
 	// unconfirmed is the target of a crash that may have survived, or nil.
@@ -100,7 +100,7 @@
 	scores   map[camphorhinge.Fingerprint]localScore
 	// sound holds the last success with each segment, pending the crashes whose report is not delivered.
 	sound   map[camphorhinge.Fingerprint]lastSuccess
-	pending map[*observed]struct{}
+	pending map[*observation]struct{}
 }
 
 // New returns a Client, which must be closed by Close.
@@ -110,7 +110,7 @@
 		inFlight: make(map[camphorhinge.TargetName]map[*inFlight]struct{}),
 		scores:   make(map[camphorhinge.Fingerprint]localScore),
 		sound:    make(map[camphorhinge.Fingerprint]lastSuccess),
-		pending:  make(map[*observed]struct{}),
+		pending:  make(map[*observation]struct{}),
 		dropped:  cfg.Metrics.GetOrCreateCounter("camphorhinge_crash_reports_dropped_total"),
 		refused:  cfg.Metrics.GetOrCreateCounter("camphorhinge_quarantine_refused_total"),
 		crashes:  cfg.Metrics.GetOrCreateCounter("camphorhinge_crashes_total"),
@@ -208,7 +208,7 @@
 // its segments.
 func (c *Client) recordSuccess(f *inFlight) {
 	now := c.cfg.Clock.Now()
-	o := &observed{command: command{Node: c.cfg.Node, Success: true}, at: now}
+	o := &observation{command: command{Node: c.cfg.Node, Success: true}, at: now}
 	if c.scores[f.fingerprint].value > 0 {
 		delete(c.scores, f.fingerprint)
 		o.Fingerprints = []camphorhinge.Fingerprint{f.fingerprint}
@@ -248,7 +248,7 @@
 // the target may have survived.
 func (c *Client) reportCrash(target camphorhinge.TargetName, incarnation camphorhinge.Incarnation, unconfirmed *camphorhinge.Target) {
 	now := c.cfg.Clock.Now()
-	o := &observed{command: command{Node: c.cfg.Node, Target: target, Incarnation: incarnation}, at: now, unconfirmed: unconfirmed}
+	o := &observation{command: command{Node: c.cfg.Node, Target: target, Incarnation: incarnation}, at: now, unconfirmed: unconfirmed}
 	requests, segments := make(map[camphorhinge.Fingerprint]struct{}), make(map[camphorhinge.Fingerprint]struct{})
 	for f := range c.inFlight[target] {
 		if f.reported || f.target.Incarnation > incarnation {
@@ -278,7 +278,7 @@
 }
 
 // report proposes a command in the background and merges the resulting scores. The caller holds c.mu.
-func (c *Client) report(o *observed) {
+func (c *Client) report(o *observation) {
 	if c.ctx.Err() != nil {
 		return
 	}
@@ -295,7 +295,7 @@
 }
 
 // deliver checks whether the target of a crash ended, and proposes the command.
-func (c *Client) deliver(o *observed) error {
+func (c *Client) deliver(o *observation) error {
 	if len(o.Segments) > 0 && o.unconfirmed != nil && c.survived(o.unconfirmed) {
 		c.cfg.Log.Info("target survived a broken connection", "target", o.Target)
 		o.Segments = nil
@@ -324,7 +324,7 @@
 
 // propose proposes a command until it is committed. A crash that has segments is reported for as long as it counts: the
 // cluster counts it once, however often it is reported.
-func (c *Client) propose(o *observed) error {
+func (c *Client) propose(o *observation) error {
 	timeout := reportTimeout
 	if len(o.Segments) > 0 {
 		timeout = Window
@@ -442,11 +442,11 @@
 }
 
 // collectSuccesses returns a report of the last successes with those of the segments that are still suspect.
-func (c *Client) collectSuccesses(segments []camphorhinge.Fingerprint) *observed {
+func (c *Client) collectSuccesses(segments []camphorhinge.Fingerprint) *observation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Clock.Now()
-	o := &observed{command: command{Node: c.cfg.Node, Success: true}, at: now}
+	o := &observation{command: command{Node: c.cfg.Node, Success: true}, at: now}
 	for _, seg := range segments {
 		if last := c.sound[seg]; !last.reported && c.scores[seg].value > 0 {
 			o.Sound = append(o.Sound, success{Segment: seg, Age: now.Sub(last.at).Milliseconds()})
--- a/internal/standin/site/core.go
+++ b/internal/standin/site/core.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/fleet/registry"
@@ -227,6 +226,3 @@
 	}
 	return out, nil
 }
-
-// group is the goroutines of a site.
-type group = errgroup.Group
--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
 )
@@ -214,7 +215,7 @@
 	time.Sleep(3 * time.Second)
 	began := time.Now()
 	out := &outages{}
-	var g group
+	var g errgroup.Group
 	g.Go(func() error {
 		d.run(t, s, out.begin)
 		return nil
--- a/internal/standin/site/limit_test.go
+++ b/internal/standin/site/limit_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -39,7 +40,7 @@
 	time.Sleep(3 * time.Second)
 	began := time.Now()
 	out := &outages{}
-	var g group
+	var g errgroup.Group
 	g.Go(func() error {
 		d.run(t, s, out.begin)
 		return nil
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/record/routing"
 )
@@ -33,7 +35,7 @@
 	clock   virtualClock
 	ctx     context.Context //nolint:containedctx // It ends all goroutines of the simulation.
 	stop    context.CancelFunc
-	group   group
+	group   errgroup.Group
 	table   *routing.Table
 	cores   []*core
 	entries []*entry
