--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -195,11 +195,17 @@
 // engine after engine: after the fifth crash they must reach no more engines, while sound requests with the same caller
 // and the same first segment are served as before.
 func TestCrashingSegment(t *testing.T) {
+	forEachDisturbance(t, checkCrashingSegment)
+}
+
+// forEachDisturbance runs a check in virtual time for each disturbance and seed.
+func forEachDisturbance(t *testing.T, check func(t *testing.T, d disturbance, seed uint64)) {
+	t.Helper()
 	for _, d := range disturbances() {
 		for seed := range *seedCount {
 			t.Run(fmt.Sprintf("%s, seed %d", d.name, seed), func(t *testing.T) {
 				t.Parallel()
-				synctest.Test(t, func(t *testing.T) { checkCrashingSegment(t, d, seed) })
+				synctest.Test(t, func(t *testing.T) { check(t, d, seed) })
 			})
 		}
 	}
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -134,7 +134,7 @@
 	})
 }
 
-// dial opens a connection from an entry node, or from a core node if the index is negative.
+// dial opens a connection from an entry node.
 func (e *engine) dial(from int) (net.Conn, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/site/limit_test.go
+++ b/internal/standin/site/limit_test.go
@@ -1,10 +1,8 @@
 package site
 
 import (
-	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -20,14 +18,7 @@
 // TestStatedLimit guards against an engine in trouble that gets more requests than the limit that it states in its answers,
 // summed over all entry nodes, and against a limit that stays in force after the engine no longer states it.
 func TestStatedLimit(t *testing.T) {
-	for _, d := range disturbances() {
-		for seed := range *seedCount {
-			t.Run(fmt.Sprintf("%s, seed %d", d.name, seed), func(t *testing.T) {
-				t.Parallel()
-				synctest.Test(t, func(t *testing.T) { checkStatedLimit(t, d, seed) })
-			})
-		}
-	}
+	forEachDisturbance(t, checkStatedLimit)
 }
 
 func checkStatedLimit(t *testing.T, d disturbance, seed uint64) {
@@ -56,7 +47,7 @@
 		}
 		return nil
 	})
-	load := &traffic{site: s, length: length + 10*time.Second, crashFrom: time.Hour, interval: 25 * time.Millisecond, seed: seed}
+	load := &traffic{site: s, length: length + 10*time.Second, crashFrom: 2 * length, interval: 25 * time.Millisecond, seed: seed}
 	load.run()
 	require.NoError(t, g.Wait())
 
