Decide again on segments that a released segment explained

Cause: a segment in more crashes than the crashing one seems to explain them, for instance while a node that is cut off can't report its part, and releases it. When a success shows that it is sound, only this segment was decided again; the crashing one stayed released until the next crash.

Change: when a segment is released, those that were in crashes beside it are decided again.

--- a/internal/request/quarantine/segments.go
+++ b/internal/request/quarantine/segments.go
@@ -159,8 +159,43 @@
 	return segmentThreshold
 }
 
-// decide refuses or releases the given segments and those that are refused now.
+// decide refuses or releases the given segments and those that are refused now. Those that a released one explained are
+// decided again.
 func (s *segmentScores) decide(e camphorhinge.Entry, segments []camphorhinge.Fingerprint) {
+	released := s.decideOnce(e, segments)
+	seen := map[camphorhinge.Fingerprint]bool{}
+	for len(released) > 0 {
+		var again []camphorhinge.Fingerprint
+		for _, seg := range released {
+			for _, x := range s.besides(seg) {
+				if !seen[x] {
+					seen[x] = true
+					again = append(again, x)
+				}
+			}
+		}
+		released = nil
+		if len(again) > 0 {
+			released = s.decideOnce(e, again)
+		}
+	}
+}
+
+// besides returns the segments that were in crashes with the given one, and in enough crashes to be refused.
+func (s *segmentScores) besides(seg camphorhinge.Fingerprint) []camphorhinge.Fingerprint {
+	var out []camphorhinge.Fingerprint
+	for _, cr := range s.crashes[seg] {
+		for _, x := range cr.Segments {
+			if x != seg && len(s.crashes[x]) >= segmentThreshold {
+				out = append(out, x)
+			}
+		}
+	}
+	return out
+}
+
+// decideOnce refuses or releases the given segments and those that are refused now, and returns the released ones.
+func (s *segmentScores) decideOnce(e camphorhinge.Entry, segments []camphorhinge.Fingerprint) (released []camphorhinge.Fingerprint) {
 	var suspects []suspect
 	seen := map[camphorhinge.Fingerprint]bool{}
 	add := func(seg camphorhinge.Fingerprint) {
@@ -204,8 +239,10 @@
 			}
 		case was:
 			s.refused[x.segment] = refusal{Changed: e.Stamp, Index: e.Index}
+			released = append(released, x.segment)
 		}
 	}
+	return released
 }
 
 // drop removes an expired crash.
