--- a/internal/request/quarantine/segments_test.go
+++ b/internal/request/quarantine/segments_test.go
@@ -85,7 +85,10 @@
 			{0, crashAt("a", nil, 7, 8)}, {1000, crashAt("b", nil, 7, 8)}, {2000, crashAt("c", nil, 7, 8)}, {3000, crashAt("d", nil, 7)},
 		}, segments{7}},
 		{"another segment that seemed to explain the crashes succeeds", []step{
-			{0, crashAt("a", nil, 7, 8)}, {1000, crashAt("b", nil, 7, 8)}, {2000, crashAt("c", nil, 7, 8)}, {3000, crashAt("d", nil, 8)},
+			{0, crashAt("a", nil, 7, 8)},
+			{1000, crashAt("b", nil, 7, 8)},
+			{2000, crashAt("c", nil, 7, 8)},
+			{3000, crashAt("d", nil, 8)},
 			{3200, ok(8)},
 		}, segments{7}},
 		{"success when refused", []step{
