--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -18,7 +18,7 @@
 const (
 	// firstSegment begins the prompts of all requests of the traffic, and crashSegment crashes engines.
 	firstSegment, crashSegment = 0xf1, 0xbad
-	// contact is the users' contact_ms.
+	// contact is the time after a disturbance from which a node must behave as usual again.
 	contact = 3 * time.Second
 	// maxAfterFifth is the number of requests with a crashing segment that may reach engines later than contact after
 	// the fifth crash.
