Log how many events a stream had and whether it was framed

The log of a streamed request did not tell whether the end of the connection was the only sign of its end, nor how much its caller got, so that a stream that was cut short could not be told from a complete one.

--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -43,6 +43,9 @@
 	// headerSent is set once the header of a streamed answer was sent; lastEventID is the id of the last event sent.
 	headerSent  bool
 	lastEventID string
+	// events counts the events sent; unframed is set once an answer with neither a length nor chunks was streamed.
+	events   int
+	unframed bool
 
 	// plan is the latest plan.
 	plan place.Plan
--- a/internal/request/forward/outcome.go
+++ b/internal/request/forward/outcome.go
@@ -77,6 +77,9 @@
 	if t := j.plan.Fetch; t != nil {
 		attrs = append(attrs, "fetch", t.Name)
 	}
+	if j.headerSent {
+		attrs = append(attrs, "events", j.events, "last_event", j.lastEventID, "unframed", j.unframed)
+	}
 	level := slog.LevelInfo
 	if err != nil {
 		level = slog.LevelWarn
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -19,6 +19,7 @@
 // attempt that breaks off earlier can still be retried or answered with an error.
 func (j *job) streamAnswer(answer *exchange.Answer, inFlight *place.InFlight) *exchange.Error {
 	events := bufio.NewReaderSize(answer, 4<<10)
+	j.unframed = j.unframed || !answer.Framed()
 	for received := 0; ; received++ {
 		answer.ExpectEvent()
 		event, id, err := nextEvent(events)
@@ -40,6 +41,7 @@
 		if atEOF {
 			return nil
 		}
+		j.events++
 		if id != "" {
 			j.lastEventID = id
 		}
