--- a/internal/request/frontend/contract_test.go
+++ b/internal/request/frontend/contract_test.go
@@ -188,6 +188,8 @@
 		{fault: "close after the request", point: "header", call: "POST", budget: 9, a: []step{closeUnanswered()}, b: ok, status: 502, class: "unknown", runs: 1},
 		{fault: "silence", point: "header", call: "POST", budget: 9, a: []step{neverAnswer()}, b: ok, status: 504, class: "unknown", runs: 1},
 		{fault: "short content", point: "body", call: "POST", budget: 9, a: []step{answerRaw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbad")}, b: ok, status: 502, class: "unknown", runs: 1},
+		{fault: "no framing", point: "body", call: "GET", budget: 1, a: []step{answerRaw("HTTP/1.1 200 OK\r\n\r\nbad")}, b: ok, status: 200, class: "run", runs: 2, answer: "ok"},
+		{fault: "no framing", point: "first event", body: streamRequest, budget: 1, a: []step{answerRaw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: bad")}, b: done, status: 200, class: "run", runs: 2, answer: "stream"},
 		{fault: "cut in a long answer", point: "body", call: "GET", budget: 9, a: []step{answerRaw("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + strings.Repeat("x", 300<<10))}, b: ok, status: 200, class: "run", runs: 1, answer: "aborted"},
 		{fault: "error status", point: "header", call: "POST", a: []step{answerFull(500, "oops")}, b: ok, status: 500, class: "run", runs: 1, answer: "oops"},
 		{fault: "close after the request", point: "header", call: "GET", budget: 1, a: []step{closeUnanswered()}, b: ok, status: 200, class: "run", runs: 2, answer: "ok"},
