Treat a stream that ends inside a comment as broken off

What callers saw: nothing yet. An answer without framing that ended inside a comment line was passed on as complete, although a target that ends its stream ends its last line first.

Cause: of the rest after the last event only fields were taken for an unfinished event.

Change: an unfinished line of any kind is one. TestStreamEndsInsideComment failed before.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -71,9 +71,12 @@
 // errIncompleteStream marks a stream that ended inside an event, or without any event and framing.
 var errIncompleteStream = errors.New("the stream ended inside or before an event")
 
-// insideEvent reports whether the bytes after the last event of a stream contain more than comments and empty lines.
+// insideEvent reports whether the bytes after the last event of a stream contain more than whole comments and empty lines.
 func insideEvent(rest []byte) bool {
 	for line := range bytes.Lines(rest) {
+		if !bytes.HasSuffix(line, []byte("\n")) {
+			return true
+		}
 		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
 			return true
 		}
