Check event streams for their end on all routes

What callers saw: nothing yet. An event stream without framing that its target broke off was passed on as complete, with a length, on a route that is not for streams.

Cause: only the path that passes on events as they come knew the end of a stream; the buffered path took the end of the connection for it.

Change: the buffered path checks event streams in the same way and fails the attempt.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -248,7 +248,7 @@
 	if l, ok := j.f.cfg.Protocol.ParseLoad(answer.Header); ok {
 		inFlight.RecordLoad(j.f.cfg.Clock.Now(), l)
 	}
-	if j.route.Stream && answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+	if j.route.Stream && answer.Status == http.StatusOK && isEventStream(answer) {
 		return place.Served, j.streamAnswer(answer, inFlight)
 	}
 	if j.headerSent {
@@ -260,6 +260,9 @@
 	if err != nil {
 		return place.Broken, err
 	}
+	if isEventStream(answer) && !isWholeStream(body, answer.Framed()) {
+		return place.Broken, asExchangeError(answer.BrokenOff(errIncompleteStream))
+	}
 	inFlight.RecordFirstEvent(j.f.cfg.Clock.Now())
 	if answer.Status >= http.StatusInternalServerError && j.reserveErrorRetry(ctx) {
 		return place.Errored, &exchange.Error{
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/request/exchange"
@@ -24,9 +25,7 @@
 		answer.ExpectEvent()
 		event, id, err := nextEvent(events)
 		atEOF := errors.Is(err, io.EOF)
-		// Without framing, the end of the connection is the only sign of the end, and a crash before the first event looks the
-		// same.
-		if atEOF && (insideEvent(event) || received == 0 && !answer.Framed()) {
+		if atEOF && endsEarly(event, received, answer.Framed()) {
 			return asExchangeError(answer.BrokenOff(errIncompleteStream))
 		}
 		if err != nil && !atEOF {
@@ -71,6 +70,29 @@
 // errIncompleteStream marks a stream that ended inside an event, or without any event and framing.
 var errIncompleteStream = errors.New("the stream ended inside or before an event")
 
+// isEventStream reports whether an answer states that its body is an event stream.
+func isEventStream(answer *exchange.Answer) bool {
+	return strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// endsEarly reports whether a stream of the given number of events, with rest after the last one, was broken off.
+func endsEarly(rest []byte, events int, framed bool) bool {
+	// Without framing, the end of the connection is the only sign of the end, and a crash before the first event looks the
+	// same.
+	return insideEvent(rest) || events == 0 && !framed
+}
+
+// isWholeStream reports whether body is a stream that was not broken off.
+func isWholeStream(body []byte, framed bool) bool {
+	events := bufio.NewReader(bytes.NewReader(body))
+	for received := 0; ; received++ {
+		rest, _, err := nextEvent(events)
+		if err != nil {
+			return errors.Is(err, io.EOF) && !endsEarly(rest, received, framed)
+		}
+	}
+}
+
 // insideEvent reports whether the bytes after the last event of a stream contain more than whole comments and empty lines.
 func insideEvent(rest []byte) bool {
 	for line := range bytes.Lines(rest) {
--- a/internal/request/forward/truncated_test.go
+++ b/internal/request/forward/truncated_test.go
@@ -130,12 +130,16 @@
 		{"prefill broken off", prefill + "han", []step{sendAndClose(stream + events)}, routing.RetryResume, false, events, []string{"2"}},
 		{"run broken off before its first event", prefill + "handle 7", []step{sendAndClose(stream), sendAndClose(stream + events)}, routing.RetryResume, false, events, []string{"2", "2"}},
 		{
-			"run broken off inside an event", prefill + "handle 7", []step{sendAndClose(stream + "id: 3\ndata: p3\n\nid: 4\nda"), sendAndClose(stream + "id: 4\ndata: p4\n\n")},
-			routing.RetryResume, false, events, []string{"2", "3"},
+			"run broken off inside an event", prefill + "handle 7",
+			[]step{sendAndClose(stream + "id: 3\ndata: p3\n\nid: 4\nda"), sendAndClose(stream + "id: 4\ndata: p4\n\n")},
+			routing.RetryResume, false, events,
+			[]string{"2", "3"},
 		},
 		{
-			"both runs broken off", prefill + "handle 7", []step{sendAndClose(stream + "id: 3\ndata: p3\n\nid: 4\nda"), sendAndClose(stream + "id: 4\ndata: p4\n")},
-			routing.RetryResume, true, "id: 3\ndata: p3\n\n", []string{"2", "3"},
+			"both runs broken off", prefill + "handle 7",
+			[]step{sendAndClose(stream + "id: 3\ndata: p3\n\nid: 4\nda"), sendAndClose(stream + "id: 4\ndata: p4\n")},
+			routing.RetryResume, true, "id: 3\ndata: p3\n\n",
+			[]string{"2", "3"},
 		},
 		{"not resumable", prefill + "handle 7", []step{sendAndClose(stream + "id: 3\ndata: p3\n\nid")}, routing.RetryIfNotRun, true, "id: 3\ndata: p3\n\n", []string{"2"}},
 	} {
