Announce and log the software versions of targets and continued streams

The version of a target's software was read nowhere, and no log told which stream a caller continued, so that the hypotheses of the incident with two software versions could not be told apart.

--- a/ids.go
+++ b/ids.go
@@ -29,6 +29,10 @@
 // TargetName names one replica of a service: a model engine or a process of a plain service.
 type TargetName string
 
+// SoftwareVersion names the version of the software that a target runs. A stream can only be continued on a target of the
+// version that began it.
+type SoftwareVersion string
+
 // Zone names an availability zone, such as caribe-a.
 type Zone string
 
--- a/internal/fleet/registry/digest.go
+++ b/internal/fleet/registry/digest.go
@@ -41,6 +41,7 @@
 	}
 	for _, s := range []string{
 		string(t.Name), string(t.Service), t.Address, string(t.Zone), t.Kind, string(t.Role), string(t.Fencing), string(t.Orders),
+		string(t.Software),
 	} {
 		text(s)
 	}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -54,6 +54,8 @@
 	Segments       []place.Segment
 	// LastEventID is the id of the last event that the caller received, for a stream that it resumes.
 	LastEventID string
+	// Resumes is the attempt that brought the first event of that stream, or empty when the caller does not state it.
+	Resumes camphorhinge.AttemptID
 }
 
 // Protocol translates between this package and the headers and bodies that callers and targets of a deployment use.
--- a/internal/request/forward/outcome.go
+++ b/internal/request/forward/outcome.go
@@ -68,7 +68,7 @@
 		attrs = append(attrs, "route", j.route.Name, "service", service, "config", j.version)
 	}
 	if t := j.plan.Serve; t != nil {
-		attrs = append(attrs, "queued_ms", j.placedAt.Sub(j.began).Milliseconds(), "target", t.Name, "plan", j.plan.Reason, "expected_ms", j.plan.Expected.Milliseconds(),
+		attrs = append(attrs, "queued_ms", j.placedAt.Sub(j.began).Milliseconds(), "target", t.Name, "software", t.Software, "plan", j.plan.Reason, "expected_ms", j.plan.Expected.Milliseconds(),
 			"prompt", j.info.Prompt, "unread", j.plan.Uncached)
 	}
 	if t := j.plan.Prefill; t != nil {
@@ -77,6 +77,9 @@
 	if t := j.plan.Fetch; t != nil {
 		attrs = append(attrs, "fetch", t.Name)
 	}
+	if j.info.LastEventID != "" {
+		attrs = append(attrs, "resumes", j.info.Resumes, "after", j.info.LastEventID)
+	}
 	if j.headerSent {
 		attrs = append(attrs, "events", j.events, "last_event", j.lastEventID, "unframed", j.unframed)
 	}
--- a/target.go
+++ b/target.go
@@ -71,18 +71,20 @@
 // Announcement is the state that a target reports every AnnounceInterval and on each change.
 // Of two announcements of one target, the one with the higher (Incarnation, Seq) is in force.
 type Announcement struct {
-	Name        TargetName    `json:"name"`
-	Service     ServiceName   `json:"service"`
-	Address     string        `json:"address"`
-	Zone        Zone          `json:"zone"`
-	Incarnation Incarnation   `json:"incarnation"`
-	Seq         Sequence      `json:"seq"`
-	Kind        string        `json:"kind"`
-	Role        Role          `json:"role,omitempty"`
-	Models      []ModelName   `json:"models,omitempty"`
-	Adapters    []AdapterName `json:"adapters,omitempty"`
-	Fencing     Fencing       `json:"fencing,omitempty"`
-	Orders      OrderProtocol `json:"orders,omitempty"`
+	Name        TargetName  `json:"name"`
+	Service     ServiceName `json:"service"`
+	Address     string      `json:"address"`
+	Zone        Zone        `json:"zone"`
+	Incarnation Incarnation `json:"incarnation"`
+	// Software is the version of the target's software, or empty when the target does not state one.
+	Software SoftwareVersion `json:"software,omitempty"`
+	Seq      Sequence        `json:"seq"`
+	Kind     string          `json:"kind"`
+	Role     Role            `json:"role,omitempty"`
+	Models   []ModelName     `json:"models,omitempty"`
+	Adapters []AdapterName   `json:"adapters,omitempty"`
+	Fencing  Fencing         `json:"fencing,omitempty"`
+	Orders   OrderProtocol   `json:"orders,omitempty"`
 	// Slots is the number of requests that the target runs concurrently, or 0 when it does not report one.
 	Slots int `json:"slots,omitempty"`
 	// Warming is the remaining time for which the target is slow after its start, in milliseconds.
