Reproduce streams that go on at another software version

The simulated site gets engines of several software versions side by side, engines that leave, entry nodes that are killed in the middle of their requests, and callers that continue streams at other nodes.

--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -24,6 +24,8 @@
 	eventInterval = 10 * time.Millisecond
 	// restartTime is the time from a crash to the start of the process that replaces the engine.
 	restartTime = 3 * time.Second
+	// leaveTime is the time from the announcement that an engine leaves to its end.
+	leaveTime = 3 * time.Second
 	// announceInterval is the time between two announcements of an engine.
 	announceInterval = time.Second
 	// slots is the number of requests that an engine runs at once.
@@ -58,8 +60,12 @@
 	site    *Site
 	address string
 	role    camphorhinge.Role
+	// software is the version of the engine's software, also after a crash.
+	software camphorhinge.SoftwareVersion
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// leaving is set once the engine has announced that it leaves; it does not start again.
+	leaving bool
 	trouble Trouble
 	starts  int
 	seq     camphorhinge.Sequence
@@ -71,8 +77,8 @@
 	toldAt map[int]time.Time
 }
 
-func newEngine(s *Site, address string, role camphorhinge.Role) *engine {
-	e := &engine{site: s, address: address, role: role, conns: map[net.Conn]struct{}{}, toldAt: map[int]time.Time{}}
+func newEngine(s *Site, address string, role camphorhinge.Role, software camphorhinge.SoftwareVersion) *engine {
+	e := &engine{site: s, address: address, role: role, software: software, conns: map[net.Conn]struct{}{}, toldAt: map[int]time.Time{}}
 	e.start()
 	return e
 }
@@ -102,7 +108,7 @@
 	e.seq++
 	a := camphorhinge.Announcement{
 		Name: e.name(), Service: Service, Address: e.address, Zone: "z", Kind: camphorhinge.KindEngine, Role: e.role,
-		Incarnation: camphorhinge.Incarnation(e.starts), Seq: e.seq, Slots: slots,
+		Incarnation: camphorhinge.Incarnation(e.starts), Seq: e.seq, Slots: slots, Software: e.software, Leaving: e.leaving,
 	}
 	running := e.running
 	e.mu.Unlock()
@@ -124,7 +130,11 @@
 		c.Close()
 	}
 	clear(e.conns)
+	leaving := e.leaving
 	e.mu.Unlock()
+	if leaving {
+		return
+	}
 	e.site.recordCrash()
 	e.site.group.Go(func() error {
 		sleep(e.site.ctx, restartTime)
@@ -134,6 +144,26 @@
 	})
 }
 
+// retire announces that the engine leaves; its process ends after leaveTime.
+func (e *engine) retire() {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.announce()
+	e.site.group.Go(func() error {
+		sleep(e.site.ctx, leaveTime)
+		e.crash()
+		return nil
+	})
+}
+
+// serving reports whether the engine generates for new requests.
+func (e *engine) serving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running && !e.leaving && e.role == camphorhinge.RoleDecode
+}
+
 // dial opens a connection from an entry node.
 func (e *engine) dial(from int) (net.Conn, error) {
 	e.mu.Lock()
@@ -247,11 +277,11 @@
 		if !pause(ended, eventInterval) {
 			return io.ErrUnexpectedEOF
 		}
-		text := fmt.Sprintf("id: %d\ndata: p%d\n\n", i, i)
+		text := e.event(i)
 		if t.CloseDelimited {
 			// The begin of the next event follows at once, so that a crash always ends the stream inside an event.
 			text = text[sentAhead:]
-			if next := fmt.Sprintf("id: %d\nda", i+1); i < output {
+			if next := strings.TrimSuffix(e.event(i+1), fmt.Sprintf("ta: p%d\n\n", i+1)); i < output {
 				text, sentAhead = text+next, len(next)
 			}
 		} else {
@@ -267,6 +297,11 @@
 	return err
 }
 
+// event returns an event of a stream; a comment in it tells the version of the engine's software.
+func (e *engine) event(i int) string {
+	return fmt.Sprintf("id: %d\n: %s\ndata: p%d\n\n", i, e.software, i)
+}
+
 func streamHeader(attempt camphorhinge.AttemptID, t Trouble) string {
 	framing := "Transfer-Encoding: chunked\r\n"
 	if t.CloseDelimited {
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -43,6 +43,7 @@
 
 // process is one process of an entry node.
 type process struct {
+	ctx       context.Context //nolint:containedctx // It ends the requests of a process that is killed.
 	stop      context.CancelFunc
 	group     *errgroup.Group
 	exchange  *exchange.Client
@@ -60,7 +61,7 @@
 	if err := d.process.wait(ctx); err != nil {
 		return nil, err
 	}
-	for _, e := range d.site.engines {
+	for _, e := range d.site.allEngines() {
 		if e.address == address {
 			c, err := e.dial(d.index)
 			if err != nil {
@@ -90,7 +91,7 @@
 func (e *entry) start() {
 	ctx, stop := context.WithCancel(e.site.ctx)
 	g := &errgroup.Group{}
-	p := &process{stop: stop, group: g}
+	p := &process{ctx: ctx, stop: stop, group: g}
 	set, clock, log := metrics.NewSet(), e.site.clock, slog.New(slog.DiscardHandler)
 	name := camphorhinge.NodeID(fmt.Sprintf("entry-%d", e.index))
 	feedOf := func(address string) peerpb.Feed { return remoteFeed{core: e.site.coreOf(address), from: e} }
@@ -134,7 +135,13 @@
 	e.current = nil
 	e.mu.Unlock()
 	p.requests.Wait()
+	return p.end()
+}
+
+// end ends a process without waiting for its requests.
+func (p *process) end() error {
 	p.stop()
+	p.requests.Wait()
 	return errors.Join(p.forwarder.Close(), p.crashes.Close(), p.exchange.Close(), p.group.Wait())
 }
 
@@ -143,7 +150,7 @@
 	if err := s.entries[i].shut(); err != nil {
 		return err
 	}
-	for _, e := range s.engines {
+	for _, e := range s.allEngines() {
 		e.mu.Lock()
 		delete(e.toldAt, i)
 		e.mu.Unlock()
@@ -152,6 +159,19 @@
 	return nil
 }
 
+// KillEntry ends the process of an entry node in the middle of its requests; StartEntry starts another one.
+func (s *Site) KillEntry(i int) error {
+	e := s.entries[i]
+	e.mu.Lock()
+	p := e.current
+	e.current = nil
+	e.mu.Unlock()
+	return p.end()
+}
+
+// StartEntry starts a process of an entry node after KillEntry.
+func (s *Site) StartEntry(i int) { s.entries[i].start() }
+
 // Request is a request of a caller.
 type Request struct {
 	Attempt  camphorhinge.AttemptID
@@ -159,6 +179,10 @@
 	// Output is the number of events of the answer.
 	Output  int
 	Timeout time.Duration
+	// After is the number of events that the caller has, for a stream that it continues, and Resumes the attempt that
+	// brought the first one.
+	After   int
+	Resumes camphorhinge.AttemptID
 }
 
 // Answer is what a caller got.
@@ -226,14 +250,19 @@
 	for _, hash := range r.Segments {
 		segments = append(segments, strconv.FormatUint(hash, 16))
 	}
+	header := http.Header{
+		headerAttempt: {string(r.Attempt)}, headerSegments: {strings.Join(segments, ",")}, headerOutput: {strconv.Itoa(r.Output)},
+		headerTimeout: {strconv.FormatInt(r.Timeout.Milliseconds(), 10)},
+	}
+	if r.After > 0 {
+		header.Set(headerAfter, strconv.Itoa(r.After))
+		header.Set(headerResumes, string(r.Resumes))
+	}
 	out := &sink{}
-	p.forwarder.Serve(s.ctx, &forward.Request{
+	p.forwarder.Serve(p.ctx, &forward.Request{
 		Method: http.MethodPost, Path: routePrefix + "x", RequestTarget: routePrefix + "x", Host: routeHost, Caller: "caller",
 		Length: int64(len(r.Attempt)), Body: strings.NewReader(string(r.Attempt)),
-		Header: http.Header{
-			headerAttempt: {string(r.Attempt)}, headerSegments: {strings.Join(segments, ",")}, headerOutput: {strconv.Itoa(r.Output)},
-			headerTimeout: {strconv.FormatInt(r.Timeout.Milliseconds(), 10)},
-		},
+		Header: header,
 	}, out)
 	out.answer.Body = out.body.String()
 	return out.answer, true
--- a/internal/standin/site/protocol.go
+++ b/internal/standin/site/protocol.go
@@ -22,6 +22,7 @@
 	headerRole     = "Role"
 	headerSource   = "Source"
 	headerAfter    = "After"
+	headerResumes  = "Resumes"
 	headerLimit    = "Limit"
 	headerNotRun   = "Not-Run"
 )
@@ -51,7 +52,8 @@
 // ParseRequest implements forward.Protocol.
 func (protocol) ParseRequest(h http.Header) forward.RequestInfo {
 	info := forward.RequestInfo{
-		Attempt: camphorhinge.AttemptID(h.Get(headerAttempt)), LastEventID: h.Get(headerAfter), Segments: parseSegments(h),
+		Attempt: camphorhinge.AttemptID(h.Get(headerAttempt)), LastEventID: h.Get(headerAfter),
+		Resumes: camphorhinge.AttemptID(h.Get(headerResumes)), Segments: parseSegments(h),
 	}
 	info.Prompt = segmentTokens * camphorhinge.Tokens(len(info.Segments))
 	if n, err := strconv.Atoi(h.Get(headerOutput)); err == nil {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -23,6 +23,9 @@
 	routePrefix = "/a/"
 )
 
+// firstSoftware is the software version of the engines of a new site.
+const firstSoftware camphorhinge.SoftwareVersion = "v1"
+
 // Config is the size of a site.
 type Config struct {
 	Entries, Cores int
@@ -83,9 +86,7 @@
 		if i >= cfg.Prefill {
 			role = camphorhinge.RoleDecode
 		}
-		e := newEngine(s, fmt.Sprintf("e%d", i), role)
-		s.engines = append(s.engines, e)
-		s.group.Go(func() error { e.run(ctx); return nil })
+		s.AddEngine(role, firstSoftware)
 	}
 	for i := range cfg.Entries {
 		e := &entry{site: s, index: i}
@@ -95,6 +96,37 @@
 	return s
 }
 
+// AddEngine starts a further engine and returns its index.
+func (s *Site) AddEngine(role camphorhinge.Role, software camphorhinge.SoftwareVersion) int {
+	s.mu.Lock()
+	i := len(s.engines)
+	e := newEngine(s, fmt.Sprintf("e%d", i), role, software)
+	s.engines = append(s.engines, e)
+	s.mu.Unlock()
+	s.group.Go(func() error { e.run(s.ctx); return nil })
+	return i
+}
+
+// RetireEngine makes an engine leave, by its index.
+func (s *Site) RetireEngine(i int) { s.allEngines()[i].retire() }
+
+// Servers returns the number of engines with a software version that generate for new requests.
+func (s *Site) Servers(software camphorhinge.SoftwareVersion) int {
+	n := 0
+	for _, e := range s.allEngines() {
+		if e.software == software && e.serving() {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Site) allEngines() []*engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.engines)
+}
+
 func decodeConfig(document []byte) (*routing.Config, error) {
 	var c routing.Config
 	if err := json.Unmarshal(document, &c); err != nil {
@@ -118,7 +150,7 @@
 			return err
 		}
 	}
-	for _, e := range s.engines {
+	for _, e := range s.allEngines() {
 		e.mu.Lock()
 		if e.running {
 			e.running = false
@@ -198,7 +230,7 @@
 	s.mu.Lock()
 	c.catchUp(s.log)
 	s.mu.Unlock()
-	for _, e := range s.engines {
+	for _, e := range s.allEngines() {
 		e.announce()
 	}
 }
@@ -225,14 +257,14 @@
 
 // SetTrouble sets the trouble of one engine, by its index.
 func (s *Site) SetTrouble(i int, t Trouble) {
-	e := s.engines[i]
+	e := s.allEngines()[i]
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.trouble = t
 }
 
 // Crash ends the process of one engine, by its index; another one starts in its place.
-func (s *Site) Crash(i int) { s.engines[i].crash() }
+func (s *Site) Crash(i int) { s.allEngines()[i].crash() }
 
 func (s *Site) announce(a camphorhinge.Announcement) {
 	for _, c := range s.cores {
--- a/internal/standin/site/stream_test.go
+++ b/internal/standin/site/stream_test.go
@@ -22,7 +22,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := New(Config{Entries: 12, Cores: 3, Prefill: 3, Decode: 4})
 				defer func() { require.NoError(t, s.Close()) }()
-				for i := range s.engines {
+				for i := range s.allEngines() {
 					s.SetTrouble(i, Trouble{CloseDelimited: true})
 				}
 				time.Sleep(3 * time.Second)
@@ -33,7 +33,7 @@
 				for n := range 600 {
 					time.Sleep(time.Duration(random.Int64N(int64(60 * time.Millisecond))))
 					if n%50 == 49 {
-						s.Crash(random.IntN(len(s.engines)))
+						s.Crash(random.IntN(len(s.allEngines())))
 					}
 					i := random.IntN(len(s.entries))
 					r := Request{
