Continue streams only at the software version that began them

What two versions write does not fit together.

Cause: the software version of a target was read nowhere. A stream that broke off went on at any target of the service, whether a node continued it within its answer or a caller at another node. The class is a decision that depends on where earlier work was done, made without a record of that place.

Change: an entry node records the version and the service of a stream under a hash of its attempt before it sends it to a target. The record goes with the next call to the core node that places requests, which copies it to two others; new core processes get the records of all entry nodes that live. A continued stream is placed on targets of its version only, whoever continues it. If no node has a record, it goes on where a majority of the core nodes have seen one version only for as long as a stream may last, and is refused as not run otherwise, and at once if no target of its version is left.

--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -86,6 +86,14 @@
 	return c.feed.Work(ctx, req)
 }
 
+func (c *core) Record(ctx context.Context, req *peerpb.RecordRequest) (*peerpb.RecordResponse, error) {
+	return c.feed.Record(ctx, req)
+}
+
+func (c *core) Origin(ctx context.Context, req *peerpb.OriginRequest) (*peerpb.OriginResponse, error) {
+	return c.feed.Origin(ctx, req)
+}
+
 func (c *core) stop(t *testing.T) {
 	t.Helper()
 	c.cancel()
--- a/internal/node/feed/source.go
+++ b/internal/node/feed/source.go
@@ -46,6 +46,10 @@
 	Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error)
 	// Work returns the measured work of a service's engines.
 	Work(ctx context.Context, req *peerpb.WorkRequest) (*peerpb.WorkResponse, error)
+	// Record adds origins of streams that another core node has received.
+	Record(ctx context.Context, req *peerpb.RecordRequest) (*peerpb.RecordResponse, error)
+	// Origin returns where a stream began.
+	Origin(ctx context.Context, req *peerpb.OriginRequest) (*peerpb.OriginResponse, error)
 }
 
 // Source answers the watches of entry nodes on a core node; it implements peerpb.Feed.
@@ -180,3 +184,13 @@
 func (s *Source) Work(ctx context.Context, req *peerpb.WorkRequest) (*peerpb.WorkResponse, error) {
 	return s.cfg.Scheduler.Work(ctx, req)
 }
+
+// Record forwards a call to the Scheduler.
+func (s *Source) Record(ctx context.Context, req *peerpb.RecordRequest) (*peerpb.RecordResponse, error) {
+	return s.cfg.Scheduler.Record(ctx, req)
+}
+
+// Origin forwards a call to the Scheduler.
+func (s *Source) Origin(ctx context.Context, req *peerpb.OriginRequest) (*peerpb.OriginResponse, error) {
+	return s.cfg.Scheduler.Origin(ctx, req)
+}
--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -15,6 +15,7 @@
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/place"
 )
 
@@ -59,6 +60,13 @@
 	links map[string]*link
 	// uplink estimates the time to send a request.
 	uplink *uplink
+	// unsentOrigins are the origins that no core node has confirmed yet.
+	unsentOrigins []origin.Record
+	originsSwept  camphorhinge.Instant
+
+	// origins are those of the streams that this node has begun or continued.
+	origins        *origin.Table
+	originsDropped *metrics.Counter
 
 	placedByCore, placedLocally *metrics.Counter
 }
@@ -67,8 +75,9 @@
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
 		cfg: cfg, startID: rand.Uint64() | 1, //nolint:gosec // Identifies the process start; needs no secrecy.
-		links:         map[string]*link{},
-		uplink:        newUplink(cfg.LinkMbps),
+		links:   map[string]*link{},
+		uplink:  newUplink(cfg.LinkMbps),
+		origins: origin.New(maxOwnOrigins), originsDropped: cfg.Metrics.NewCounter("camphorhinge_origins_dropped_total"),
 		placedByCore:  cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="core"}`),
 		placedLocally: cfg.Metrics.NewCounter(`camphorhinge_placements_total{by="node"}`),
 	}
@@ -167,6 +176,9 @@
 			return nil, 0, false
 		}
 		plan, serveKnown, prefillKnown := planFromResponse(live, resp)
+		if serveKnown && req.Software != nil && plan.Serve.Software != *req.Software {
+			serveKnown = false
+		}
 		if serveKnown && prefillKnown {
 			return c.adopt(plan, req, report), 0, true
 		}
@@ -231,9 +243,10 @@
 	now := c.cfg.Clock.Now()
 	c.mu.Lock()
 	l := c.link(address)
-	events := l.takeEvents(now)
+	events, origins := l.takeEvents(now), c.takeOrigins(address)
 	call.Session = l.session
 	c.mu.Unlock()
+	call.Origins = encodeOrigins(now, origins)
 	call.Events, call.Limits = call.Events[:0], encodeLimits(c.cfg.Local.Limits(now))
 	for _, e := range events {
 		e.Age = uint32(max(now.Sub(e.at).Milliseconds(), 0))
@@ -244,6 +257,11 @@
 	resp, err := c.cfg.Feed(address).Place(callCtx, call)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil {
+		c.restoreOrigins(now, origins)
+	} else if resp.GetNewSession() && address == c.lastCore {
+		c.unsentOrigins = c.origins.All(now)
+	}
 	switch {
 	case err == nil:
 		l.recordResponse(resp)
@@ -274,6 +292,9 @@
 	for _, name := range req.Exclude {
 		call.Exclude = append(call.Exclude, string(name))
 	}
+	if req.Software != nil {
+		call.Software, call.Pinned = string(*req.Software), true
+	}
 	return call
 }
 
@@ -340,10 +361,18 @@
 	cores := c.cfg.Cores()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now.Sub(c.originsSwept) >= originSweepInterval {
+		c.originsSwept = now
+		c.origins.Sweep(now)
+	}
+	if len(c.unsentOrigins) > 0 {
+		c.preferredCore()
+	}
 	maps.DeleteFunc(c.links, func(address string, _ *link) bool { return !slices.Contains(cores, address) })
 	var out []string
 	for _, address := range cores {
-		if c.link(address).callDue(now, address == c.lastCore) {
+		preferred := address == c.lastCore
+		if l := c.link(address); l.callDue(now, preferred) || preferred && l.probeAt == 0 && len(c.unsentOrigins) > 0 {
 			out = append(out, address)
 		}
 	}
--- a/internal/node/schedule/client_test.go
+++ b/internal/node/schedule/client_test.go
@@ -51,6 +51,24 @@
 	return c.Scheduler.Work(ctx, req)
 }
 
+// Record implements peerpb.Feed.
+func (c *core) Record(ctx context.Context, req *peerpb.RecordRequest) (*peerpb.RecordResponse, error) {
+	if c.frozen.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return c.Scheduler.Record(ctx, req)
+}
+
+// Origin implements peerpb.Feed.
+func (c *core) Origin(ctx context.Context, req *peerpb.OriginRequest) (*peerpb.OriginResponse, error) {
+	if c.frozen.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return c.Scheduler.Origin(ctx, req)
+}
+
 // clientEnv is an entry node's Client with the core nodes "a" and "b" and the targets that the entry node has.
 type clientEnv struct {
 	*Client
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -44,14 +44,20 @@
 	Configuration func() *routing.Config
 	// Caches lists the engines' cached prompt segments; nil disables polling.
 	Caches Caches
-	Clock  camphorhinge.Clock
-	Seed   uint64
-	Log    *slog.Logger
+	// Self is the peer address of this core node, and Others returns those of the others; nil means that there are none.
+	Self   string
+	Others func() []string
+	// Feed returns the RPC client of the core node at a peer address.
+	Feed  func(address string) peerpb.Feed
+	Clock camphorhinge.Clock
+	Seed  uint64
+	Log   *slog.Logger
 }
 
 // Scheduler places the requests of all entry nodes. It is safe for use by several goroutines.
 type Scheduler struct {
-	cfg Config
+	cfg     Config
+	origins *origins
 
 	mu        sync.Mutex
 	placer    *place.Placer
@@ -94,13 +100,16 @@
 // New returns a Scheduler without placements. Run must be running for requests to be decided.
 func New(cfg Config) *Scheduler {
 	placer := place.New(place.Config{Seed: cfg.Seed, Central: true})
-	return &Scheduler{cfg: cfg, placer: placer, queue: place.NewQueue(placer), sessions: map[string]*session{}}
+	return &Scheduler{
+		cfg: cfg, origins: newOrigins(cfg.Clock.Now()), placer: placer, queue: place.NewQueue(placer), sessions: map[string]*session{},
+	}
 }
 
 // Run decides the waiting requests and polls engine caches until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.runQueue(ctx) })
+	g.Go(func() error { return s.runCopies(ctx) })
 	if s.cfg.Caches != nil {
 		g.Go(func() error { return s.pollCaches(ctx) })
 	}
@@ -146,9 +155,10 @@
 // Place applies the events of a call and places its request, if it has one. When the request still waits for an engine
 // after maxCallWait, the response has Waiting set, and the entry node calls again with the same placement number.
 func (s *Scheduler) Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
-	pending, unknown := s.receive(req)
+	s.mergeOrigins(s.cfg.Clock.Now(), req.GetOrigins(), true)
+	pending, fresh, unknown := s.receive(req)
 	if pending == nil {
-		return &peerpb.PlaceResponse{Unknown: unknown}, nil
+		return &peerpb.PlaceResponse{Unknown: unknown, NewSession: fresh}, nil
 	}
 	timer := time.NewTimer(maxCallWait)
 	defer timer.Stop()
@@ -160,12 +170,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if pending.response == nil {
-		return &peerpb.PlaceResponse{Waiting: true, Unknown: unknown}, nil
+		return &peerpb.PlaceResponse{Waiting: true, Unknown: unknown, NewSession: fresh}, nil
 	}
 	if sess := s.sessions[req.GetNode()]; sess != nil {
 		delete(sess.pending, req.GetPlacement())
 	}
-	pending.response.Unknown = unknown
+	pending.response.Unknown, pending.response.NewSession = unknown, fresh
 	return pending.response, nil
 }
 
@@ -187,37 +197,38 @@
 }
 
 // receive applies the events of a call and queues its request. It returns the pending request, or nil if there is none
-// to decide, and whether to ask the entry node for cache contents. A call of an earlier session has no effect.
-func (s *Scheduler) receive(req *peerpb.PlaceRequest) (request *pendingRequest, unknown bool) {
+// to decide, whether its session is new, and whether to ask the entry node for cache contents. A call of an earlier session
+// has no effect.
+func (s *Scheduler) receive(req *peerpb.PlaceRequest) (request *pendingRequest, fresh, unknown bool) {
 	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	sess, unknown := s.currentSession(now, req)
+	sess, fresh := s.currentSession(now, req)
 	if sess == nil {
-		return nil, false
+		return nil, false, false
 	}
-	unknown = unknown && s.askForCaches(now)
+	unknown = fresh && s.askForCaches(now)
 	s.mergeCaches(now, req.GetHoldings())
 	s.mergeLimits(now, req.GetLimits())
 	for _, e := range req.GetEvents() {
 		s.applyEvent(now, sess, e)
 	}
 	if req.GetPlacement() == 0 {
-		return nil, unknown
+		return nil, fresh, unknown
 	}
 	if pending := sess.pending[req.GetPlacement()]; pending != nil {
 		pending.lastCall = now
-		return pending, unknown
+		return pending, fresh, unknown
 	}
 	config := s.cfg.Configuration()
 	if config == nil {
-		return nil, unknown
+		return nil, fresh, unknown
 	}
 	service := config.Service(camphorhinge.ServiceName(req.GetService()))
 	if service == nil || service.Engine == nil {
-		return nil, unknown
+		return nil, fresh, unknown
 	}
-	return s.enqueue(now, sess, req, service), unknown
+	return s.enqueue(now, sess, req, service), fresh, unknown
 }
 
 // mergeCaches adds the cache contents that an entry node has recorded of the engines.
@@ -319,6 +330,10 @@
 			r.Segments = append(r.Segments, place.Segment{Hash: hash, Tokens: camphorhinge.Tokens(req.GetSizes()[i])})
 		}
 	}
+	if req.GetPinned() {
+		software := camphorhinge.SoftwareVersion(req.GetSoftware())
+		r.Software = &software
+	}
 	for _, name := range req.GetExclude() {
 		r.Exclude = append(r.Exclude, camphorhinge.TargetName(name))
 	}
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -123,7 +123,7 @@
 	})
 	e.forward = forward.New(forward.Config{
 		Index: e.follower.Index, Targets: e.registry,
-		Placer:   e.placer,
+		Placer: e.placer, Origins: e.placer,
 		Exchange: e.exchange,
 		Budget: budget.New(budget.Config{
 			Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindow, Start: e.clock.Now(),
--- a/internal/request/forward/error.go
+++ b/internal/request/forward/error.go
@@ -27,6 +27,8 @@
 	// KindNoTarget marks a request that no target ran: none was reachable, or every attempt ended before the request
 	// ran.
 	KindNoTarget Kind = "no_target"
+	// KindNoOrigin marks a continued stream of which is not known where it began, or which no target can go on with.
+	KindNoOrigin Kind = "no_origin"
 	// KindOverload marks a request that can't be served in time.
 	KindOverload Kind = "overload"
 	// KindRetryBudget marks a request whose next attempt was denied by the retry budget.
--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -25,6 +25,7 @@
 	"example.org/camphorhinge/internal/record/routing"
 	"example.org/camphorhinge/internal/request/budget"
 	"example.org/camphorhinge/internal/request/exchange"
+	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/place"
 )
 
@@ -32,7 +33,10 @@
 type protocol struct{}
 
 func (protocol) ParseRequest(h http.Header) RequestInfo {
-	a := RequestInfo{Attempt: camphorhinge.AttemptID(h.Get("Attempt")), LastEventID: h.Get("After")}
+	a := RequestInfo{
+		Attempt: camphorhinge.AttemptID(h.Get("Attempt")), LastEventID: h.Get("After"),
+		Resumes: camphorhinge.AttemptID(h.Get("Resumes")),
+	}
 	if ms, err := strconv.Atoi(h.Get("Left")); err == nil {
 		a.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -160,10 +164,16 @@
 	return nil
 }
 
-func (w *fakeTargets) Live(camphorhinge.ServiceName) []*camphorhinge.Target {
+func (w *fakeTargets) Live(service camphorhinge.ServiceName) []*camphorhinge.Target {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.live
+	var out []*camphorhinge.Target
+	for _, t := range w.live {
+		if t.Service == service {
+			out = append(out, t)
+		}
+	}
+	return out
 }
 
 // requestCount returns the number of requests that reached targets.
@@ -190,7 +200,7 @@
 	}
 	var plan place.Plan
 	for _, t := range live {
-		skip := !t.Serving
+		skip := !t.Serving || req.Software != nil && t.Role != camphorhinge.RolePrefill && t.Software != *req.Software
 		for _, name := range req.Exclude {
 			skip = skip || name == t.Name
 		}
@@ -210,6 +220,34 @@
 	return o.placer.Adopt(1, plan, req), 0, true
 }
 
+// origins is an Origins that knows the recorded streams.
+type origins struct {
+	mu    sync.Mutex
+	known map[origin.Key]origin.Origin
+	// tries are those of the records, in order.
+	tries []int
+}
+
+func (o *origins) RecordOrigin(key origin.Key, from origin.Origin, try int, _ time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.known == nil {
+		o.known = map[origin.Key]origin.Origin{}
+	}
+	o.known[key] = from
+	o.tries = append(o.tries, try)
+}
+
+func (o *origins) ResolveOrigin(_ context.Context, key origin.Key, service camphorhinge.ServiceName, _ time.Duration) (origin.Origin, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if key == 0 {
+		return origin.Origin{Service: service}, true
+	}
+	from, ok := o.known[key]
+	return from, ok
+}
+
 // sink records an answer.
 type sink struct {
 	status     int
@@ -256,6 +294,7 @@
 	client  *exchange.Client
 	index   atomic.Pointer[routing.Index]
 	place   listOrderPlacer
+	origins origins
 }
 
 func newFixture(t *testing.T, route routing.Route, targets ...*target) *fixture {
@@ -287,7 +326,7 @@
 	b.index.Store(routing.NewIndex(&routing.Config{Version: 1, Routes: []routing.Route{route}, Services: []routing.Service{service}}))
 	clock := virtualClock{time.Now()}
 	b.Forwarder = New(Config{
-		Index: b.index.Load, Targets: w, Placer: &b.place, Exchange: b.client,
+		Index: b.index.Load, Targets: w, Placer: &b.place, Origins: &b.origins, Exchange: b.client,
 		Budget:     budget.New(budget.Config{Allowance: 100, Window: 10 * time.Second}),
 		Quarantine: noQuarantine{}, Protocol: protocol{}, Nodes: func() int { return 1 }, Clock: clock,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewSet(),
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"example.org/camphorhinge/internal/record/routing"
 	"example.org/camphorhinge/internal/request/budget"
 	"example.org/camphorhinge/internal/request/exchange"
+	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/place"
 )
 
@@ -86,6 +86,7 @@
 	Index      func() *routing.Index
 	Targets    camphorhinge.Targets
 	Placer     Placer
+	Origins    Origins
 	Exchange   *exchange.Client
 	Budget     *budget.Budget
 	Quarantine Quarantine
@@ -108,6 +109,16 @@
 	Place(ctx context.Context, live []*camphorhinge.Target, req place.Request) (p *place.Placement, refusal time.Duration, ok bool)
 }
 
+// Origins records where streams begin; *schedule.Client implements it.
+type Origins interface {
+	// RecordOrigin records where a stream begins, or with a try of 0 that it was continued there. Try numbers the targets to
+	// which the attempt was sent, from 1. The record is needed for the given time.
+	RecordOrigin(key origin.Key, from origin.Origin, try int, keep time.Duration)
+	// ResolveOrigin returns where a stream began; ok is false when that is not known. Key is 0 when the caller did not state
+	// which stream it continues, which then began at the service within the given time.
+	ResolveOrigin(ctx context.Context, key origin.Key, service camphorhinge.ServiceName, window time.Duration) (from origin.Origin, ok bool)
+}
+
 // Quarantine refuses requests that crash targets; *quarantine.Client implements it.
 type Quarantine interface {
 	// Refused reports whether a request is refused, by its fingerprint or by a segment of its prompt, and for how long.
@@ -206,11 +217,10 @@
 	if err := j.readBody(index.Config.Limits); err != nil {
 		return err
 	}
-	name := j.route.Pick(rand.Float64()) //nolint:gosec // A traffic split needs no cryptographic randomness.
-	if j.service = index.Service(name); j.service == nil {
-		return newUnavailable(KindNoConfiguration, configurationRetryAfter, "service %s is not configured", name)
+	if err := j.chooseService(ctx, index); err != nil {
+		return err
 	}
-	j.f.cfg.Budget.RecordRequest(j.f.cfg.Clock.Now(), name)
+	j.f.cfg.Budget.RecordRequest(j.f.cfg.Clock.Now(), j.service.Name)
 	timeout := j.route.Timeout - answerMargin
 	if j.info.Timeout > 0 {
 		timeout = min(timeout, j.info.Timeout)
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -10,6 +10,7 @@
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/record/routing"
 	"example.org/camphorhinge/internal/request/exchange"
+	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/place"
 )
 
@@ -43,6 +44,11 @@
 	// headerSent is set once the header of a streamed answer was sent; lastEventID is the id of the last event sent.
 	headerSent  bool
 	lastEventID string
+	// origin is where the stream began, once that is known: at the first event, or before for a stream that the caller
+	// continues. Only targets of that version may continue it.
+	origin *origin.Origin
+	// originTries counts the targets that were recorded as the origin.
+	originTries int
 	// events counts the events sent; unframed is set once an answer with neither a length nor chunks was streamed.
 	events   int
 	unframed bool
@@ -126,6 +132,11 @@
 	if j.runs > 0 {
 		return &Error{Op: "place", Kind: KindTarget, Run: camphorhinge.Unknown, Status: http.StatusBadGateway, Err: errNoOtherTarget}
 	}
+	if j.origin != nil {
+		j.f.meters.recordContinued(j.service.Name, noTarget)
+		return newUnavailable(KindNoOrigin, originRetryAfter, "service %s has no reachable target of software version %s, which began the stream",
+			j.service.Name, j.origin.Software)
+	}
 	return newUnavailable(KindNoTarget, targetRetryAfter, "service %s has no reachable target", j.service.Name)
 }
 
@@ -211,6 +222,9 @@
 		Service: j.service.Name, Engine: j.service.Engine, Segments: j.info.Segments, Prompt: j.info.Prompt, Output: j.info.Output,
 		Exclude: j.exclude, Direct: !j.allowPrefill(),
 	}
+	if j.origin != nil {
+		r.Software = &j.origin.Software
+	}
 	if j.route.Objective > 0 {
 		r.Due = j.began.Add(j.route.Objective)
 	}
--- a/internal/request/forward/outcome.go
+++ b/internal/request/forward/outcome.go
@@ -27,6 +27,11 @@
 	}
 }
 
+// recordContinued counts a stream that a caller continues.
+func (m *meters) recordContinued(service camphorhinge.ServiceName, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("camphorhinge_streams_continued_total{service=%q,outcome=%q}", service, outcome)).Inc()
+}
+
 // segmentHashes returns the hashes of a prompt's segments in hexadecimal, in order.
 func segmentHashes(segments []place.Segment) string {
 	var b strings.Builder
@@ -77,6 +82,9 @@
 	if t := j.plan.Fetch; t != nil {
 		attrs = append(attrs, "fetch", t.Name)
 	}
+	if j.origin != nil {
+		attrs = append(attrs, "origin", j.origin.Software)
+	}
 	if j.info.LastEventID != "" {
 		attrs = append(attrs, "resumes", j.info.Resumes, "after", j.info.LastEventID)
 	}
--- a/internal/request/place/limit.go
+++ b/internal/request/place/limit.go
@@ -173,7 +173,7 @@
 	wait := time.Duration(0)
 	for _, t := range live {
 		s := p.stateOf(now, t)
-		if !t.Serving || slices.Contains(req.Exclude, t.Name) || p.withinLimit(now, s) {
+		if !t.Serving || !req.mayServe(t) || slices.Contains(req.Exclude, t.Name) || p.withinLimit(now, s) {
 			continue
 		}
 		w := time.Duration((1 - s.limit.tokens) / p.limitRate(&s.limit) * float64(time.Second))
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -95,22 +95,30 @@
 	}
 }
 
-// candidates returns the live targets that may receive a request. Targets that failed recently are left out unless no
-// others remain.
+// candidates returns the live targets that may receive a request or prefill its prompt. Targets that failed recently are
+// left out unless no others could serve it.
 func (p *Placer) candidates(now camphorhinge.Instant, live []*camphorhinge.Target, req *Request) []*camphorhinge.Target {
 	var ready, unready []*camphorhinge.Target
+	servers := 0
 	for _, t := range live {
-		if !t.Serving || slices.Contains(req.Exclude, t.Name) {
+		prefills := req.Engine != nil && t.Role == camphorhinge.RolePrefill
+		if !t.Serving || slices.Contains(req.Exclude, t.Name) || !prefills && !req.mayServe(t) {
 			continue
 		}
-		if p.stateOf(now, t).available(now) {
-			ready = append(ready, t)
-		} else {
+		if !p.stateOf(now, t).available(now) {
 			unready = append(unready, t)
+			continue
+		}
+		ready = append(ready, t)
+		if !prefills {
+			servers++
 		}
 	}
-	if len(ready) == 0 {
+	switch {
+	case len(ready) == 0:
 		return unready
+	case servers == 0 && req.Software != nil:
+		return append(ready, unready...)
 	}
 	return ready
 }
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -58,7 +58,8 @@
 	// estimated is set once serviceTime, the expected time without the wait, has been estimated.
 	estimated   bool
 	serviceTime time.Duration
-	// retried is set for a request that was refused recently.
+	// retried is set for a request that was refused recently, and for a stream that is continued: its caller has waited for
+	// longer than those of new requests, and only some targets may serve it.
 	retried bool
 	// neverOnTime is set when the request could not meet its due time even without a wait. late is set while any other
 	// request is not expected to meet its due time.
@@ -115,9 +116,9 @@
 
 // Add enqueues a request; it is decided at once if no other request waits, else by a later Run.
 func (q *Queue) Add(now camphorhinge.Instant, w *QueuedRequest) {
-	w.arrived = now
+	w.arrived, w.retried = now, w.Software != nil
 	if n := len(w.Segments); n > 0 {
-		w.retried = now < q.refusedUntil[w.Segments[n-1].Hash]
+		w.retried = w.retried || now < q.refusedUntil[w.Segments[n-1].Hash]
 	}
 	if now.Sub(q.sweptAt) > refusalRetention {
 		q.sweptAt = now
--- a/internal/request/place/types.go
+++ b/internal/request/place/types.go
@@ -23,6 +23,9 @@
 	Segments []Segment
 	// Prompt is the number of prompt tokens, Output the maximum number of tokens to generate.
 	Prompt, Output camphorhinge.Tokens
+	// Software is the software version of the target that may serve the request; nil means any. Other targets may prefill its
+	// prompt.
+	Software *camphorhinge.SoftwareVersion
 	// Exclude lists targets to which the request must not be sent again.
 	Exclude []camphorhinge.TargetName
 	// Direct rules out plans with a separate prefill engine.
@@ -38,6 +41,11 @@
 	Due, Deadline camphorhinge.Instant
 }
 
+// mayServe reports whether a target has the software version that may serve the request.
+func (r *Request) mayServe(t *camphorhinge.Target) bool {
+	return r.Software == nil || *r.Software == t.Software
+}
+
 // shared returns the segments that other requests may have as well, which are all but the last, and their total size.
 func (r *Request) shared() ([]Segment, camphorhinge.Tokens) {
 	if len(r.Segments) == 0 {
--- a/internal/standin/site/core.go
+++ b/internal/standin/site/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,6 +97,12 @@
 	})
 	c.scheduler = schedule.New(schedule.Config{
 		Targets: c.registry, Configuration: table.Current, Clock: c.site.clock, Seed: uint64(len(c.name)), Log: slog.New(slog.DiscardHandler),
+		Self: c.name, Others: func() []string {
+			return slices.DeleteFunc(c.site.coreNames(), func(name string) bool { return name == c.name })
+		},
+		Feed: func(address string) peerpb.Feed {
+			return remoteFeed{core: c.site.coreOf(address), from: []*gate{&c.link}}
+		},
 	})
 	crashes := c.crashes
 	source = feed.NewSource(feed.SourceConfig{
@@ -140,10 +147,11 @@
 	}
 }
 
-// remoteFeed is a core node as an entry node calls it.
+// remoteFeed is a core node as another node calls it.
 type remoteFeed struct {
 	core *core
-	from *entry
+	// from are the gates that messages of the other node must pass.
+	from []*gate
 }
 
 var _ peerpb.Feed = remoteFeed{}
@@ -151,7 +159,7 @@
 // cross waits until a message can pass between the two nodes.
 func (r remoteFeed) cross(ctx context.Context) error {
 	sleep(ctx, callDelay)
-	for _, g := range []*gate{&r.from.link, &r.from.process, &r.core.link} {
+	for _, g := range append(slices.Clone(r.from), &r.core.link) {
 		if err := g.wait(ctx); err != nil {
 			return err
 		}
@@ -202,6 +210,18 @@
 	return callRemote(ctx, r, req, scheduler.Work)
 }
 
+// Record implements peerpb.Feed.
+func (r remoteFeed) Record(ctx context.Context, req *peerpb.RecordRequest) (*peerpb.RecordResponse, error) {
+	_, scheduler := r.current()
+	return callRemote(ctx, r, req, scheduler.Record)
+}
+
+// Origin implements peerpb.Feed.
+func (r remoteFeed) Origin(ctx context.Context, req *peerpb.OriginRequest) (*peerpb.OriginResponse, error) {
+	_, scheduler := r.current()
+	return callRemote(ctx, r, req, scheduler.Origin)
+}
+
 // proposer commits the commands of an entry node; it implements camphorhinge.Proposer.
 type proposer struct {
 	site *Site
@@ -211,7 +231,7 @@
 // Propose implements camphorhinge.Proposer. A leader that is cut off or frozen gives no answer.
 func (p proposer) Propose(ctx context.Context, _ camphorhinge.CommandKind, data []byte) ([]byte, error) {
 	leader := p.site.leader()
-	r := remoteFeed{core: leader, from: p.from}
+	r := remoteFeed{core: leader, from: []*gate{&p.from.link, &p.from.process}}
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	if err := r.cross(ctx); err != nil {
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -94,7 +94,9 @@
 	p := &process{ctx: ctx, stop: stop, group: g}
 	set, clock, log := metrics.NewSet(), e.site.clock, slog.New(slog.DiscardHandler)
 	name := camphorhinge.NodeID(fmt.Sprintf("entry-%d", e.index))
-	feedOf := func(address string) peerpb.Feed { return remoteFeed{core: e.site.coreOf(address), from: e} }
+	feedOf := func(address string) peerpb.Feed {
+		return remoteFeed{core: e.site.coreOf(address), from: []*gate{&e.link, &e.process}}
+	}
 	p.crashes = quarantine.New(quarantine.Config{
 		Proposer: proposer{e.site, e}, Node: name, Clock: clock, Decisions: decision.New(16), Log: log, Metrics: set,
 		Survived: func(ctx context.Context, t *camphorhinge.Target) bool { return p.exchange.Reachable(ctx, t.Address) },
@@ -117,7 +119,7 @@
 		FirstByteTimeout: time.Minute, StallTimeout: time.Minute,
 	})
 	p.forwarder = forward.New(forward.Config{
-		Index: p.follower.Index, Targets: targets, Placer: placer, Exchange: p.exchange,
+		Index: p.follower.Index, Targets: targets, Placer: placer, Origins: placer, Exchange: p.exchange,
 		Budget: budget.New(budget.Config{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second, Start: clock.Now()}),
 		Zone:   "z", Quarantine: crashes, Protocol: protocol{}, Nodes: p.follower.Entries, Started: clock.Now(), Clock: clock, Log: log, Metrics: set,
 	})
--- a/internal/standin/site/version_test.go
+++ b/internal/standin/site/version_test.go
@@ -34,8 +34,10 @@
 	// servers is the number of engines of that version when the request was sent.
 	servers int
 	// began is set when the answer brought an event.
-	began  bool
-	status int
+	began bool
+	// reached is set when a node that had all targets answered; refusal is the type of its error.
+	reached bool
+	refusal string
 }
 
 // stream is what a caller got over all its attempts.
@@ -88,6 +90,7 @@
 		for tried := 0; !c.site.Ready(i) && tried < len(c.site.entries); tried++ {
 			i = (i + 1) % len(c.site.entries)
 		}
+		ready := c.site.Ready(i)
 		if left <= 0 {
 			return
 		}
@@ -105,7 +108,10 @@
 		if ok && answer.Status == 200 {
 			x.read(answer.Body)
 		}
-		a.began, a.status = x.got > before, answer.Status
+		a.began, a.reached = x.got > before, ok && ready && answer.Status != 0
+		if _, kind, found := strings.Cut(answer.Body, `"type":"`); found && answer.Status != 200 {
+			a.refusal, _, _ = strings.Cut(kind, `"`)
+		}
 		x.attempts = append(x.attempts, a)
 		if before == 0 && x.got > 0 {
 			first = r.Attempt
@@ -274,7 +280,7 @@
 func (c *callers) check(t *testing.T, out *outages) {
 	t.Helper()
 	mixed, complete := 0, 0
-	var fresh, freshBegan, continued, wentOn int
+	fresh, continued, outside := &tally{}, &tally{}, &tally{}
 	for _, x := range c.streams {
 		require.True(t, x.ordered, "events of stream %s", x.id)
 		if len(x.versions) > 1 {
@@ -285,25 +291,53 @@
 			complete++
 		}
 		for _, a := range x.attempts {
+			if !a.reached {
+				continue
+			}
+			inTouch := out.inTouch(a.entry, a.at)
 			switch {
-			case !out.inTouch(a.entry, a.at):
-			case a.continues == "":
-				fresh++
-				if a.began {
-					freshBegan++
-				}
-			case a.servers >= 2:
-				continued++
-				if a.began {
-					wentOn++
-				}
+			case a.continues == "" && inTouch:
+				fresh.count(a)
+			case a.continues == "" || a.servers < 2:
+			case inTouch:
+				continued.count(a)
+			default:
+				outside.count(a)
 			}
 		}
 	}
-	t.Logf("%d streams, %d complete, %d mixed; %d of %d new ones began; %d of %d continued ones went on", len(c.streams), complete, mixed, freshBegan, fresh, wentOn, continued)
+	t.Logf("%d streams, %d complete, %d mixed; new: %v; continued: %v; at nodes out of touch: %v", len(c.streams), complete, mixed, fresh, continued, outside)
 	require.LessOrEqual(t, mixed, maxMixed)
 	require.Greater(t, complete, len(c.streams)/2)
-	if continued >= minContinuations {
-		require.GreaterOrEqual(t, float64(wentOn)/float64(continued), float64(freshBegan)/float64(fresh)/2)
+	for _, n := range []*tally{continued, outside} {
+		if n.sent >= minContinuations {
+			require.GreaterOrEqual(t, n.share(), fresh.share()/2)
+		}
+	}
+}
+
+// tally counts attempts of callers.
+type tally struct {
+	sent, began int
+	// refusals counts the answers of nodes that refused by type.
+	refusals map[string]int
+}
+
+func (n *tally) count(a attempt) {
+	n.sent++
+	if a.began {
+		n.began++
+	} else {
+		if n.refusals == nil {
+			n.refusals = map[string]int{}
+		}
+		n.refusals[a.refusal]++
 	}
 }
+
+func (n *tally) share() float64 { return float64(n.began) / float64(max(n.sent, 1)) }
+
+// String implements fmt.Stringer.
+func (n *tally) String() string {
+	return fmt.Sprintf("%d of %d began, %v", n.began, n.sent, n.refusals)
+}
