Continue streams of the product's own interface at their software version

What callers saw: nothing yet. A stream that broke off after its first events was run again from its start on any engine, where only the events already sent were compared, or was moved with its KV cache to an engine of another software version; its later events then came from there.

Cause: the choice of an engine for a further run or a move did not know the version that sent the first event.

Change: the first event binds the request to its engine's version. TestStreamKeepsVersion fails in three of its five cases without it.

--- a/interfaces.go
+++ b/interfaces.go
@@ -124,6 +124,8 @@
 	Deadline time.Duration
 	// Exclude names targets that already failed this request.
 	Exclude []TargetName
+	// Software is the only software version that may serve the request, as it began its stream; nil means any.
+	Software *SoftwareVersion
 }
 
 // RouteChoice is a Router's decision with the values that explain it.
--- a/internal/request/frontend/contract_test.go
+++ b/internal/request/frontend/contract_test.go
@@ -103,6 +103,8 @@
 	large  bool
 	a, b   []step
 	budget int
+	// software holds the software versions of a and b, if they have any.
+	software [2]camphorhinge.SoftwareVersion
 	// drain is the time after which target a is marked as not serving.
 	drain time.Duration
 	// leaveAfter and leaveAt are the number of events or the time after which the caller closes the connection.
@@ -205,6 +207,23 @@
 	}
 }
 
+// TestStreamKeepsVersion guards against a stream that a second run or a move continues on an engine of another software
+// version.
+func TestStreamKeepsVersion(t *testing.T) {
+	cutAfter2, versions := streamUntil(2, closeConn), [2]camphorhinge.SoftwareVersion{"v1", "v2"}
+	for _, tc := range []faultCase{
+		{fault: "cut before the first event", body: streamRequest, software: versions, budget: 1, a: []step{streamUntil(0, closeConn)}, b: []step{stream()}, status: 200, class: "run", runs: 2, answer: "stream"},
+		{fault: "resumed", body: streamRequest, software: versions, a: []step{cutAfter2, stream()}, b: []step{stream()}, status: 200, class: "run", runs: 1, answer: "stream", seen: "a: resume 2"},
+		{fault: "cache not moved", body: streamRequest, software: versions, a: []step{cutAfter2, refuse(503)}, b: []step{stream()}, status: 200, class: "unknown", runs: 1, answer: "cut"},
+		{fault: "second run", body: seededRequest, software: versions, budget: 1, a: []step{cutAfter2, refuse(404), stream()}, b: []step{stream()}, status: 200, class: "run", runs: 2, answer: "stream"},
+		{fault: "second run, engine gone", body: seededRequest, software: versions, budget: 1, a: []step{cutAfter2, refuseDial()}, b: []step{stream()}, status: 200, class: "unknown", runs: 1, answer: "cut"},
+	} {
+		t.Run(tc.fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkFaultCase(t, tc) })
+		})
+	}
+}
+
 // TestContract checks the guarantees to callers at each point of failure: the stated class is true, an answer is
 // complete or lacks its end, and a request that must not be repeated runs at most once.
 func TestContract(t *testing.T) {
@@ -219,9 +238,9 @@
 	a, b := &fakeTarget{name: "a", steps: tc.a}, &fakeTarget{name: "b", steps: tc.b}
 	net := &pipeDialer{fakes: map[string]*fakeTarget{"a": a, "b": b}}
 	view := &fixedTargets{}
-	for _, f := range []*fakeTarget{a, b} {
+	for i, f := range []*fakeTarget{a, b} {
 		view.targets = append(view.targets, &camphorhinge.Target{
-			Announcement: camphorhinge.Announcement{Name: camphorhinge.TargetName(f.name), Address: f.name}, Serving: true,
+			Announcement: camphorhinge.Announcement{Name: camphorhinge.TargetName(f.name), Address: f.name, Software: tc.software[i]}, Serving: true,
 		})
 	}
 	tracer, zero := noop.NewTracerProvider().Tracer(""), time.Now()
--- a/internal/request/frontend/http_test.go
+++ b/internal/request/frontend/http_test.go
@@ -58,7 +58,7 @@
 
 func (f *fixedTargets) Pick(req camphorhinge.RouteRequest) (camphorhinge.RouteChoice, bool) {
 	for _, t := range f.Live(req.Service) {
-		if t.Serving && !slices.Contains(req.Exclude, t.Name) {
+		if t.Serving && !slices.Contains(req.Exclude, t.Name) && (req.Software == nil || *req.Software == t.Software) {
 			return camphorhinge.RouteChoice{Target: t, Reason: "first"}, true
 		}
 	}
--- a/internal/request/frontend/relay.go
+++ b/internal/request/frontend/relay.go
@@ -155,6 +155,9 @@
 		}
 		r.hashes = append(r.hashes, h)
 	}
+	if r.route.Software == nil {
+		r.route.Software = &l.choice.Target.Software
+	}
 	if !r.headerSent {
 		h := r.f.answerHeader(r.in, camphorhinge.Run, 0, "text/event-stream")
 		h.Set("Cache-Control", "no-cache")
--- a/internal/request/route/router.go
+++ b/internal/request/route/router.go
@@ -262,7 +262,7 @@
 // consider adds a target to the candidates if it is eligible for the request. A target in its slow start is added only
 // with the probability of its share, and to r.slowStarting otherwise.
 func (r *Router) consider(t *camphorhinge.Target, req *camphorhinge.RouteRequest, now camphorhinge.Instant, output camphorhinge.Tokens) {
-	if !accepting(t, now) || !serves(t, req) || slices.Contains(req.Exclude, t.Name) ||
+	if !accepting(t, now) || !serves(t, req) || req.Software != nil && *req.Software != t.Software || slices.Contains(req.Exclude, t.Name) ||
 		t.Load.Blocks > 0 && blocks(req.Prompt+output) > t.Load.Blocks {
 		return
 	}
--- a/internal/request/route/router_test.go
+++ b/internal/request/route/router_test.go
@@ -85,6 +85,14 @@
 		{"stale", func(s setup) { s.c.now = s.c.now.Add(2600 * time.Millisecond); s.l[1].ReportedAt = s.c.now }, loses},
 		{"both stale", func(s setup) { s.c.now = s.c.now.Add(2600 * time.Millisecond) }, none},
 		{"already failed this request", func(s setup) { s.req.Exclude = []camphorhinge.TargetName{wins} }, loses},
+		{"began at the other's software version", func(s setup) {
+			s.l[0].Software, s.l[1].Software = "v1", "v2"
+			s.req.Software = &s.l[1].Software
+		}, loses},
+		{"software version is gone", func(s setup) {
+			software := camphorhinge.SoftwareVersion("v3")
+			s.l[0].Software, s.req.Software = "v1", &software
+		}, none},
 		{"model is not loaded", func(s setup) { s.l[0].Models = nil }, loses},
 		{"adapter is on the other", func(s setup) {
 			s.req.Adapter = "x"
