Keep the software versions in service in the durable state

Cause: the versions that a service has had were known from memory only, so that core nodes that had just started could not tell that there was only one.

Change: each new version is committed as soon as a target announces it, and removed by the leader once it has seen no target of it for ten minutes. A core node whose memory does not reach back far enough asks the leader. With two versions in service the answer stays unknown.

TestOriginWithoutRecord and TestKeeper show the bounds.

--- a/interfaces.go
+++ b/interfaces.go
@@ -58,6 +58,8 @@
 	CommandCrash CommandKind = 5
 	// CommandRouting replaces the routing configuration.
 	CommandRouting CommandKind = 6
+	// CommandVersion adds or removes a software version that is in service.
+	CommandVersion CommandKind = 7
 )
 
 // Entry describes the committed log entry that carries a command.
--- a/internal/node/schedule/origin.go
+++ b/internal/node/schedule/origin.go
@@ -280,6 +280,15 @@
 		return own, nil
 	}
 	others := s.cfg.Others()
+	if s.askOthers(ctx, req, own, others) || own.GetWhole() && len(own.GetVersions()) == 1 {
+		return own, nil
+	}
+	s.addDurableVersions(ctx, camphorhinge.ServiceName(req.GetService()), own)
+	return own, nil
+}
+
+// askOthers adds the answers of the other core nodes to own, and reports whether one of them has a record.
+func (s *Scheduler) askOthers(ctx context.Context, req *peerpb.OriginRequest, own *peerpb.OriginResponse, others []string) bool {
 	answers := make([]*peerpb.OriginResponse, len(others))
 	ask := &peerpb.OriginRequest{Key: req.GetKey(), Service: req.GetService(), Window: req.GetWindow(), Local: true}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -303,7 +312,8 @@
 		case answer == nil:
 			continue
 		case answer.GetKnown():
-			return answer, nil
+			own.Known, own.Service, own.Software = true, answer.GetService(), answer.GetSoftware()
+			return true
 		}
 		answered++
 		own.Whole = own.GetWhole() || answer.GetWhole()
@@ -315,7 +325,30 @@
 	}
 	// A minority may have been cut off from the targets of a version and from the records of its streams.
 	own.Whole = own.GetWhole() && 2*answered > len(others)+1
-	return own, nil
+	return false
+}
+
+// addDurableVersions completes an answer from the durable state, which also reaches back to before the core nodes started.
+func (s *Scheduler) addDurableVersions(ctx context.Context, service camphorhinge.ServiceName, own *peerpb.OriginResponse) {
+	if s.cfg.Versions == nil || len(own.GetVersions()) > 1 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	durable, err := s.cfg.Versions(ctx, service)
+	if err != nil {
+		s.cfg.Log.Info("software versions in service not read", "service", service, "error", err)
+		return
+	}
+	for _, v := range own.GetVersions() {
+		if !slices.Contains(durable, camphorhinge.SoftwareVersion(v)) {
+			return // The durable state does not have the latest version yet.
+		}
+	}
+	own.Whole, own.Versions = true, nil
+	for _, v := range durable {
+		own.Versions = append(own.Versions, string(v))
+	}
 }
 
 // ownOrigin answers a request by this node's records only.
--- a/internal/node/schedule/origin_test.go
+++ b/internal/node/schedule/origin_test.go
@@ -79,6 +79,8 @@
 type originSite struct {
 	clock   testClock
 	targets versionTargets
+	// durable are the software versions in the durable state; without any, it can't be read.
+	durable atomic.Pointer[[]camphorhinge.SoftwareVersion]
 	cores   map[string]*originCore
 	names   []string
 	group   errgroup.Group
@@ -125,6 +127,12 @@
 			return &routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 8}}}}
 		},
 		Self: name, Others: func() []string { return others }, Feed: s.feed, Clock: s.clock, Log: slog.New(slog.DiscardHandler),
+		Versions: func(context.Context, camphorhinge.ServiceName) ([]camphorhinge.SoftwareVersion, error) {
+			if durable := s.durable.Load(); durable != nil {
+				return *durable, nil
+			}
+			return nil, errCut
+		},
 	})
 	c.scheduler.Store(scheduler)
 	s.group.Go(func() error { return scheduler.Run(ctx) })
@@ -216,6 +224,22 @@
 		{"one version for long", 7, func(*originSite) { time.Sleep(window) }, true},
 		{"the caller did not name the stream", 0, func(*originSite) { time.Sleep(window) }, true},
 		{"the core nodes have just started", 7, func(*originSite) { time.Sleep(window / 2) }, false},
+		{"the core nodes have just started, the durable state has one version", 7, func(s *originSite) {
+			s.durable.Store(&[]camphorhinge.SoftwareVersion{"v1"})
+		}, true},
+		{"the core nodes have just started, the durable state has two versions", 7, func(s *originSite) {
+			s.durable.Store(&[]camphorhinge.SoftwareVersion{"v1", "v2"})
+		}, false},
+		{"the core nodes have just started, the durable state lacks the version", 7, func(s *originSite) {
+			s.durable.Store(&[]camphorhinge.SoftwareVersion{})
+		}, false},
+		{"the core nodes have just started, the durable state has another version", 7, func(s *originSite) {
+			s.durable.Store(&[]camphorhinge.SoftwareVersion{"v2"})
+		}, false},
+		{"two versions, the durable state has one", 7, func(s *originSite) {
+			s.durable.Store(&[]camphorhinge.SoftwareVersion{"v1"})
+			s.targets.versions.Store(&[]camphorhinge.SoftwareVersion{"v1", "v2"})
+		}, false},
 		{"one core node has just started", 7, func(s *originSite) {
 			time.Sleep(window)
 			s.startCore("a")
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -48,10 +48,13 @@
 	Self   string
 	Others func() []string
 	// Feed returns the RPC client of the core node at a peer address.
-	Feed  func(address string) peerpb.Feed
-	Clock camphorhinge.Clock
-	Seed  uint64
-	Log   *slog.Logger
+	Feed func(address string) peerpb.Feed
+	// Versions reads the software versions of a service that are or recently were in service from the durable state; nil
+	// means that it does not hold them.
+	Versions func(ctx context.Context, service camphorhinge.ServiceName) ([]camphorhinge.SoftwareVersion, error)
+	Clock    camphorhinge.Clock
+	Seed     uint64
+	Log      *slog.Logger
 }
 
 // Scheduler places the requests of all entry nodes. It is safe for use by several goroutines.
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -21,6 +21,7 @@
 	"example.org/camphorhinge/internal/node/web"
 	"example.org/camphorhinge/internal/record/routing"
 	"example.org/camphorhinge/internal/request/exchange"
+	"example.org/camphorhinge/internal/request/origin"
 )
 
 const (
@@ -38,8 +39,13 @@
 	maxControlBody = 8 << 20
 )
 
-// queryRouting names the linearizable read of the routing configuration.
-const queryRouting = "routing"
+// Names of linearizable reads.
+const (
+	// queryRouting reads the routing configuration.
+	queryRouting = "routing"
+	// queryVersions reads the software versions of a service.
+	queryVersions = "versions"
+)
 
 // CoreConfig holds the settings and dependencies of a core node.
 type CoreConfig struct {
@@ -84,6 +90,7 @@
 	scheduler   *schedule.Scheduler
 	exchange    *exchange.Client
 	balancer    *balance.Balancer
+	versions    *origin.Keeper
 	controlPort *web.Server
 	metricsPort *web.Server
 }
@@ -124,12 +131,20 @@
 	engines := cfg.Engines(c.exchange)
 	c.scheduler = schedule.New(schedule.Config{
 		Targets: c.registry, Configuration: c.routes.Current, Caches: engines, Clock: c.clock, Seed: c.seed(), Log: c.log,
-		Self: c.self.GetAddress(), Others: c.otherCoreAddresses, Feed: func(address string) peerpb.Feed { return c.pool.Get(address).Feed },
+		Self: c.self.GetAddress(), Others: c.otherCoreAddresses, Feed: func(address string) peerpb.Feed { return c.pool.Get(address).Feed }, Versions: c.versionsInService,
 	})
 	c.source = feed.NewSource(feed.SourceConfig{
 		Zone: c.cfg.Zone, Registry: c.registry, Table: c.routes, Cores: c.durable.coreAddresses, Scores: c.durable.scores, Clock: c.clock,
 		Scheduler: c.scheduler,
 	})
+	c.versions = origin.NewKeeper(origin.KeeperConfig{
+		Machine: c.durable.versions, Proposer: c.client, Targets: c.registry, Services: c.serviceNames,
+		Leads: func() bool {
+			_, leads := c.durable.replica.Authority()
+			return leads
+		},
+		Clock: c.clock, Log: c.log,
+	})
 	c.buildControl()
 	c.balancer = balance.New(balance.Config{
 		Node: c.cfg.Node, Authority: c.durable.replica, Targets: c.registry, Services: c.engineServices,
@@ -173,6 +188,36 @@
 	return load
 }
 
+// serviceNames returns the names of the configured services.
+func (c *Core) serviceNames() []camphorhinge.ServiceName {
+	current := c.routes.Current()
+	if current == nil {
+		return nil
+	}
+	var out []camphorhinge.ServiceName
+	for i := range current.Services {
+		out = append(out, current.Services[i].Name)
+	}
+	return out
+}
+
+// versionsInService returns the software versions of a service that are or recently were in service. The read is
+// linearizable; it fails if this node cannot reach the leader.
+func (c *Core) versionsInService(ctx context.Context, service camphorhinge.ServiceName) ([]camphorhinge.SoftwareVersion, error) {
+	data, err := c.client.Read(ctx, queryVersions, []byte(service))
+	if err != nil {
+		return nil, err
+	}
+	var out []camphorhinge.SoftwareVersion
+	err = json.Unmarshal(data, &out)
+	return out, err
+}
+
+// versionsQuery handles the linearizable read of the software versions of the service that args names.
+func (s *Server) versionsQuery(args []byte) ([]byte, error) {
+	return json.Marshal(s.durable.versions.Versions(camphorhinge.ServiceName(args)))
+}
+
 // engineServices returns the names of the configured services that run engines.
 func (c *Core) engineServices() []camphorhinge.ServiceName {
 	current := c.routes.Current()
@@ -236,6 +281,7 @@
 	g.Go(func() error { return c.scheduler.Run(work) })
 	g.Go(func() error { return logTraffic(work, c.log, c.metrics, c.peerPort.Connections) })
 	g.Go(func() error { return c.balancer.Run(work) })
+	g.Go(func() error { return c.versions.Run(work) })
 	g.Go(func() error { return c.durable.run(work) })
 	g.Go(func() error {
 		defer halt()
@@ -268,6 +314,7 @@
 		return false, nil
 	}
 	changed, err := c.registry.Announce(a, 0, true)
+	c.versions.Observe(origin.Origin{Service: a.Service, Software: a.Software})
 	if err == nil && changed && a.Leaving {
 		c.log.Info("target leaves", "target", a.Name, "service", a.Service, "incarnation", a.Incarnation, "seq", a.Seq)
 	}
--- a/internal/node/server/durable.go
+++ b/internal/node/server/durable.go
@@ -21,6 +21,7 @@
 	"example.org/camphorhinge/internal/node/transport"
 	"example.org/camphorhinge/internal/record/table"
 	"example.org/camphorhinge/internal/request/claim"
+	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/quarantine"
 	"example.org/camphorhinge/internal/state/consensus"
 	"example.org/camphorhinge/internal/state/disk"
@@ -60,6 +61,8 @@
 	claims     *claim.Machine
 	crashes    *quarantine.Machine
 	orderTable *order.Table
+	// versions are the software versions in service.
+	versions *origin.Machine
 	// workload collects the workload reports of all nodes while this replica leads.
 	workload *workload.Collector
 	control  *control.Server
@@ -97,7 +100,7 @@
 		log: s.log, decisions: s.ring, clock: s.clock, self: s.self, client: s.client, leases: s.leases, folder: folder,
 		cluster: log.Identity().Cluster, id: log.Identity().Replica,
 		records: table.New(), members: member.New(), claims: claim.NewMachine(), crashes: quarantine.NewMachine(),
-		orderTable: order.NewTable(), workload: workload.NewCollector(s.clock),
+		orderTable: order.NewTable(), versions: origin.NewMachine(), workload: workload.NewCollector(s.clock),
 		absentSince: map[camphorhinge.NodeID]camphorhinge.Instant{},
 		leadership:  make(chan camphorhinge.Term, 16), voters: defaultVoters, lostAfter: defaultLostAfter,
 	}
@@ -121,6 +124,7 @@
 			camphorhinge.CommandClaim: d.claims, camphorhinge.CommandCrash: notifyingMachine{d.crashes, s.notifyApplied},
 			camphorhinge.CommandOrder:   notifyingMachine{d.orderTable, s.notifyApplied},
 			camphorhinge.CommandRouting: notifyingMachine{s.routes, s.notifyApplied},
+			camphorhinge.CommandVersion: d.versions,
 		},
 		Seed: s.seed(), Log: s.log,
 		OnLeader:   func(t camphorhinge.Term) { d.leadership <- t },
--- a/internal/node/server/operator.go
+++ b/internal/node/server/operator.go
@@ -115,8 +115,9 @@
 			}
 			return json.Marshal(t.History(key))
 		},
-		queryRouting: s.routingQuery,
-		queryStatus:  func([]byte) ([]byte, error) { return json.Marshal(s.localStatus()) },
+		queryRouting:  s.routingQuery,
+		queryVersions: s.versionsQuery,
+		queryStatus:   func([]byte) ([]byte, error) { return json.Marshal(s.localStatus()) },
 	}
 }
 
