Do not resume or move a stream whose deadline has come

What callers saw: nothing. A stream whose target was silent up to the request's deadline was at times exported, imported by another engine and resumed there in the moment of its deadline: KV traffic for an answer that can't arrive.

Cause: the time-out of the read and the deadline of the request can be due at the same moment, here both 60 s after the last event, and the first may be noticed before the second.

Change: a request whose deadline has come is treated as ended, whichever timer expired first.

--- a/internal/request/frontend/job.go
+++ b/internal/request/frontend/job.go
@@ -116,7 +116,7 @@
 	case j.mayHaveRun:
 		class = camphorhinge.Unknown
 	}
-	if isFinal(e) || ctx.Err() != nil || j.attempts >= maxAttempts {
+	if isFinal(e) || ended(ctx) || j.attempts >= maxAttempts {
 		return none, callerError(failure, class)
 	}
 	if e.Run != camphorhinge.NotRun {
@@ -143,6 +143,13 @@
 	return choice, nil
 }
 
+// ended reports whether ctx has ended or its deadline has come. A read that times out at the deadline may return before the
+// timer of ctx expires.
+func ended(ctx context.Context) bool {
+	d, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && time.Until(d) <= 0
+}
+
 // isFinal reports whether a retry at another target can't change the outcome.
 func isFinal(e *exchange.Error) bool {
 	switch e.Kind {
--- a/internal/request/frontend/relay.go
+++ b/internal/request/frontend/relay.go
@@ -111,7 +111,7 @@
 		case err != nil:
 			s.Close()
 			l.end(err)
-			if ctx.Err() != nil || s.Offset() == 0 || failures >= maxResumes {
+			if ended(ctx) || s.Offset() == 0 || failures >= maxResumes {
 				return l, err
 			}
 			failures++
