--- a/internal/node/schedule/origin_test.go
+++ b/internal/node/schedule/origin_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
@@ -311,3 +312,21 @@
 		require.Positive(t, n.placedByCore.Get())
 	})
 }
+
+// BenchmarkOriginBytes measures the bytes of a record in a call with one record, and with many.
+func BenchmarkOriginBytes(b *testing.B) {
+	var one, many int
+	for range b.N {
+		records := make([]origin.Record, 1000)
+		for i := range records {
+			records[i] = origin.Record{
+				Key: origin.KeyOf(camphorhinge.AttemptID(fmt.Sprint(i))), Origin: origin.Origin{Service: "asesor-lm", Software: "v1.2"}, Try: 1,
+				Until: camphorhinge.Instant(13 * time.Second),
+			}
+		}
+		one = proto.Size(&peerpb.RecordRequest{Origins: encodeOrigins(0, records[:1])})
+		many = proto.Size(&peerpb.RecordRequest{Origins: encodeOrigins(0, records)})
+	}
+	b.ReportMetric(float64(one), "bytes/single")
+	b.ReportMetric(float64(many)/1000, "bytes/record")
+}
