Copy origins to each core node by itself, and drop those of an entry node without core nodes

A core node that did not answer held up the copies to the other one for half a second, and an entry node that reached no core node kept origins whose time had passed. Found by reading. Log lines of streams name the origin of continued ones and missing framing only.

--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -364,6 +364,7 @@
 	if now.Sub(c.originsSwept) >= originSweepInterval {
 		c.originsSwept = now
 		c.origins.Sweep(now)
+		c.unsentOrigins = slices.DeleteFunc(c.unsentOrigins, func(r origin.Record) bool { return r.Until <= now })
 	}
 	if len(c.unsentOrigins) > 0 {
 		c.preferredCore()
--- a/internal/node/schedule/origin.go
+++ b/internal/node/schedule/origin.go
@@ -97,11 +97,7 @@
 
 // restoreOrigins queues the origins of a failed call again. The caller holds c.mu.
 func (c *Client) restoreOrigins(now camphorhinge.Instant, records []origin.Record) {
-	for _, r := range records {
-		if r.Until > now {
-			c.unsentOrigins = append(c.unsentOrigins, r)
-		}
-	}
+	c.unsentOrigins = append(c.unsentOrigins, slices.DeleteFunc(records, func(r origin.Record) bool { return r.Until <= now })...)
 }
 
 // ResolveOrigin returns where a stream began; ok is false when that is not known. Without a record it is known if the service
@@ -156,12 +152,14 @@
 	history *origin.History
 
 	mu sync.Mutex
-	// uncopied are the records that each of the other core nodes must still get.
+	// uncopied are the records that each of the other core nodes must still get, and copying marks those that are being sent
+	// some.
 	uncopied map[string][]origin.Record
+	copying  map[string]bool
 }
 
 func newOrigins(now camphorhinge.Instant) *origins {
-	return &origins{table: origin.New(maxOrigins), history: origin.NewHistory(now), uncopied: map[string][]origin.Record{}}
+	return &origins{table: origin.New(maxOrigins), history: origin.NewHistory(now), uncopied: map[string][]origin.Record{}, copying: map[string]bool{}}
 }
 
 // mergeOrigins adds origins from an entry node, which are to be copied, or from another core node.
@@ -207,10 +205,11 @@
 	ticker := time.NewTicker(copyInterval)
 	defer ticker.Stop()
 	var sweptAt camphorhinge.Instant
+	var g errgroup.Group
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return g.Wait()
 		case <-ticker.C:
 		}
 		if now := s.cfg.Clock.Now(); now.Sub(sweptAt) >= originSweepInterval {
@@ -218,26 +217,37 @@
 			s.origins.table.Sweep(now)
 			s.observeVersions(now)
 		}
-		s.origins.mu.Lock()
-		queues := s.origins.uncopied
-		s.origins.uncopied = map[string][]origin.Record{}
-		s.origins.mu.Unlock()
-		var g errgroup.Group
-		for address, records := range queues {
+		for address, records := range s.origins.takeUncopied() {
 			g.Go(func() error {
 				s.copyOrigins(ctx, address, records)
 				return nil
 			})
 		}
-		_ = g.Wait() // The functions return no error.
 	}
 }
 
+// takeUncopied removes and returns the records for the core nodes that are not being sent any.
+func (o *origins) takeUncopied() map[string][]origin.Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := map[string][]origin.Record{}
+	for address, records := range o.uncopied {
+		if !o.copying[address] {
+			out[address], o.copying[address] = records, true
+			delete(o.uncopied, address)
+		}
+	}
+	return out
+}
+
 // copyOrigins copies records to a core node. After a failure they are queued again while the node is one to copy to.
 func (s *Scheduler) copyOrigins(ctx context.Context, address string, records []origin.Record) {
 	callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	_, err := s.cfg.Feed(address).Record(callCtx, &peerpb.RecordRequest{Origins: encodeOrigins(s.cfg.Clock.Now(), records)})
+	s.origins.mu.Lock()
+	defer s.origins.mu.Unlock()
+	delete(s.origins.copying, address)
 	if err == nil || ctx.Err() != nil {
 		return
 	}
@@ -246,10 +256,7 @@
 		return
 	}
 	now := s.cfg.Clock.Now()
-	records = slices.DeleteFunc(records, func(r origin.Record) bool { return r.Until <= now })
-	s.origins.mu.Lock()
-	defer s.origins.mu.Unlock()
-	queue := append(records, s.origins.uncopied[address]...)
+	queue := slices.DeleteFunc(append(records, s.origins.uncopied[address]...), func(r origin.Record) bool { return r.Until <= now })
 	s.origins.uncopied[address] = queue[max(len(queue)-maxUncopied, 0):]
 }
 
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -133,7 +133,7 @@
 		return &Error{Op: "place", Kind: KindTarget, Run: camphorhinge.Unknown, Status: http.StatusBadGateway, Err: errNoOtherTarget}
 	}
 	if j.origin != nil {
-		j.f.meters.recordContinued(j.service.Name, noTarget)
+		j.f.meters.recordContinued(j.service.Name, outcomeNoTarget)
 		return newUnavailable(KindNoOrigin, originRetryAfter, "service %s has no reachable target of software version %s, which began the stream",
 			j.service.Name, j.origin.Software)
 	}
--- a/internal/request/forward/origin.go
+++ b/internal/request/forward/origin.go
@@ -20,14 +20,14 @@
 
 // Outcomes of continued streams in metrics.
 const (
-	// began marks a stream that a target began to continue.
-	began = "continued"
-	// noTarget marks a stream without a target of the version that began it.
-	noTarget = "no_target"
-	// unknownOrigin marks a stream of which is not known where it began.
-	unknownOrigin = "unknown"
-	// notRouted marks a stream that began at a service to which the route no longer leads.
-	notRouted = "not_routed"
+	// outcomeContinued marks a stream that a target began to continue.
+	outcomeContinued = "continued"
+	// outcomeNoTarget marks a stream without a target of the version that began it.
+	outcomeNoTarget = "no_target"
+	// outcomeUnknown marks a stream of which is not known where it began.
+	outcomeUnknown = "unknown"
+	// outcomeNotRouted marks a stream that began at a service to which the route no longer leads.
+	outcomeNotRouted = "not_routed"
 )
 
 // continues reports whether the caller continues a stream that it has received in part.
@@ -63,7 +63,7 @@
 	}
 	from, ok := j.f.cfg.Origins.ResolveOrigin(ctx, key, only, j.originTime())
 	if !ok {
-		j.f.meters.recordContinued(only, unknownOrigin)
+		j.f.meters.recordContinued(only, outcomeUnknown)
 		return from, newUnavailable(KindNoOrigin, originRetryAfter, "it is not known at which software version stream %s began", j.info.Resumes)
 	}
 	for _, s := range j.route.Shares {
@@ -71,7 +71,7 @@
 			return from, nil
 		}
 	}
-	j.f.meters.recordContinued(from.Service, notRouted)
+	j.f.meters.recordContinued(from.Service, outcomeNotRouted)
 	return from, newUnavailable(KindNoOrigin, originRetryAfter, "the stream began at service %s, to which the route no longer leads", from.Service)
 }
 
@@ -102,5 +102,5 @@
 		j.origin = &origin.Origin{Service: j.service.Name, Software: j.plan.Serve.Software}
 		return
 	}
-	j.f.meters.recordContinued(j.service.Name, began)
+	j.f.meters.recordContinued(j.service.Name, outcomeContinued)
 }
--- a/internal/request/forward/outcome.go
+++ b/internal/request/forward/outcome.go
@@ -82,14 +82,17 @@
 	if t := j.plan.Fetch; t != nil {
 		attrs = append(attrs, "fetch", t.Name)
 	}
-	if j.origin != nil {
-		attrs = append(attrs, "origin", j.origin.Software)
-	}
-	if j.info.LastEventID != "" {
+	if j.route != nil && j.continues() {
 		attrs = append(attrs, "resumes", j.info.Resumes, "after", j.info.LastEventID)
+		if j.origin != nil {
+			attrs = append(attrs, "origin", j.origin.Software)
+		}
 	}
 	if j.headerSent {
-		attrs = append(attrs, "events", j.events, "last_event", j.lastEventID, "unframed", j.unframed)
+		attrs = append(attrs, "events", j.events, "last_event", j.lastEventID)
+	}
+	if j.unframed {
+		attrs = append(attrs, "unframed", true)
 	}
 	level := slog.LevelInfo
 	if err != nil {
