--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -38,6 +38,26 @@
 	return out
 }
 
+// TestPlanKeepsVersions guards against a software version that has no engine left to continue its streams although others of it
+// prefill: a version that lacks engines in the decode role gets the next one.
+func TestPlanKeepsVersions(t *testing.T) {
+	es := engines(6, 1)
+	for i := range es {
+		es[i].Software = "v1"
+		if i == 4 || i == 5 {
+			es[i].Software = "v2"
+		}
+	}
+	changes := Plan(es, Load{Running: 100})
+	require.Len(t, changes, 1)
+	require.Equal(t, camphorhinge.RoleDecode, changes[0].To)
+	require.Equal(t, camphorhinge.SoftwareVersion("v1"), changes[0].Engine.Software, "one of five engines of v1 decodes, which is too few")
+	changes[0].Engine.Role = camphorhinge.RoleDecode
+	next := Plan(es, Load{Running: 100})
+	require.Len(t, next, 1)
+	require.Equal(t, camphorhinge.SoftwareVersion("v2"), next[0].Engine.Software)
+}
+
 // TestPlan guards the division of the engines: enough for prefill before there is load, few changes under load, none
 // while changes are under way, and never the last engines of a role.
 func TestPlan(t *testing.T) {
@@ -68,6 +88,13 @@
 		}
 		return out
 	}
+	// versions gives the engines software versions, in order.
+	versions := func(es []Engine, software ...camphorhinge.SoftwareVersion) []Engine {
+		for i := range es {
+			es[i].Software = software[i]
+		}
+		return es
+	}
 	for _, tc := range []struct {
 		name      string
 		engines   []Engine
@@ -75,6 +102,8 @@
 		toPrefill int
 		toDecode  int
 	}{
+		{"surplus, but each version needs its decode engines", versions(engines(4, 4), "v1", "v1", "v2", "v2", "v1", "v1", "v2", "v2"), Load{Running: 1, Prefilling: 5, Age: time.Minute}, 0, 0},
+		{"surplus of one version", versions(engines(4, 5), "v1", "v1", "v2", "v2", "v1", "v1", "v2", "v2", "v2"), Load{Running: 1, Prefilling: 5, Age: time.Minute}, 1, 0},
 		{"start: two thirds decode", engines(6, 12), unknown, 7, 0},
 		{"start: nine engines", engines(3, 6), unknown, 3, 0},
 		{"start: as desired", engines(13, 5), unknown, 0, 0},
--- a/internal/fleet/balance/plan.go
+++ b/internal/fleet/balance/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -103,7 +104,8 @@
 	InBackoff bool
 }
 
-// Plan returns the next role changes of a service's engines. Engines that are leaving, or that serve both roles at
+// Plan returns the next role changes of a service's engines. With several software versions, those that lack engines in the
+// decode role get them first and keep them, since a stream can only be continued at the version that began it. Engines that are leaving, or that serve both roles at
 // full speed (the mixed role), are not changed. Before there is load all changes are made at once, later only a few
 // at a time.
 func Plan(engines []Engine, load Load) []Change {
@@ -132,19 +134,82 @@
 		limit = max(int(maxChangingShare*float64(n)), 1)
 	}
 	limit -= changing
+	versions := countVersions(engines)
 	if balanced(counts[camphorhinge.RolePrefill], counts[camphorhinge.RoleDecode], slots, load) {
 		return nil
 	}
 	surplus := counts[camphorhinge.RoleDecode] - DesiredDecode(n, slots, load)
-	var out []Change
 	switch {
 	case surplus > deadband || load.Running < 0 && surplus > 0:
-		for _, t := range firstN(byCrowdedZone(decodes), min(surplus, limit)) {
-			out = append(out, Change{Engine: t, To: camphorhinge.RolePrefill})
-		}
+		return changes(firstN(versions.spare(byCrowdedZone(decodes)), min(surplus, limit)), camphorhinge.RolePrefill)
 	case surplus < 0:
-		for _, t := range firstN(byCrowdedZone(prefills), min(-surplus, limit)) {
-			out = append(out, Change{Engine: t, To: camphorhinge.RoleDecode})
+		return changes(firstN(versions.shortFirst(byCrowdedZone(prefills)), min(-surplus, limit)), camphorhinge.RoleDecode)
+	}
+	return nil
+}
+
+func changes(engines []*camphorhinge.Target, to camphorhinge.Role) []Change {
+	var out []Change
+	for _, t := range engines {
+		out = append(out, Change{Engine: t, To: to})
+	}
+	return out
+}
+
+// versionCount is the number of engines with a software version, and of those with the decode role.
+type versionCount struct{ engines, decodes int }
+
+// needed returns how many engines with the version must have the decode role, so that the streams that one of them began can
+// be continued when it fails.
+func (c versionCount) needed() int { return max(min(minDecode, c.engines-1), 0) }
+
+// versionCounts are the counts of the engines that can have either role, by software version.
+type versionCounts map[camphorhinge.SoftwareVersion]versionCount
+
+func countVersions(engines []Engine) versionCounts {
+	out := versionCounts{}
+	for _, e := range engines {
+		if e.Leaving || e.Role == camphorhinge.RoleMixed {
+			continue
+		}
+		c := out[e.Software]
+		c.engines++
+		if e.Role == camphorhinge.RoleDecode {
+			c.decodes++
+		}
+		out[e.Software] = c
+	}
+	return out
+}
+
+// shortFirst returns engines with those first whose version lacks them in the decode role.
+func (v versionCounts) shortFirst(prefills []*camphorhinge.Target) []*camphorhinge.Target {
+	left := maps.Clone(v)
+	var short, others []*camphorhinge.Target
+	for _, t := range prefills {
+		if c := left[t.Software]; c.decodes < c.needed() {
+			c.decodes++
+			left[t.Software] = c
+			short = append(short, t)
+		} else {
+			others = append(others, t)
+		}
+	}
+	return append(short, others...)
+}
+
+// spare returns, in their order, the engines that their version does not need in the decode role.
+func (v versionCounts) spare(decodes []*camphorhinge.Target) []*camphorhinge.Target {
+	if len(v) < 2 {
+		return decodes
+	}
+	left := maps.Clone(v)
+	var out []*camphorhinge.Target
+	for _, t := range decodes {
+		if c := left[t.Software]; c.decodes > c.needed() {
+			c.decodes--
+			left[t.Software] = c
+			out = append(out, t)
 		}
 	}
 	return out
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -134,7 +134,7 @@
 	}
 	if j.origin != nil {
 		j.f.meters.recordContinued(j.service.Name, outcomeNoTarget)
-		return newUnavailable(KindNoOrigin, originRetryAfter, "service %s has no reachable target of software version %s, which began the stream",
+		return newUnavailable(KindNoOrigin, versionRetryAfter, "service %s has no reachable target of software version %s, which began the stream",
 			j.service.Name, j.origin.Software)
 	}
 	return newUnavailable(KindNoTarget, targetRetryAfter, "service %s has no reachable target", j.service.Name)
@@ -212,6 +212,10 @@
 		e.Kind = KindNoTarget
 	}
 	e.Status, e.RetryAfter = http.StatusServiceUnavailable, targetRetryAfter
+	if j.continues() {
+		// Few targets have the version that began the stream.
+		e.RetryAfter = versionRetryAfter
+	}
 	return e
 }
 
--- a/internal/request/forward/origin.go
+++ b/internal/request/forward/origin.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// originRetryAfter is the Retry-After of a continued stream for which no target is known that may go on with it. A target
-	// that crashed is back, or a record that was held up arrives, after some seconds at most.
+	// originRetryAfter is the Retry-After of a continued stream without a record: one that was held up arrives soon.
 	originRetryAfter = time.Second
+	// versionRetryAfter is the Retry-After of a continued stream without a target of its version: one that crashed is back, or
+	// another has changed its role, after some seconds.
+	versionRetryAfter = 2 * time.Second
 	// originMargin is the time for which an origin is needed in addition to the time that the caller waits for its stream.
 	originMargin = time.Second
 )
@@ -72,7 +74,7 @@
 		}
 	}
 	j.f.meters.recordContinued(from.Service, outcomeNotRouted)
-	return from, newUnavailable(KindNoOrigin, originRetryAfter, "the stream began at service %s, to which the route no longer leads", from.Service)
+	return from, newUnavailable(KindNoOrigin, versionRetryAfter, "the stream began at service %s, to which the route no longer leads", from.Service)
 }
 
 // originTime returns the time within which the caller's stream began or may be continued.
