Begin streams where they can be continued, and await a target of their version

What callers saw: where engines of several versions crash, streams that were taken up again were refused at once, as no other engine of their version generated or the only one had refused.

Cause: new streams began on engines that were the only ones of their version to generate, and a continued stream whose only target failed or refused was given up at once, although targets come back and roles change.

Change: beginning a resumable stream on such an engine costs 300 ms. A continued stream waits once, for two seconds at most, for another target of its version, or asks one that refused again.

--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -320,7 +320,7 @@
 		Service: camphorhinge.ServiceName(req.GetService()), Prompt: camphorhinge.Tokens(req.GetPrompt()),
 		Output: camphorhinge.Tokens(req.GetOutput()), Direct: req.GetDirect(), Rank: int(req.GetRank()),
 		Zone: camphorhinge.Zone(req.GetZone()), Bytes: int(req.GetBytes()),
-		Upload: time.Duration(req.GetUpload()) * time.Microsecond,
+		Upload: time.Duration(req.GetUpload()) * time.Microsecond, Resumable: req.GetResumable(),
 	}
 	if ms := req.GetObjective(); ms != 0 {
 		r.Due = now.Add(time.Duration(ms) * time.Millisecond)
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -47,6 +47,8 @@
 	// origin is where the stream began, once that is known: at the first event, or before for a stream that the caller
 	// continues. Only targets of that version may continue it.
 	origin *origin.Origin
+	// versionAwaited is set once the request has waited for a target of the version.
+	versionAwaited bool
 	// originTries counts the targets that were recorded as the origin.
 	originTries int
 	// events counts the events sent; unframed is set once an answer with neither a length nor chunks was streamed.
@@ -83,6 +85,11 @@
 		if refusal > 0 && j.runs == 0 {
 			return newUnavailable(KindOverload, refusal, "the request can't be served before its caller gives up")
 		}
+		if !ok && j.awaitVersion(ctx, last) {
+			// The attempt that was allowed above is still to be made.
+			j.exclude, j.retryReserved = nil, last != nil && j.arrivals > 0
+			continue
+		}
 		if !ok && len(j.exclude) > 0 {
 			return j.finalError(ctx, last)
 		}
@@ -224,7 +231,7 @@
 	r := place.Request{
 		Rank: j.route.Rank, Zone: j.f.cfg.Zone, Bytes: len(j.body),
 		Service: j.service.Name, Engine: j.service.Engine, Segments: j.info.Segments, Prompt: j.info.Prompt, Output: j.info.Output,
-		Exclude: j.exclude, Direct: !j.allowPrefill(),
+		Exclude: j.exclude, Direct: !j.allowPrefill(), Resumable: j.route.Stream && j.route.Retry == routing.RetryResume,
 	}
 	if j.origin != nil {
 		r.Software = &j.origin.Software
--- a/internal/request/forward/origin.go
+++ b/internal/request/forward/origin.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/record/routing"
+	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/origin"
 )
 
@@ -16,6 +18,11 @@
 	// versionRetryAfter is the Retry-After of a continued stream without a target of its version: one that crashed is back, or
 	// another has changed its role, after some seconds.
 	versionRetryAfter = 2 * time.Second
+	// maxVersionWait bounds the wait for a target of the version that began a stream; callers take a longer pause in a stream
+	// for its end.
+	maxVersionWait = 2 * time.Second
+	// refusalPause is the pause after which a target that refused a continued stream is asked again.
+	refusalPause = 400 * time.Millisecond
 	// originMargin is the time for which an origin is needed in addition to the time that the caller waits for its stream.
 	originMargin = time.Second
 )
@@ -106,3 +113,39 @@
 	}
 	j.f.meters.recordContinued(j.service.Name, outcomeContinued)
 }
+
+// awaitVersion waits, once, for another target that may continue the stream, while its version is in service: a target that
+// crashed comes back, and engines change their roles. After a refusal, the same target will do after refusalPause. last is the
+// error of the attempt before, or nil. It reports whether there is a target.
+func (j *job) awaitVersion(ctx context.Context, last *exchange.Error) bool {
+	if j.origin == nil || j.versionAwaited {
+		return false
+	}
+	j.versionAwaited = true
+	refused, began := last != nil && last.Kind == exchange.KindRefused, j.f.cfg.Clock.Now()
+	waitCtx, cancel := context.WithTimeout(ctx, maxVersionWait)
+	defer cancel()
+	ticker := time.NewTicker(startupPollInterval)
+	defer ticker.Stop()
+	for {
+		inService := false
+		for _, t := range j.f.cfg.Targets.Live(j.service.Name) {
+			if t.Software != j.origin.Software {
+				continue
+			}
+			inService = true
+			again := refused && j.f.cfg.Clock.Now().Sub(began) >= refusalPause
+			if t.Serving && t.Role != camphorhinge.RolePrefill && (again || !slices.Contains(j.exclude, t.Name)) {
+				return true
+			}
+		}
+		if !inService {
+			return false
+		}
+		select {
+		case <-waitCtx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/request/forward/origin_test.go
+++ b/internal/request/forward/origin_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -102,3 +103,50 @@
 		})
 	}
 }
+
+// TestContinuedStreamAwaitsVersion guards against a continued stream that is refused while the only target of its version
+// restarts, and against one that waits although its version has left.
+func TestContinuedStreamAwaitsVersion(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		returns time.Duration
+		// leaves is set when the target is no longer listed.
+		leaves bool
+		status int
+		took   time.Duration
+	}{
+		{"back after a second", time.Second, false, 200, time.Second},
+		{"back too late", 3 * time.Second, false, 503, maxVersionWait},
+		{"left", 3 * time.Second, true, 503, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dead := &target{refuseDial: true}
+				back := &target{steps: []step{sendRaw(streamStart(2, 1) + lastChunk)}}
+				b := newFixture(t, routing.Route{Retry: routing.RetryResume, Stream: true}, dead, back)
+				b.targets.live[0].Software, b.targets.live[1].Software = "v1", "v1"
+				listed := b.targets.live
+				b.targets.live = listed[:1]
+				if tc.leaves {
+					b.targets.live = nil
+				}
+				b.targets.group.Go(func() error {
+					time.Sleep(tc.returns)
+					b.targets.mu.Lock()
+					defer b.targets.mu.Unlock()
+					b.targets.live = listed[1:]
+					return nil
+				})
+				b.origins.known = map[origin.Key]origin.Origin{origin.KeyOf("id-0"): {Service: "s", Software: "v1"}}
+				began := time.Now()
+				out := b.do(t, func(in *Request) {
+					in.Header.Set("After", "2")
+					in.Header.Set("Resumes", "id-0")
+				})
+				require.Equal(t, tc.status, out.status)
+				require.InDelta(t, tc.took.Seconds(), time.Since(began).Seconds(), 0.2)
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -53,6 +53,9 @@
 	// crossZoneCostPerKiB is the time by which a target in another zone must be faster, for each KiB of the request:
 	// traffic between zones is charged.
 	crossZoneCostPerKiB = 2 * time.Millisecond
+	// loneVersionCost is the time by which an engine that is the only one of its software version to generate must be faster to
+	// begin a stream that may have to be continued: no other one could.
+	loneVersionCost = 300 * time.Millisecond
 	// crowdedShare is the share of slots or memory above which an engine counts as crowded. Its cost rises by
 	// crowdingCostPerShare times the share above it, which is 600 ms for an engine in full use.
 	crowdedShare         = 0.7
@@ -71,6 +74,8 @@
 	home *camphorhinge.Target
 	// holders are the engines that have all shared segments cached, as far as recorded.
 	holders []*camphorhinge.Target
+	// servers is the number of engines that generate, by software version.
+	servers map[camphorhinge.SoftwareVersion]int
 	// receivers are the best engines to receive a KV cache, by the zone of the prefill engine.
 	receivers map[camphorhinge.Zone]receiver
 }
@@ -100,6 +105,7 @@
 	if len(servers) == 0 {
 		return scoredPlan{}, false
 	}
+	versions := countVersions(servers)
 	full := scoredPlan{wait: fullWait, full: true, Plan: Plan{Serve: servers[0], Expected: fullWait}}
 	prefillers, servers = p.underLimit(now, prefillers), p.underLimit(now, servers)
 	if len(servers) == 0 {
@@ -110,7 +116,7 @@
 	} else if p.cfg.Central {
 		return full, true
 	}
-	c := &planInput{now: now, req: req, receivers: map[camphorhinge.Zone]receiver{}}
+	c := &planInput{now: now, req: req, servers: versions, receivers: map[camphorhinge.Zone]receiver{}}
 	c.shared, c.sharedTokens = req.shared()
 	p.findHolders(c, live, targets)
 
@@ -123,6 +129,7 @@
 	}
 	for _, t := range servers {
 		o := p.directPlan(c, t)
+		o.cost += c.loneCost(t)
 		if len(prefillers) > 0 && t.Role == camphorhinge.RoleDecode {
 			// The prefill is interleaved with the decode steps of all requests that run there, and delays each of them.
 			running := float64(p.stateOf(now, t).occupied(now))
@@ -270,7 +277,7 @@
 	expected := r.total + handover
 	return scoredPlan{
 		Plan: Plan{Prefill: prefiller, Serve: server, Fetch: r.fetch, Expected: expected, Uncached: r.uncached, Reason: reason("separate prefill", r.fetch)},
-		cost: r.cost + 2*c.req.Upload + handover + separatePrefillPenalty + p.crowdingCost(c, server) + c.crossZoneCost(prefiller) + c.crossZoneCost(server),
+		cost: r.cost + 2*c.req.Upload + handover + separatePrefillPenalty + p.crowdingCost(c, server) + c.crossZoneCost(prefiller) + c.crossZoneCost(server) + c.loneCost(server),
 		wait: r.wait,
 	}
 }
@@ -286,7 +293,7 @@
 		s := p.stateOf(c.now, t)
 		transfer := transferTime(c.req.Prompt, c.req.Engine, prefiller, t)
 		busy := s.backlog(c.now) + time.Duration((float64(s.occupied(c.now))+p.otherNodesRequests(s, c.now))*float64(runningRequestCost))
-		cost := 2*transfer + busy + p.crowdingCost(c, t) + c.crossZoneCost(t)
+		cost := 2*transfer + busy + p.crowdingCost(c, t) + c.crossZoneCost(t) + c.loneCost(t)
 		if best.target == nil || cost < best.cost {
 			best = receiver{t, transfer + p.cfg.Rates.Setup, cost}
 		}
@@ -295,6 +302,24 @@
 	return best
 }
 
+// countVersions returns the number of engines by software version.
+func countVersions(servers []*camphorhinge.Target) map[camphorhinge.SoftwareVersion]int {
+	out := map[camphorhinge.SoftwareVersion]int{}
+	for _, t := range servers {
+		out[t.Software]++
+	}
+	return out
+}
+
+// loneCost returns loneVersionCost for an engine that no other one could continue the stream after, while there are engines of
+// another version, and otherwise 0.
+func (c *planInput) loneCost(t *camphorhinge.Target) time.Duration {
+	if c.req.Resumable && c.req.Software == nil && len(c.servers) > 1 && c.servers[t.Software] == 1 {
+		return loneVersionCost
+	}
+	return 0
+}
+
 // transferTime returns the time to transfer the KV cache of n tokens over an idle link. A transfer between zones takes
 // twice as long.
 func transferTime(n camphorhinge.Tokens, e *routing.Engine, from, to *camphorhinge.Target) time.Duration {
--- a/internal/request/place/types.go
+++ b/internal/request/place/types.go
@@ -26,6 +26,8 @@
 	// Software is the software version of the target that may serve the request; nil means any. Other targets may prefill its
 	// prompt.
 	Software *camphorhinge.SoftwareVersion
+	// Resumable is set for a stream that may be continued at another target when it breaks off.
+	Resumable bool
 	// Exclude lists targets to which the request must not be sent again.
 	Exclude []camphorhinge.TargetName
 	// Direct rules out plans with a separate prefill engine.
