--- a/internal/standin/site/version_test.go
+++ b/internal/standin/site/version_test.go
@@ -232,7 +232,7 @@
 // a caller continued them, and against continued streams that are refused although engines of their version serve.
 func TestStreamsKeepVersion(t *testing.T) {
 	for _, d := range versionDisturbances() {
-		for seed := range max(*seedCount/2, 1) {
+		for seed := range *seedCount {
 			t.Run(fmt.Sprintf("%s, seed %d", d.name, seed), func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { checkStreamsKeepVersion(t, d, seed) })
@@ -243,7 +243,7 @@
 
 func checkStreamsKeepVersion(t *testing.T, d disturbance, seed uint64) {
 	t.Helper()
-	const length = 30 * time.Second
+	const length = 40 * time.Second
 	s := New(Config{Entries: 24, Cores: 5, Prefill: 3, Decode: 3})
 	defer func() { require.NoError(t, s.Close()) }()
 	time.Sleep(3 * time.Second)
@@ -260,7 +260,7 @@
 		for range 3 {
 			s.AddEngine(camphorhinge.RoleDecode, "v2")
 		}
-		time.Sleep(12 * time.Second)
+		time.Sleep(18 * time.Second)
 		for i := range 3 {
 			s.AddEngine(camphorhinge.RoleDecode, "v3")
 			s.RetireEngine(3 + i)
