Log which part of a crashing request's fingerprint differs

A failed request was logged with its fingerprint only, so that the log could not tell whether the caller, the request target or the body differed between requests under which targets ended. The line now has a hash of each of the three (parts), no content.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -272,6 +273,13 @@
 	return camphorhinge.Fingerprint(d.Sum64())
 }
 
+// fingerprintParts returns hashes of the caller, of the request target and of the body, in hexadecimal. They tell which part
+// differs between requests of different fingerprints, without any of their content.
+func (j *job) fingerprintParts() string {
+	return fmt.Sprintf("%08x/%08x/%08x", uint32(xxhash.Sum64String(j.in.Caller)), uint32(xxhash.Sum64String(j.in.RequestTarget)),
+		uint32(xxhash.Sum64(j.body)))
+}
+
 // segmentFingerprints returns the hashes by which the quarantine counts the segments of the prompt that other requests may
 // have as well, which are all but the last.
 func (j *job) segmentFingerprints() []camphorhinge.Fingerprint {
--- a/internal/request/forward/outcome.go
+++ b/internal/request/forward/outcome.go
@@ -97,7 +97,7 @@
 	level := slog.LevelInfo
 	if err != nil {
 		level = slog.LevelWarn
-		attrs = append(attrs, "fingerprint", j.fingerprint, "segments", segmentHashes(j.info.Segments), "run", err.Run, "retry_after_ms", err.RetryAfter.Milliseconds(), "error", err.Err)
+		attrs = append(attrs, "fingerprint", j.fingerprint, "parts", j.fingerprintParts(), "segments", segmentHashes(j.info.Segments), "run", err.Run, "retry_after_ms", err.RetryAfter.Milliseconds(), "error", err.Err)
 	}
 	f.cfg.Log.Log(nil, level, "request ended", attrs...) //nolint:staticcheck // No context carries anything for the log.
 }
