Reproduce a crashing request that comes again from many callers

Callers see a service without targets for seconds: a request that ends its target comes again from another caller, with the same target and body, and ends the next one.

--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,11 +19,13 @@
 const (
 	// firstSegment begins the prompts of all requests of the traffic, and crashSegment crashes engines.
 	firstSegment, crashSegment = 0xf1, 0xbad
+	// crashBody is the body of a request that crashes engines.
+	crashBody = "crash"
 	// contact is the time after a disturbance from which a node must behave as usual again.
 	contact = 3 * time.Second
-	// maxAfterFifth is the number of requests with a crashing segment that may reach engines later than contact after
-	// the fifth crash.
-	maxAfterFifth = 3
+	// maxAfterRefusal is the number of crashing requests that may reach engines later than contact after the crash from
+	// which they must be refused.
+	maxAfterRefusal = 3
 )
 
 // seedCount is the number of seeds for which each disturbance is simulated.
@@ -37,14 +40,16 @@
 }
 
 // traffic sends requests with the same first segment to all entry nodes that are ready: sound ones, and from crashFrom
-// on ones that share the crashing segment and nothing else. It returns when all are answered.
+// on crashing ones. It returns when all are answered.
 type traffic struct {
 	site      *Site
 	length    time.Duration
 	crashFrom time.Duration
 	// interval and crashInterval are the mean times between two sound and two crashing requests.
 	interval, crashInterval time.Duration
-	seed                    uint64
+	// crash turns a sound request into a crashing one.
+	crash func(random *rand.Rand, r *Request)
+	seed  uint64
 
 	mu   sync.Mutex
 	sent []sent
@@ -63,12 +68,12 @@
 		n++
 		// Some further segments are shared by few requests, and the last one by none.
 		segments := []uint64{firstSegment, 0x100 + random.Uint64N(40), 0x200 + random.Uint64N(10), 0x10000 + n}
-		if !sound {
-			segments[1+random.IntN(2)] = crashSegment
-		}
 		request := Request{
 			Attempt: camphorhinge.AttemptID(fmt.Sprintf("r%d", n)), Segments: segments, Output: 5 + random.IntN(40), Timeout: 4 * time.Second,
 		}
+		if !sound {
+			r.crash(random, &request)
+		}
 		at := time.Now()
 		wg.Go(func() {
 			answer, _ := r.site.Send(i, request)
@@ -195,7 +200,43 @@
 // engine after engine: after the fifth crash they must reach no more engines, while sound requests with the same caller
 // and the same first segment are served as before.
 func TestCrashingSegment(t *testing.T) {
-	forEachDisturbance(t, checkCrashingSegment)
+	forEachDisturbance(t, func(t *testing.T, d disturbance, seed uint64) {
+		checkCrashes(t, d, seed, crashCase{
+			trouble: Trouble{CrashSegment: crashSegment},
+			crash: func(random *rand.Rand, r *Request) {
+				r.Segments[1+random.IntN(2)] = crashSegment
+			},
+			crashing: func(a Arrival) bool { return slices.Contains(a.Segments, crashSegment) },
+			refused:  5,
+		})
+	})
+}
+
+// TestCrashingRequestOfManyCallers guards against a request that comes again from one caller after the other, each time
+// with the same target and body, and whose crashes are counted apart: after the third crash it must reach no more engines.
+func TestCrashingRequestOfManyCallers(t *testing.T) {
+	forEachDisturbance(t, func(t *testing.T, d disturbance, seed uint64) {
+		checkCrashes(t, d, seed, crashCase{
+			trouble: Trouble{CrashBody: crashBody},
+			crash: func(random *rand.Rand, r *Request) {
+				r.Body, r.Caller = crashBody, fmt.Sprintf("caller-%d", random.Uint64())
+				// No segment but the first is shared with any other request.
+				r.Segments = []uint64{firstSegment, random.Uint64()}
+			},
+			crashing: func(a Arrival) bool { return a.Body == crashBody && !a.Prefill },
+			refused:  3,
+		})
+	})
+}
+
+// crashCase is a kind of request that crashes engines.
+type crashCase struct {
+	trouble Trouble
+	crash   func(random *rand.Rand, r *Request)
+	// crashing reports whether an arrival is one of them.
+	crashing func(Arrival) bool
+	// refused is the number of crashes after which they must be refused.
+	refused int
 }
 
 // forEachDisturbance runs a check in virtual time for each disturbance and seed.
@@ -211,12 +252,12 @@
 	}
 }
 
-func checkCrashingSegment(t *testing.T, d disturbance, seed uint64) {
+func checkCrashes(t *testing.T, d disturbance, seed uint64, c crashCase) {
 	t.Helper()
 	s := New(Config{Entries: 24, Cores: 5, Prefill: 4, Decode: 5})
 	defer func() { require.NoError(t, s.Close()) }()
 	for i := range s.engines {
-		s.SetTrouble(i, Trouble{CrashSegment: crashSegment})
+		s.SetTrouble(i, c.trouble)
 	}
 	time.Sleep(3 * time.Second)
 	began := time.Now()
@@ -228,22 +269,20 @@
 	})
 	load := &traffic{
 		site: s, length: 40 * time.Second, crashFrom: 8 * time.Second, interval: 30 * time.Millisecond, crashInterval: 400 * time.Millisecond,
-		seed: seed,
+		crash: c.crash, seed: seed,
 	}
 	load.run()
 	require.NoError(t, g.Wait())
 
 	crashes := s.Crashes()
-	last := crashes[min(len(crashes), 5)-1]
+	last := crashes[min(len(crashes), c.refused)-1]
 	after := 0
 	for _, a := range s.Arrivals() {
-		for _, hash := range a.Segments {
-			if hash == crashSegment && len(crashes) >= 5 && a.At.After(last.Add(contact)) && out.inTouch(a.Entry, a.At) {
-				after++
-			}
+		if c.crashing(a) && len(crashes) >= c.refused && a.At.After(last.Add(contact)) && out.inTouch(a.Entry, a.At) {
+			after++
 		}
 	}
-	require.LessOrEqual(t, after, maxAfterFifth, "%d engines crashed", len(crashes))
+	require.LessOrEqual(t, after, maxAfterRefusal, "%d engines crashed", len(crashes))
 	before, n := load.servedShare(began, began.Add(load.crashFrom-time.Second))
 	require.GreaterOrEqual(t, n, 20)
 	since, n := load.servedShare(last.Add(2*contact), began.Add(load.length))
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -36,12 +36,19 @@
 type Trouble struct {
 	// CrashSegment is the hash of a prompt segment that crashes each engine that begins to generate for it; 0 is none.
 	CrashSegment uint64
+	// CrashBody is the body of a request that crashes each engine that begins to generate for it; empty is none.
+	CrashBody string
 	// Limit is the number of requests a second that an engine states in its answers as its limit; 0 is none.
 	Limit float64
 	// CloseDelimited makes the engine send answers that have neither a length nor chunks and end with the connection.
 	CloseDelimited bool
 }
 
+// crashes reports whether a request with the given segments and body crashes the engine.
+func (t Trouble) crashes(segments []uint64, body string) bool {
+	return t.CrashSegment != 0 && slices.Contains(segments, t.CrashSegment) || t.CrashBody != "" && body == t.CrashBody
+}
+
 // Arrival is a request that reached an engine.
 type Arrival struct {
 	At time.Time
@@ -49,6 +56,7 @@
 	Entry    int
 	Attempt  camphorhinge.AttemptID
 	Segments []uint64
+	Body     string
 	Prefill  bool
 	Target   camphorhinge.TargetName
 	// Told is for how long the entry node had known that the engine states a limit; 0 if it did not.
@@ -189,7 +197,8 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
 		if r.Method == http.MethodDelete {
@@ -208,7 +217,7 @@
 		}
 		attempt := camphorhinge.AttemptID(r.Header.Get(headerAttempt))
 		e.site.recordArrival(Arrival{
-			At: time.Now(), Entry: from, Attempt: attempt, Segments: hashes, Prefill: prefill, Target: name, Told: e.told(from),
+			At: time.Now(), Entry: from, Attempt: attempt, Segments: hashes, Body: string(body), Prefill: prefill, Target: name, Told: e.told(from),
 		})
 		if !pause(ended, prefillTime) {
 			return
@@ -216,7 +225,7 @@
 		e.recordTold(from, trouble)
 		if prefill {
 			err = e.answerPrefill(c, attempt, trouble)
-		} else if trouble.CrashSegment != 0 && slices.Contains(hashes, trouble.CrashSegment) {
+		} else if trouble.crashes(hashes, string(body)) {
 			if _, err := io.WriteString(c, streamHeader(attempt, trouble)); err != nil || !pause(ended, crashDelay) {
 				return
 			}
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -176,8 +177,10 @@
 
 // Request is a request of a caller.
 type Request struct {
-	Attempt  camphorhinge.AttemptID
-	Segments []uint64
+	Attempt camphorhinge.AttemptID
+	// Caller is the caller's address, Body the body, which is the attempt if it is empty.
+	Caller, Body string
+	Segments     []uint64
 	// Output is the number of events of the answer.
 	Output  int
 	Timeout time.Duration
@@ -260,10 +263,11 @@
 		header.Set(headerAfter, strconv.Itoa(r.After))
 		header.Set(headerResumes, string(r.Resumes))
 	}
+	body := cmp.Or(r.Body, string(r.Attempt))
 	out := &sink{}
 	p.forwarder.Serve(p.ctx, &forward.Request{
-		Method: http.MethodPost, Path: routePrefix + "x", RequestTarget: routePrefix + "x", Host: routeHost, Caller: "caller",
-		Length: int64(len(r.Attempt)), Body: strings.NewReader(string(r.Attempt)),
+		Method: http.MethodPost, Path: routePrefix + "x", RequestTarget: routePrefix + "x", Host: routeHost, Caller: cmp.Or(r.Caller, "caller"),
+		Length: int64(len(body)), Body: strings.NewReader(body),
 		Header: header,
 	}, out)
 	out.answer.Body = out.body.String()
