Count the crashes of a request whoever sends it

Cause: a request's fingerprint contains its caller's address, and each crash counts 1/n for n requests in flight. Ruled out by the same log: a fingerprint that varies for one caller, different requests, and requests sent in spite of a refusal.

It is not put into the fingerprint, since that would refuse a request of many callers after two unrelated crashes.

TestPopularRequestStaysServed guards against the refusal of a sound request of many callers. TestRefusedWhileWaiting expects the request beside the segment of the prompt.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -21,6 +21,7 @@
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/place"
+	"example.org/camphorhinge/internal/request/quarantine"
 )
 
 const (
@@ -122,10 +123,9 @@
 
 // Quarantine refuses requests that crash targets; *quarantine.Client implements it.
 type Quarantine interface {
-	// Refused reports whether a request is refused, by its fingerprint or by a segment of its prompt, and for how long.
+	// Refused reports whether a request is refused, by its fingerprint or by one of its segments, and for how long.
 	Refused(fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (time.Duration, bool)
-	// Begin records that a request is in flight at a target; segments are those of its prompt that other requests may have
-	// as well. The returned function must be called once when the attempt ends: crashed means that the connection was reset
+	// Begin records that a request is in flight at a target; segments are the parts that other requests may have as well. The returned function must be called once when the attempt ends: crashed means that the connection was reset
 	// or closed during it, succeeded that the answer was complete.
 	Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
 }
@@ -280,19 +280,16 @@
 		uint32(xxhash.Sum64(j.body)))
 }
 
-// segmentFingerprints returns the hashes by which the quarantine counts the segments of the prompt that other requests may
-// have as well, which are all but the last.
+// segmentFingerprints returns the hashes by which the quarantine counts what other requests may have in common with this
+// one: the segments of the prompt but the last, and the request as a whole without its caller.
 func (j *job) segmentFingerprints() []camphorhinge.Fingerprint {
-	if len(j.info.Segments) == 0 {
-		return nil
-	}
 	var out []camphorhinge.Fingerprint
-	for _, s := range j.info.Segments[:len(j.info.Segments)-1] {
+	for _, s := range j.info.Segments[:max(len(j.info.Segments)-1, 0)] {
 		d := xxhash.NewWithSeed(s.Hash)
 		_, _ = d.WriteString(string(j.service.Name)) // Writes to a hash don't fail.
 		out = append(out, camphorhinge.Fingerprint(d.Sum64()))
 	}
-	return out
+	return append(out, quarantine.RequestFingerprint(j.service.Name, j.in.Method, j.in.RequestTarget, j.body))
 }
 
 func isTimeout(err error) bool {
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -29,7 +29,7 @@
 	body   []byte
 	// fingerprint is the hash by which the quarantine counts crashes of the request.
 	fingerprint camphorhinge.Fingerprint
-	// segments are the hashes by which it counts crashes of the prompt's segments.
+	// segments are the hashes by which it counts crashes of what other requests may have in common with this one.
 	segments []camphorhinge.Fingerprint
 	began    camphorhinge.Instant
 
@@ -116,7 +116,7 @@
 		return nil
 	}
 	if j.runs == 0 {
-		return newUnavailable(KindQuarantined, wait, "requests with this fingerprint or prompt segment crashed several targets")
+		return newUnavailable(KindQuarantined, wait, "this request, or others with a segment of its prompt, crashed several targets")
 	}
 	return j.finalError(ctx, last)
 }
--- a/internal/request/forward/quarantine_test.go
+++ b/internal/request/forward/quarantine_test.go
@@ -66,7 +66,7 @@
 				time.Sleep(time.Second)
 				synctest.Wait()
 				require.Equal(t, tc.requests, b.targets.requestCount())
-				require.Len(t, q.segments, 1, "all segments of the prompt but the last")
+				require.Len(t, q.segments, 2, "all segments of the prompt but the last, and the request")
 			})
 		})
 	}
--- a/internal/request/quarantine/client.go
+++ b/internal/request/quarantine/client.go
@@ -39,8 +39,6 @@
 	// maxSoundDelay bounds the random delay of a report that a suspect segment is sound, so that the first of many nodes
 	// spares the others theirs.
 	maxSoundDelay = 200 * time.Millisecond
-	// soundRetention is how long successes are kept at least when there are too many.
-	soundRetention = time.Minute
 	// undeliveredRefusal is the remaining time that is returned for a segment that only this node refuses, since it can't
 	// report its crashes.
 	undeliveredRefusal = 2 * time.Second
@@ -71,12 +69,6 @@
 	reported    bool
 }
 
-// lastSuccess is the time of the last success with a segment, and whether it has been reported.
-type lastSuccess struct {
-	at       camphorhinge.Instant
-	reported bool
-}
-
 // observation is a crash or a success that this node reports.
 type observation struct {
 	command
@@ -99,7 +91,7 @@
 	inFlight map[camphorhinge.TargetName]map[*inFlight]struct{}
 	scores   map[camphorhinge.Fingerprint]localScore
 	// sound holds the last success with each segment, pending the crashes whose report is not delivered.
-	sound   map[camphorhinge.Fingerprint]lastSuccess
+	sound   successes
 	pending map[*observation]struct{}
 }
 
@@ -109,7 +101,6 @@
 		cfg:      cfg,
 		inFlight: make(map[camphorhinge.TargetName]map[*inFlight]struct{}),
 		scores:   make(map[camphorhinge.Fingerprint]localScore),
-		sound:    make(map[camphorhinge.Fingerprint]lastSuccess),
 		pending:  make(map[*observation]struct{}),
 		dropped:  cfg.Metrics.GetOrCreateCounter("camphorhinge_crash_reports_dropped_total"),
 		refused:  cfg.Metrics.GetOrCreateCounter("camphorhinge_quarantine_refused_total"),
@@ -128,8 +119,8 @@
 	return c.reports.Wait()
 }
 
-// Refused reports whether a request is refused, by its fingerprint or by a segment of its prompt, and returns the
-// remaining time of the refusal. It counts each refusal.
+// Refused reports whether a request is refused, by its fingerprint or by one of its segments, and returns the remaining
+// time of the refusal. It counts each refusal.
 func (c *Client) Refused(fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -163,7 +154,7 @@
 	if len(c.pending) == 0 {
 		return false
 	}
-	last, sound := c.sound[seg]
+	last, sound := c.sound.last(seg)
 	crashes := int(c.scores[seg].value)
 	for o := range c.pending {
 		if o.at > last.at && slices.Contains(o.Segments, seg) {
@@ -173,8 +164,8 @@
 	return crashes >= suspect{sound: sound && now.Sub(last.at) < Window}.threshold()
 }
 
-// Begin records an attempt at a target; segments are those of its prompt that other requests may have as well. The
-// returned function must be called once when the attempt ends: crashed means that the connection was reset or closed
+// Begin records an attempt at a target; segments are the parts that other requests may have as well: those of its prompt,
+// and the RequestFingerprint. The returned function must be called once when the attempt ends: crashed means that the connection was reset or closed
 // during the attempt, succeeded that the answer was complete.
 func (c *Client) Begin(
 	target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint,
@@ -213,14 +204,9 @@
 		delete(c.scores, f.fingerprint)
 		o.Fingerprints = []camphorhinge.Fingerprint{f.fingerprint}
 	}
-	if len(c.sound) >= maxScores {
-		maps.DeleteFunc(c.sound, func(_ camphorhinge.Fingerprint, x lastSuccess) bool { return now.Sub(x.at) > soundRetention })
-	}
 	for _, seg := range f.segments {
 		score := c.scores[seg]
-		if len(c.sound) < maxScores {
-			c.sound[seg] = lastSuccess{at: now, reported: score.value > 0}
-		}
+		c.sound.put(seg, lastSuccess{at: now, reported: score.value > 0})
 		if score.value > 0 {
 			score.value = 0
 			c.scores[seg] = score
@@ -262,9 +248,9 @@
 	}
 	o.Fingerprints, o.Segments = slices.Sorted(maps.Keys(requests)), slices.Sorted(maps.Keys(segments))
 	for _, seg := range o.Segments {
-		if last, ok := c.sound[seg]; ok {
+		if last, ok := c.sound.last(seg); ok {
 			o.Sound = append(o.Sound, success{Segment: seg, Age: now.Sub(last.at).Milliseconds()})
-			c.sound[seg] = lastSuccess{at: last.at, reported: true}
+			c.sound.put(seg, lastSuccess{at: last.at, reported: true})
 		}
 	}
 	c.crashes.Inc()
@@ -395,7 +381,7 @@
 		if s.Segment && s.Index < old.index {
 			continue
 		}
-		if last, ok := c.sound[s.Fingerprint]; ok && !last.reported && s.Value > 0 {
+		if last, ok := c.sound.last(s.Fingerprint); ok && !last.reported && s.Value > 0 {
 			sound = append(sound, s.Fingerprint)
 		}
 		score := localScore{
@@ -448,9 +434,9 @@
 	now := c.cfg.Clock.Now()
 	o := &observation{command: command{Node: c.cfg.Node, Success: true}, at: now}
 	for _, seg := range segments {
-		if last := c.sound[seg]; !last.reported && c.scores[seg].value > 0 {
+		if last, ok := c.sound.last(seg); ok && !last.reported && c.scores[seg].value > 0 {
 			o.Sound = append(o.Sound, success{Segment: seg, Age: now.Sub(last.at).Milliseconds()})
-			c.sound[seg] = lastSuccess{at: last.at, reported: true}
+			c.sound.put(seg, lastSuccess{at: last.at, reported: true})
 		}
 	}
 	return o
--- a/internal/request/quarantine/segments.go
+++ b/internal/request/quarantine/segments.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"example.org/camphorhinge"
 )
 
@@ -28,6 +30,17 @@
 	Age     int64                    `json:"a"`
 }
 
+// RequestFingerprint returns the hash by which crashes of a request are counted as those of a segment, whoever sends it.
+func RequestFingerprint(service camphorhinge.ServiceName, method, target string, body []byte) camphorhinge.Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{string(service), method, target} {
+		_, _ = d.WriteString(part) // Writes to a hash don't fail.
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return camphorhinge.Fingerprint(d.Sum64())
+}
+
 // refusal is the refusal of a segment until a stamp; one that has been released has Until 0.
 type refusal struct {
 	Until int64 `json:"u"`
--- a/internal/request/quarantine/segments_test.go
+++ b/internal/request/quarantine/segments_test.go
@@ -265,3 +265,35 @@
 		require.InDelta(t, 60_000, p.commands[0].Sound[0].Age, 300)
 	})
 }
+
+// TestSuccessesAreBounded guards against successes that grow with the number of different requests, and against ones that
+// are lost although they are recent.
+func TestSuccessesAreBounded(t *testing.T) {
+	var s successes
+	_, ok := s.last(1)
+	require.False(t, ok)
+	for i := range 5 * maxSuccesses {
+		s.put(camphorhinge.Fingerprint(i), lastSuccess{at: camphorhinge.Instant(i)})
+		s.put(1, lastSuccess{at: camphorhinge.Instant(i)})
+		require.LessOrEqual(t, len(s.current)+len(s.previous), 2*maxSuccesses)
+		x, ok := s.last(1)
+		require.True(t, ok)
+		require.Equal(t, camphorhinge.Instant(i), x.at)
+		_, ok = s.last(camphorhinge.Fingerprint(max(i-maxSuccesses+2, 0)))
+		require.True(t, ok, "after %d", i)
+	}
+}
+
+// TestRequestFingerprint guards against different requests that count as one, and against one that counts anew.
+func TestRequestFingerprint(t *testing.T) {
+	base := RequestFingerprint("s", "GET", "/a?b", []byte("c"))
+	require.Equal(t, base, RequestFingerprint("s", "GET", "/a?b", []byte("c")))
+	for _, other := range []camphorhinge.Fingerprint{
+		RequestFingerprint("t", "GET", "/a?b", []byte("c")),
+		RequestFingerprint("s", "PUT", "/a?b", []byte("c")),
+		RequestFingerprint("s", "GET", "/a?bc", nil),
+		RequestFingerprint("s", "GET", "/a?b", []byte("d")),
+	} {
+		require.NotEqual(t, base, other)
+	}
+}
--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -21,6 +21,8 @@
 	firstSegment, crashSegment = 0xf1, 0xbad
 	// crashBody is the body of a request that crashes engines.
 	crashBody = "crash"
+	// popularBody is the body of a sound request that many callers send.
+	popularBody = "popular"
 	// contact is the time after a disturbance from which a node must behave as usual again.
 	contact = 3 * time.Second
 	// maxAfterRefusal is the number of crashing requests that may reach engines later than contact after the crash from
@@ -35,6 +37,8 @@
 type sent struct {
 	at    time.Time
 	sound bool
+	// popular is set for the request that many callers send.
+	popular bool
 	// served is set when the answer was complete.
 	served bool
 }
@@ -49,7 +53,9 @@
 	interval, crashInterval time.Duration
 	// crash turns a sound request into a crashing one.
 	crash func(random *rand.Rand, r *Request)
-	seed  uint64
+	// popular is the share of the sound requests that are one request of many callers.
+	popular float64
+	seed    uint64
 
 	mu   sync.Mutex
 	sent []sent
@@ -74,12 +80,16 @@
 		if !sound {
 			r.crash(random, &request)
 		}
+		popular := sound && r.popular > 0 && random.Float64() < r.popular
+		if popular {
+			request.Body, request.Segments = popularBody, []uint64{firstSegment, 0x300}
+		}
 		at := time.Now()
 		wg.Go(func() {
 			answer, _ := r.site.Send(i, request)
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			r.sent = append(r.sent, sent{at: at, sound: sound, served: answer.Complete(request.Output)})
+			r.sent = append(r.sent, sent{at: at, sound: sound, popular: popular, served: answer.Complete(request.Output)})
 		})
 	}
 	next, nextCrash := time.Duration(0), r.crashFrom
@@ -229,6 +239,43 @@
 	})
 }
 
+// TestPopularRequestStaysServed guards against a sound request that many callers send, and that is in flight at each of
+// many unrelated crashes, being refused as their cause.
+func TestPopularRequestStaysServed(t *testing.T) {
+	for seed := range *seedCount {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Config{Entries: 24, Cores: 5, Prefill: 4, Decode: 5})
+				defer func() { require.NoError(t, s.Close()) }()
+				time.Sleep(3 * time.Second)
+				load := &traffic{
+					site: s, length: 30 * time.Second, crashFrom: time.Hour, interval: 25 * time.Millisecond, popular: 0.5, seed: seed,
+				}
+				var g errgroup.Group
+				g.Go(func() error {
+					for i := range 25 {
+						s.Crash(4 + i%5)
+						time.Sleep(time.Second)
+					}
+					return nil
+				})
+				load.run()
+				require.NoError(t, g.Wait())
+				served, sent := map[bool]int{}, map[bool]int{}
+				for _, x := range load.sent {
+					sent[x.popular]++
+					if x.served {
+						served[x.popular]++
+					}
+				}
+				t.Logf("served %d of %d popular requests, %d of %d others", served[true], sent[true], served[false], sent[false])
+				require.GreaterOrEqual(t, float64(served[true])/float64(sent[true]), 0.9*float64(served[false])/float64(sent[false]))
+			})
+		})
+	}
+}
+
 // crashCase is a kind of request that crashes engines.
 type crashCase struct {
 	trouble Trouble
