--- a/internal/request/frontend/inbound.go
+++ b/internal/request/frontend/inbound.go
@@ -20,6 +20,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/quarantine"
 )
 
 // inbound is one request of a caller.
@@ -204,6 +205,11 @@
 	return camphorhinge.Fingerprint(d.Sum64())
 }
 
+// anyCallerFingerprint returns the hash by which the quarantine counts the request whichever workspace sends it.
+func (in *inbound) anyCallerFingerprint(body []byte) camphorhinge.Fingerprint {
+	return quarantine.RequestFingerprint(in.service, in.method, in.target, body)
+}
+
 // prompt holds the fields of a model request's body that the frontend uses.
 type prompt struct {
 	Model       string            `json:"model"`
--- a/internal/request/frontend/job.go
+++ b/internal/request/frontend/job.go
@@ -22,6 +22,8 @@
 	out         sink
 	route       camphorhinge.RouteRequest
 	fingerprint camphorhinge.Fingerprint
+	// anyCaller is the hash of the request that is the same for all workspaces.
+	anyCaller camphorhinge.Fingerprint
 	// header is the request header for targets.
 	header   http.Header
 	attempts int
@@ -44,11 +46,15 @@
 	return out
 }
 
+// crashSegments returns the hashes by which the quarantine counts what other requests may have in common with this one: the
+// leading blocks of the prompt, and the request as a whole.
+func (j *job) crashSegments() []camphorhinge.Fingerprint { return append(j.segmentFingerprints(), j.anyCaller) }
+
 // admit decides whether the request may start. It returns its first target and a function that releases the admission.
 func (j *job) admit(ctx context.Context) (camphorhinge.RouteChoice, func(), *Error) {
 	var none camphorhinge.RouteChoice
 	if q := j.f.cfg.Quarantine; q != nil {
-		if left, refused := q.Refused(j.fingerprint, j.segmentFingerprints()...); refused {
+		if left, refused := q.Refused(j.fingerprint, j.crashSegments()...); refused {
 			j.f.cfg.Decisions.Record("quarantine", string(j.in.id), "fingerprint refused", map[string]string{
 				"fingerprint": strconv.FormatUint(uint64(j.fingerprint), 16), "left": left.String(),
 			})
@@ -221,7 +227,7 @@
 ) *leg {
 	l := &leg{choice: choice, attempt: attempt, began: time.Now(), endRoute: endRoute, endInFlight: func(bool, bool) {}}
 	if q := j.f.cfg.Quarantine; q != nil {
-		l.endInFlight = q.Begin(choice.Target, j.fingerprint, j.segmentFingerprints()...)
+		l.endInFlight = q.Begin(choice.Target, j.fingerprint, j.crashSegments()...)
 	}
 	return l
 }
--- a/internal/request/frontend/model.go
+++ b/internal/request/frontend/model.go
@@ -39,7 +39,7 @@
 	defer cancel()
 	text := p.text()
 	j := &job{
-		f: f, in: in, out: out, fingerprint: in.fingerprint(body),
+		f: f, in: in, out: out, fingerprint: in.fingerprint(body), anyCaller: in.anyCallerFingerprint(body),
 		route: camphorhinge.RouteRequest{
 			Service: m.Service.Name, Model: m.Model, Adapter: m.Adapter, Priority: in.priority,
 			Prompt: camphorhinge.Tokens(max(1, (len(text)+bytesPerToken-1)/bytesPerToken)), Output: p.maxOutput(),
--- a/internal/request/frontend/plain.go
+++ b/internal/request/frontend/plain.go
@@ -49,6 +49,7 @@
 	}
 	c.repeatable = idempotent && c.rest == nil
 	c.fingerprint = in.fingerprint(append([]byte(in.method+" "+in.target+" "), c.head...))
+	c.anyCaller = in.anyCallerFingerprint(c.head)
 	// A claimed call continues when its caller closes the connection: the answer is stored for the resend.
 	ctx, cancel := in.withDeadline(ctx, left, c.rest == nil && !claimed)
 	defer cancel()
