Count the crash of a retried request apart from the one before

A request that ends its target is sent to the next one within milliseconds. The stamps of crashes are blurred by the time that a report takes to commit, up to 100 ms there, which merged crashes that were further apart, too.

A node now marks those segments of a crash that it sent to the target only after it had seen another one end with them, within a second. Such a crash counts by itself; the mark is dropped when another node had the segment in flight there before. Targets that end together with a segment in flight at all of them still count once.

TestCrashOfRetriedRequest fails in two of four cases, and TestCrashesOfConcurrentRetries, without the change.

--- a/internal/request/frontend/job.go
+++ b/internal/request/frontend/job.go
@@ -48,7 +48,9 @@
 
 // crashSegments returns the hashes by which the quarantine counts what other requests may have in common with this one: the
 // leading blocks of the prompt, and the request as a whole.
-func (j *job) crashSegments() []camphorhinge.Fingerprint { return append(j.segmentFingerprints(), j.anyCaller) }
+func (j *job) crashSegments() []camphorhinge.Fingerprint {
+	return append(j.segmentFingerprints(), j.anyCaller)
+}
 
 // admit decides whether the request may start. It returns its first target and a function that releases the admission.
 func (j *job) admit(ctx context.Context) (camphorhinge.RouteChoice, func(), *Error) {
--- a/internal/request/quarantine/client.go
+++ b/internal/request/quarantine/client.go
@@ -44,6 +44,9 @@
 	undeliveredRefusal = 2 * time.Second
 	// reportRetryInterval is the time between two proposals of a report.
 	reportRetryInterval = 500 * time.Millisecond
+	// retryWindow is how long after the end of a target a request that ran there counts as retried at the next one. It covers
+	// the time that a report takes to commit, by which the stamps of two crashes may be closer together than the crashes were.
+	retryWindow = time.Second
 	// maxReports bounds the concurrent reports; further ones are dropped and counted.
 	maxReports = 64
 	// maxScores bounds the stored scores; in practice, the Machine refuses fewer fingerprints at a time.
@@ -66,6 +69,7 @@
 	target      *camphorhinge.Target
 	fingerprint camphorhinge.Fingerprint
 	segments    []camphorhinge.Fingerprint
+	began       camphorhinge.Instant
 	reported    bool
 }
 
@@ -91,7 +95,9 @@
 	inFlight map[camphorhinge.TargetName]map[*inFlight]struct{}
 	scores   map[camphorhinge.Fingerprint]localScore
 	// sound holds the last success with each segment, pending the crashes whose report is not delivered.
-	sound   successes
+	sound successes
+	// endedAt is when this node saw targets end with a segment within retryWindow.
+	endedAt map[camphorhinge.Fingerprint][]camphorhinge.Instant
 	pending map[*observation]struct{}
 }
 
@@ -102,6 +108,7 @@
 		inFlight: make(map[camphorhinge.TargetName]map[*inFlight]struct{}),
 		scores:   make(map[camphorhinge.Fingerprint]localScore),
 		pending:  make(map[*observation]struct{}),
+		endedAt:  make(map[camphorhinge.Fingerprint][]camphorhinge.Instant),
 		dropped:  cfg.Metrics.GetOrCreateCounter("camphorhinge_crash_reports_dropped_total"),
 		refused:  cfg.Metrics.GetOrCreateCounter("camphorhinge_quarantine_refused_total"),
 		crashes:  cfg.Metrics.GetOrCreateCounter("camphorhinge_crashes_total"),
@@ -170,7 +177,7 @@
 func (c *Client) Begin(
 	target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint,
 ) func(crashed, succeeded bool) {
-	f := &inFlight{target: target, fingerprint: fp, segments: segments}
+	f := &inFlight{target: target, fingerprint: fp, segments: segments, began: c.cfg.Clock.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	set := c.inFlight[target.Name]
@@ -235,7 +242,8 @@
 func (c *Client) reportCrash(target camphorhinge.TargetName, incarnation camphorhinge.Incarnation, unconfirmed *camphorhinge.Target) {
 	now := c.cfg.Clock.Now()
 	o := &observation{command: command{Node: c.cfg.Node, Target: target, Incarnation: incarnation}, at: now, unconfirmed: unconfirmed}
-	requests, segments := make(map[camphorhinge.Fingerprint]struct{}), make(map[camphorhinge.Fingerprint]struct{})
+	// segments holds since when each segment was in flight.
+	requests, segments := make(map[camphorhinge.Fingerprint]struct{}), make(map[camphorhinge.Fingerprint]camphorhinge.Instant)
 	for f := range c.inFlight[target] {
 		if f.reported || f.target.Incarnation > incarnation {
 			continue
@@ -243,15 +251,22 @@
 		f.reported = true
 		requests[f.fingerprint] = struct{}{}
 		for _, seg := range f.segments {
-			segments[seg] = struct{}{}
+			if since, ok := segments[seg]; !ok || f.began < since {
+				segments[seg] = f.began
+			}
 		}
 	}
+	c.forgetEnds(now)
 	o.Fingerprints, o.Segments = slices.Sorted(maps.Keys(requests)), slices.Sorted(maps.Keys(segments))
 	for _, seg := range o.Segments {
 		if last, ok := c.sound.last(seg); ok {
 			o.Sound = append(o.Sound, success{Segment: seg, Age: now.Sub(last.at).Milliseconds()})
 			c.sound.put(seg, lastSuccess{at: last.at, reported: true})
 		}
+		if slices.ContainsFunc(c.endedAt[seg], func(ended camphorhinge.Instant) bool { return segments[seg] >= ended }) {
+			o.Retried = append(o.Retried, seg)
+		}
+		c.endedAt[seg] = append(c.endedAt[seg], now)
 	}
 	c.crashes.Inc()
 	c.cfg.Log.Warn("target crashed", "target", target, "incarnation", incarnation,
@@ -263,6 +278,16 @@
 	c.report(o)
 }
 
+// forgetEnds removes the ends of targets before retryWindow.
+func (c *Client) forgetEnds(now camphorhinge.Instant) {
+	for seg, ends := range c.endedAt {
+		ends = slices.DeleteFunc(ends, func(at camphorhinge.Instant) bool { return now.Sub(at) > retryWindow })
+		if c.endedAt[seg] = ends; len(ends) == 0 {
+			delete(c.endedAt, seg)
+		}
+	}
+}
+
 // report proposes a command in the background and merges the resulting scores. The caller holds c.mu.
 func (c *Client) report(o *observation) {
 	if c.ctx.Err() != nil {
@@ -284,7 +309,7 @@
 func (c *Client) deliver(o *observation) error {
 	if len(o.Segments) > 0 && o.unconfirmed != nil && c.survived(o.unconfirmed) {
 		c.cfg.Log.Info("target survived a broken connection", "target", o.Target)
-		o.Segments = nil
+		o.Segments, o.Retried = nil, nil
 	}
 	if len(o.Segments) > 0 {
 		c.mu.Lock()
--- a/internal/request/quarantine/machine.go
+++ b/internal/request/quarantine/machine.go
@@ -66,6 +66,8 @@
 	// Segments are those of the prompts in flight when the target ended, Sound successes with any segments.
 	Segments []camphorhinge.Fingerprint `json:"g,omitempty"`
 	Sound    []success                  `json:"o,omitempty"`
+	// Retried are those of the Segments that the node sent to the target only after it had seen another one end with them.
+	Retried []camphorhinge.Fingerprint `json:"r,omitempty"`
 	// Age is the time from the crash to the sending of the command, in milliseconds.
 	Age int64 `json:"a,omitempty"`
 }
@@ -95,6 +97,8 @@
 	// sorted.
 	At       int64                      `json:"w,omitempty"`
 	Segments []camphorhinge.Fingerprint `json:"g,omitempty"`
+	// Retried are the Segments that came to the target only after they had been in another crash, sorted.
+	Retried []camphorhinge.Fingerprint `json:"r,omitempty"`
 }
 
 // Machine is the replicated state of crashes and scores; it implements camphorhinge.Machine.
@@ -186,7 +190,7 @@
 			m.refusedUntil[fp] = m.stamp + Window.Milliseconds()
 		}
 	}
-	m.segments.addCrash(e, current, c.Segments)
+	m.segments.addCrash(e, current, c.Segments, c.Retried)
 }
 
 // total returns the score of a fingerprint in scoreUnits, over the crashes within Window.
--- a/internal/request/quarantine/segments.go
+++ b/internal/request/quarantine/segments.go
@@ -15,8 +15,8 @@
 	// segmentThreshold is the number of crashes after which a segment is refused. The threshold is higher for one with
 	// which requests succeeded within Window: it was probably only in flight.
 	segmentThreshold, soundThreshold = 3, 5
-	// correlatedCrashes is the time within which crashes of several targets count once for a segment. They usually have
-	// another cause, such as a power failure.
+	// correlatedCrashes is the time within which crashes of several targets count once for a segment that was in flight at
+	// all of them. They usually have another cause, such as a power failure.
 	correlatedCrashes = 50 * time.Millisecond
 	// maxSound bounds the stored successes; the oldest are dropped first.
 	maxSound = 65_536
@@ -72,11 +72,15 @@
 	}
 }
 
-// addCrash adds segments to a stored crash. A segment counts once for each incarnation of a target, however late the
-// reports on it come.
-func (s *segmentScores) addCrash(e camphorhinge.Entry, cr *crash, segments []camphorhinge.Fingerprint) {
+// addCrash adds segments to a stored crash; retried are those that came to the target after another crash. A segment
+// counts once for each incarnation of a target, however late the reports on it come.
+func (s *segmentScores) addCrash(e camphorhinge.Entry, cr *crash, segments, retried []camphorhinge.Fingerprint) {
 	for _, seg := range segments {
 		i, found := slices.BinarySearch(cr.Segments, seg)
+		if j, was := slices.BinarySearch(cr.Retried, seg); found && was && !slices.Contains(retried, seg) {
+			// Another node had it in flight there before.
+			cr.Retried = slices.Delete(cr.Retried, j, j+1)
+		}
 		known := slices.ContainsFunc(s.crashes[seg], func(o *crash) bool {
 			return o.Target == cr.Target && o.Incarnation == cr.Incarnation
 		})
@@ -84,6 +88,10 @@
 			continue
 		}
 		cr.Segments = slices.Insert(cr.Segments, i, seg)
+		if slices.Contains(retried, seg) {
+			cr.Retried = append(cr.Retried, seg)
+			slices.Sort(cr.Retried)
+		}
 		s.crashes[seg] = append(s.crashes[seg], cr)
 		s.index[seg] = e.Index
 	}
@@ -142,7 +150,9 @@
 	for _, cr := range list {
 		switch {
 		case now-cr.At >= Window.Milliseconds(), cr.At <= s.soundAt[seg], skip != nil && skip(cr):
-		case n > 0 && cr.At-last < correlatedCrashes.Milliseconds():
+		case cr.isRetried(seg):
+			n++
+		case last > 0 && cr.At-last < correlatedCrashes.Milliseconds():
 		default:
 			n, last = n+1, cr.At
 		}
@@ -150,6 +160,12 @@
 	return n
 }
 
+// isRetried reports whether a segment came to the target only after another crash with it.
+func (cr *crash) isRetried(seg camphorhinge.Fingerprint) bool {
+	_, found := slices.BinarySearch(cr.Retried, seg)
+	return found
+}
+
 // suspect is a segment with the number of its crashes.
 type suspect struct {
 	segment camphorhinge.Fingerprint
--- a/internal/request/quarantine/segments_test.go
+++ b/internal/request/quarantine/segments_test.go
@@ -297,3 +297,99 @@
 		require.NotEqual(t, base, other)
 	}
 }
+
+// machineProposer commits commands to a Machine, the first one after firstDelay and others at once.
+type machineProposer struct {
+	m          *Machine
+	firstDelay time.Duration
+
+	mu       sync.Mutex
+	proposed bool
+	index    camphorhinge.Index
+}
+
+func (p *machineProposer) Propose(_ context.Context, _ camphorhinge.CommandKind, data []byte) ([]byte, error) {
+	p.mu.Lock()
+	first := !p.proposed
+	p.proposed = true
+	p.mu.Unlock()
+	if first {
+		time.Sleep(p.firstDelay)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.index++
+	return p.m.Apply(camphorhinge.Entry{Index: p.index, Stamp: time.Now().UnixMilli()}, data), nil
+}
+
+// TestCrashOfRetriedRequest guards against a request that ends the target that it is retried at right after the first one,
+// and whose two crashes count once as if they had another cause. Targets that end together with it in flight at both count once.
+func TestCrashOfRetriedRequest(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// retried is set when the request is sent to the second target after the first one ended.
+		retried bool
+		// beside is set when another request with the segment is in flight at the second target all the while.
+		beside bool
+		// delay is the time from the sending to a crash, commit the time that the first report takes to commit.
+		delay, commit time.Duration
+		refused       bool
+	}{
+		{"retried at the second target", true, false, 40 * time.Millisecond, 0, true},
+		{"the first report is committed late", true, false, 60 * time.Millisecond, 55 * time.Millisecond, true},
+		{"in flight at both targets", false, false, 40 * time.Millisecond, 0, false},
+		{"retried where the segment was in flight before", true, true, 40 * time.Millisecond, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestClient(&machineProposer{m: NewMachine(), firstDelay: tc.commit}, time.Now(), nil)
+				defer func() { require.NoError(t, c.Close()) }()
+				first := c.Begin(target("a"), 1, 7)
+				second := func(bool, bool) {}
+				if !tc.retried {
+					second = c.Begin(target("b"), 2, 7)
+				}
+				if tc.beside {
+					defer c.Begin(target("b"), 3, 7)(false, false)
+				}
+				time.Sleep(tc.delay)
+				first(true, false)
+				if tc.retried {
+					second = c.Begin(target("b"), 1, 7)
+				}
+				time.Sleep(tc.delay)
+				second(true, false)
+				time.Sleep(time.Second)
+				_, refused := c.Refused(9, 7)
+				require.False(t, refused, "after two crashes")
+				c.Begin(target("c"), 4, 7)(true, false)
+				time.Sleep(time.Second)
+				_, refused = c.Refused(9, 7)
+				require.Equal(t, tc.refused, refused)
+			})
+		})
+	}
+}
+
+// TestCrashesOfConcurrentRetries guards against two requests with one segment that are in flight at two targets, and retried at
+// two others, counting as few crashes because each retry began before the other request's target ended.
+func TestCrashesOfConcurrentRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestClient(&machineProposer{m: NewMachine()}, time.Now(), nil)
+		defer func() { require.NoError(t, c.Close()) }()
+		a, b := c.Begin(target("a"), 1, 7), c.Begin(target("b"), 2, 7)
+		time.Sleep(40 * time.Millisecond)
+		a(true, false)
+		a = c.Begin(target("c"), 1, 7)
+		time.Sleep(20 * time.Millisecond)
+		b(true, false)
+		b = c.Begin(target("d"), 2, 7)
+		time.Sleep(10 * time.Millisecond)
+		a(true, false)
+		time.Sleep(20 * time.Millisecond)
+		b(true, false)
+		time.Sleep(time.Second)
+		_, refused := c.Refused(9, 7)
+		require.True(t, refused)
+	})
+}
--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -83,6 +83,7 @@
 		popular := sound && r.popular > 0 && random.Float64() < r.popular
 		if popular {
 			request.Body, request.Segments = popularBody, []uint64{firstSegment, 0x300}
+			request.Caller = fmt.Sprintf("caller-%d", random.Uint64())
 		}
 		at := time.Now()
 		wg.Go(func() {
