Follow the first hint to the leader without a pause

A node's first proposal waits 30 to 90 ms after a redirect that names the leader, before it calls it. The first hint is followed at once; nodes that name each other are called with pauses, as before.

TestClientPropose counts the pauses; it expects none after a redirect with a hint, where there was one.

--- a/internal/node/control/client.go
+++ b/internal/node/control/client.go
@@ -38,6 +38,8 @@
 	pool *peer.Pool
 	// addresses returns the peer addresses of the nodes that may lead.
 	addresses func() []string
+	// pause waits between two calls; it returns false when the context ends before.
+	pause func(ctx context.Context) bool
 
 	mu     sync.Mutex
 	leader string
@@ -56,7 +58,7 @@
 
 // NewClient returns a Client that looks for the leader at the given addresses.
 func NewClient(pool *peer.Pool, addresses func() []string) *Client {
-	return &Client{pool: pool, addresses: addresses, pending: map[*pendingCall]struct{}{}, unresponsive: map[string]bool{}}
+	return &Client{pool: pool, addresses: addresses, pause: pause, pending: map[*pendingCall]struct{}{}, unresponsive: map[string]bool{}}
 }
 
 // Leader returns the last known address of the leader, or "".
@@ -163,11 +165,11 @@
 func (c *Client) callLeader(ctx context.Context, op string, call func(context.Context, *peer.Conn) (callResult, error)) error {
 	ctx, cancel := withDeadline(ctx)
 	defer cancel()
-	last := errors.New("no leader known")
+	last, followed := errors.New("no leader known"), false
 	for ctx.Err() == nil {
 		address := c.nextAddress()
 		if address == "" {
-			if !pause(ctx) {
+			if !c.pause(ctx) {
 				break
 			}
 			continue
@@ -175,7 +177,7 @@
 		if !c.isResponsive(ctx, address) {
 			last = errors.New("no answer from " + address)
 			c.recordNotLeader(address, "")
-			if !pause(ctx) {
+			if !c.pause(ctx) {
 				break
 			}
 			continue
@@ -204,12 +206,17 @@
 				last = fmt.Errorf("%w: %s", last, result.message)
 			}
 			c.recordNotLeader(address, result.hint)
+			if result.hint != "" && !followed {
+				// A pause would only make the call later; further hints may be those of nodes that name each other.
+				followed = true
+				continue
+			}
 		default:
 			// Only a redirect guarantees that nothing was done; an empty body decodes to an answer without an outcome.
 			c.recordNotLeader(address, "")
 			return &Error{Op: op, Kind: KindUncertain, Err: fmt.Errorf("%s answered with the outcome %q", address, result.outcome)}
 		}
-		if !pause(ctx) {
+		if !c.pause(ctx) {
 			break
 		}
 	}
@@ -283,7 +290,7 @@
 			result = resp.GetResult()
 			return callResult{outcome: resp.GetOutcome(), hint: resp.GetLeader(), message: string(resp.GetResult())}, nil
 		})
-		if errors.Is(err, camphorhinge.ErrUncertain) && pause(ctx) {
+		if errors.Is(err, camphorhinge.ErrUncertain) && c.pause(ctx) {
 			continue
 		}
 		return result, err
--- a/internal/node/control/client_test.go
+++ b/internal/node/control/client_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+// circlePauses is the number of pauses after which the calls of a test end.
+const circlePauses = 5
+
+// redirectingInCircle returns the address of a node that names another one, which names it.
+func redirectingInCircle(t *testing.T, _ string) string {
+	a, b := &proposals{}, &proposals{}
+	first, second := serve(t, peerpb.NewControlServer(a)), serve(t, peerpb.NewControlServer(b))
+	a.answer = &peerpb.ProposeResponse{Outcome: OutcomeRedirect, Leader: second}
+	b.answer = &peerpb.ProposeResponse{Outcome: OutcomeRedirect, Leader: first}
+	return first
+}
+
 // Guards against a proposal that is repeated, or reported as without effect, although it may have been committed; and
 // against one that fails although nothing was done and another node leads.
 func TestClientPropose(t *testing.T) {
@@ -88,11 +100,14 @@
 		// kind is the kind of the expected error, or empty.
 		kind  Kind
 		calls int
+		// pauses is the number of pauses between the calls. A report that waits is counted as if its event were later.
+		pauses int
 	}{
 		{name: "leader", first: func(_ *testing.T, leader string) string { return leader }, calls: 1},
-		{name: "connection refused", first: func(t *testing.T, _ string) string { return refusing(t) }, calls: 1},
+		{name: "connection refused", first: func(t *testing.T, _ string) string { return refusing(t) }, calls: 1, pauses: 1},
 		{name: "redirect with a hint", first: redirecting(func(leader string) string { return leader }), calls: 1},
-		{name: "redirect without a hint", first: redirecting(func(string) string { return "" }), calls: 1},
+		{name: "redirect without a hint", first: redirecting(func(string) string { return "" }), calls: 1, pauses: 1},
+		{name: "redirects in a circle", first: redirectingInCircle, pauses: circlePauses, kind: KindUnavailable},
 		{name: "cut after sending", first: handling(cut), kind: KindUncertain},
 		{name: "malformed answer", first: handling(raw("\xff\xff")), kind: KindUncertain},
 		{name: "empty answer", first: handling(raw("")), kind: KindUncertain},
@@ -108,8 +123,14 @@
 			pool, err := peer.NewPool(nil)
 			require.NoError(t, err)
 			c := NewClient(pool, func() []string { return addresses })
+			pauses := 0
+			c.pause = func(ctx context.Context) bool {
+				pauses++
+				return pauses < circlePauses && pause(ctx)
+			}
 			result, err := c.Propose(t.Context(), camphorhinge.CommandClaim, []byte("x"))
 			require.Equal(t, tt.calls, l.calls)
+			require.Equal(t, tt.pauses, pauses)
 			if tt.kind == "" {
 				require.NoError(t, err)
 				require.Equal(t, "r", string(result))
