Reproduce entry nodes that lose the paths to engines

Callers of an entry node that can't reach the targets get 503 or 502 for nearly all requests, while core nodes reach both the node and the targets. TestLostPathsToEngines cuts the paths of 8 or 20 of 24 entry nodes to all engines, or to some, in virtual time: open connections hang, are reset, or live on while new ones are refused; core nodes restart or freeze, leaders change.

--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -35,7 +35,9 @@
 
 // sent is a request of the traffic.
 type sent struct {
-	at    time.Time
+	at time.Time
+	// entry is the index of the entry node.
+	entry int
 	sound bool
 	// popular is set for the request that many callers send.
 	popular bool
@@ -90,7 +92,7 @@
 			answer, _ := r.site.Send(i, request)
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			r.sent = append(r.sent, sent{at: at, sound: sound, popular: popular, served: answer.Complete(request.Output)})
+			r.sent = append(r.sent, sent{at: at, entry: i, sound: sound, popular: popular, served: answer.Complete(request.Output)})
 		})
 	}
 	next, nextCrash := time.Duration(0), r.crashFrom
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -37,6 +37,8 @@
 	index int
 	// link is closed while the node is cut off from the core nodes, process while it is frozen.
 	link, process gate
+	// paths are those to the engines.
+	paths paths
 
 	mu      sync.Mutex
 	current *process
@@ -64,7 +66,7 @@
 	}
 	for _, e := range d.site.allEngines() {
 		if e.address == address {
-			c, err := e.dial(d.index)
+			c, err := d.paths.dial(ctx, address, func() (net.Conn, error) { return e.dial(d.index) })
 			if err != nil {
 				return nil, err
 			}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -89,7 +89,7 @@
 		s.AddEngine(role, firstSoftware)
 	}
 	for i := range cfg.Entries {
-		e := &entry{site: s, index: i}
+		e := &entry{site: s, index: i, paths: paths{site: s}}
 		s.entries = append(s.entries, e)
 		e.start()
 	}
