Connect to targets through a core node when the direct path is lost

Cause: a connection had one path. The class is a duty that depends on one link while others lead to the same end; calls to core nodes already have several.

The same bytes pass, so that deadline, attempt id, retries and classes of failures are those of a direct connection; what the target sends is framed, so that its end differs from the loss of the core node, and the end of one side closes the other. Core nodes connect to recorded targets only, directly, at most 512 at a time.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -358,6 +358,14 @@
 	return len(r.targets)
 }
 
+// HasAddress reports whether a recorded target has or had the address, an IP:port; it is used only with Config.Exclusive.
+func (r *Registry) HasAddress(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.addressOwners[address]
+	return ok
+}
+
 // All returns the live targets of all services, sorted by name.
 func (r *Registry) All() []*camphorhinge.Target {
 	r.mu.Lock()
--- a/internal/node/dial/dial.go
+++ b/internal/node/dial/dial.go
@@ -26,10 +26,23 @@
 // stay unacknowledged for about silent. The probes detect a dead connection even while nothing is sent, as when a
 // response is awaited that can never arrive.
 func NewProbing(timeout, silent time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout: timeout, Control: userTimeout(silent),
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: max(silent, time.Second), Interval: time.Second, Count: probes},
+	return &net.Dialer{Timeout: timeout, Control: userTimeout(silent), KeepAliveConfig: keepAlive(silent)}
+}
+
+func keepAlive(silent time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: max(silent, time.Second), Interval: time.Second, Count: probes}
+}
+
+// SetProbing makes an accepted connection fail like those of NewProbing.
+func SetProbing(conn *net.TCPConn, silent time.Duration) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if err := userTimeout(silent)("", "", raw); err != nil {
+		return err
 	}
+	return conn.SetKeepAliveConfig(keepAlive(silent))
 }
 
 func userTimeout(limit time.Duration) func(string, string, syscall.RawConn) error {
--- a/internal/node/feed/follower.go
+++ b/internal/node/feed/follower.go
@@ -121,6 +121,26 @@
 	return out
 }
 
+// Relays returns the peer addresses of the core nodes that answer, those of the node's own zone first, in an order that
+// spreads the nodes over the core nodes.
+func (f *Follower) Relays() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]string, 0, len(f.watching))
+	for address, c := range f.watching {
+		if c.failures == 0 {
+			out = append(out, address)
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		if f.precedes(a, f.watching[a], b, f.watching[b]) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
 // Run watches the core nodes until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/node/peer/server.go
+++ b/internal/node/peer/server.go
@@ -34,6 +34,8 @@
 	Spread  peerpb.Spread
 	// Feed is nil unless this is a core node.
 	Feed peerpb.Feed
+	// Tunnels handles requests with the method CONNECT; nil refuses them.
+	Tunnels http.Handler
 	// Tracer creates a span for each call that belongs to a trace; with nil there are no spans.
 	Tracer oteltrace.Tracer
 }
@@ -108,7 +110,7 @@
 		feed := peerpb.NewFeedServer(svc.Feed)
 		mux.Handle(feed.PathPrefix(), feed)
 	}
-	s.http.Handler = traced(svc.Tracer, http.MaxBytesHandler(markHTTP2(mux), MaxBody))
+	s.http.Handler = tunneled(svc.Tunnels, traced(svc.Tracer, http.MaxBytesHandler(markHTTP2(mux), MaxBody)))
 
 	stop := context.AfterFunc(ctx, func() {
 		late, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -131,6 +133,20 @@
 	return s.http.Serve(s.listener)
 }
 
+// tunneled wraps a handler so that requests with the method CONNECT over HTTP/1.1 go to tunnels, if that is not nil.
+func tunneled(tunnels, next http.Handler) http.Handler {
+	if tunnels == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect && r.ProtoMajor == 1 {
+			tunnels.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // markHTTP2 wraps a handler so that its HTTP/1.1 responses show that this server speaks HTTP/2 as well.
 func markHTTP2(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -13,11 +13,13 @@
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/fleet/balance"
 	"example.org/camphorhinge/internal/fleet/registry"
+	"example.org/camphorhinge/internal/node/dial"
 	"example.org/camphorhinge/internal/node/discovery"
 	"example.org/camphorhinge/internal/node/feed"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/node/schedule"
 	"example.org/camphorhinge/internal/node/setting"
+	"example.org/camphorhinge/internal/node/tunnel"
 	"example.org/camphorhinge/internal/node/web"
 	"example.org/camphorhinge/internal/record/routing"
 	"example.org/camphorhinge/internal/request/exchange"
@@ -34,6 +36,8 @@
 	workTimeout = 200 * time.Millisecond
 	// formationTimeout bounds the wait for the full number of voters before the first configuration is accepted.
 	formationTimeout = 5 * time.Second
+	// relayGrace bounds the wait for requests on connections through this node at a stop.
+	relayGrace = 4 * time.Second
 	// maxControlBody bounds request bodies on the control and caller ports of platform nodes, in bytes; it fits a
 	// configuration of several thousand routes.
 	maxControlBody = 8 << 20
@@ -89,6 +93,7 @@
 	settings    setting.Core
 	scheduler   *schedule.Scheduler
 	exchange    *exchange.Client
+	relay       *tunnel.Relay
 	balancer    *balance.Balancer
 	versions    *origin.Keeper
 	controlPort *web.Server
@@ -127,7 +132,11 @@
 	c.discovery = discovery.New(discovery.Config{
 		Node: c.cfg.Node, Registry: c.registry, Pool: c.pool, Others: c.otherCoreAddresses, Metrics: c.metrics,
 	})
-	c.exchange = newExchange(c.metrics, cfg.Dialect)
+	direct := dial.NewProbing(connectTimeout, silentTimeout)
+	c.exchange = newExchange(c.metrics, cfg.Dialect, direct)
+	c.relay = tunnel.NewRelay(tunnel.RelayConfig{
+		Dialer: direct, Known: c.registry.HasAddress, Silent: silentTimeout, Clock: c.clock, Log: c.log, Metrics: c.metrics,
+	})
 	engines := cfg.Engines(c.exchange)
 	c.scheduler = schedule.New(schedule.Config{
 		Targets: c.registry, Configuration: c.routes.Current, Caches: engines, Clock: c.clock, Seed: c.seed(), Log: c.log,
@@ -276,7 +285,9 @@
 	g, work := errgroup.WithContext(base)
 	controlCtx, closeControl := context.WithCancel(work)
 	defer closeControl()
-	g.Go(func() error { return c.peerPort.Serve(work, c.services()) })
+	services := c.services()
+	services.Tunnels = c.relay
+	g.Go(func() error { return c.peerPort.Serve(work, services) })
 	g.Go(func() error { return c.discovery.RunWithoutPolls(work) })
 	g.Go(func() error { return c.scheduler.Run(work) })
 	g.Go(func() error { return logTraffic(work, c.log, c.metrics, c.peerPort.Connections) })
@@ -298,6 +309,7 @@
 		}
 		c.log.Info("planned stop begins", "node", c.cfg.Node)
 		c.durable.transferLeadership()
+		c.drainRelay()
 		closeControl()
 		return nil
 	})
@@ -307,6 +319,13 @@
 	return err
 }
 
+// drainRelay waits until no connection through this node carries a request.
+func (c *Core) drainRelay() {
+	ctx, cancel := context.WithTimeout(context.Background(), relayGrace)
+	defer cancel()
+	c.relay.Drain(ctx)
+}
+
 // Announce implements Control.
 func (c *Core) Announce(a camphorhinge.Announcement) (bool, error) {
 	current := c.routes.Current()
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -23,6 +23,7 @@
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/node/schedule"
 	"example.org/camphorhinge/internal/node/setting"
+	"example.org/camphorhinge/internal/node/tunnel"
 	"example.org/camphorhinge/internal/node/web"
 	"example.org/camphorhinge/internal/observe/decision"
 	"example.org/camphorhinge/internal/request/budget"
@@ -76,6 +77,7 @@
 	registry *registry.Registry
 	follower *feed.Follower
 	exchange *exchange.Client
+	dialer   *tunnel.Dialer
 	crashes  *quarantine.Client
 	placer   *schedule.Client
 	forward  *forward.Forwarder
@@ -110,7 +112,12 @@
 	e.follower = feed.NewFollower(feed.FollowerConfig{
 		Node: s.Node, Zone: s.Zone, Feed: feedOf, Seeds: e.cfg.Peers, Registry: e.registry, OnScores: e.mergeScores, Log: e.log,
 	})
-	e.exchange = newExchange(e.metrics, e.cfg.Dialect)
+	direct := dial.NewProbing(connectTimeout, silentTimeout)
+	e.dialer = tunnel.NewDialer(tunnel.Config{
+		Direct: direct, Via: &tunnel.Client{Dialer: direct}, Relays: e.follower.Relays,
+		OnChange: func(address string) { e.exchange.Retire(address) }, Clock: e.clock, Log: e.log, Metrics: e.metrics,
+	})
+	e.exchange = newExchange(e.metrics, e.cfg.Dialect, e.dialer)
 	e.crashes = quarantine.New(quarantine.Config{
 		Proposer: control.NewClient(pool, e.follower.Cores), Node: s.Node, Clock: e.clock, Decisions: decision.New(ringSize), Log: e.log, Metrics: e.metrics,
 		Survived: func(ctx context.Context, t *camphorhinge.Target) bool {
@@ -134,9 +141,9 @@
 }
 
 // newExchange returns the client for calls to targets.
-func newExchange(set *metrics.Set, dialect exchange.Dialect) *exchange.Client {
+func newExchange(set *metrics.Set, dialect exchange.Dialect, dialer exchange.Dialer) *exchange.Client {
 	return exchange.New(exchange.Config{
-		Dialer:         dial.NewProbing(connectTimeout, silentTimeout),
+		Dialer:         dialer,
 		ConnectTimeout: connectTimeout, FirstByteTimeout: answerTimeout, StallTimeout: answerTimeout, MaxIdle: maxIdlePerTarget,
 		Metrics: set, Tracer: noop.NewTracerProvider().Tracer(""), Dialect: dialect,
 	})
@@ -217,6 +224,7 @@
 	})
 	err := g.Wait()
 	e.pool.Close()
+	err = errors.Join(err, e.dialer.Close())
 	e.log.Info("entry node stopped", "node", s.Node, "error", err)
 	return err
 }
--- a/internal/node/server/report.go
+++ b/internal/node/server/report.go
@@ -16,6 +16,7 @@
 	"example.org/camphorhinge/internal/fleet/registry"
 	"example.org/camphorhinge/internal/node/peer"
 	"example.org/camphorhinge/internal/node/status"
+	"example.org/camphorhinge/internal/node/tunnel"
 	"example.org/camphorhinge/internal/node/web"
 )
 
@@ -60,7 +61,7 @@
 		}
 		var totals []any
 		for _, name := range set.ListMetricNames() {
-			if short, ok := strings.CutPrefix(name, peer.TrafficPrefix); ok && strings.Contains(short, "_total") {
+			if short, ok := trafficName(name); ok && strings.Contains(short, "_total") {
 				totals = append(totals, slog.Uint64(short, set.GetOrCreateCounter(name).Get()))
 			}
 		}
@@ -68,6 +69,15 @@
 	}
 }
 
+// trafficName returns the short name of a metric of the traffic between nodes, or false for other metrics.
+func trafficName(name string) (string, bool) {
+	if short, ok := strings.CutPrefix(name, peer.TrafficPrefix); ok {
+		return short, true
+	}
+	short, ok := strings.CutPrefix(name, tunnel.MetricsPrefix)
+	return "tunnel_" + short, ok
+}
+
 // nodeStatus returns the status of a core node.
 func (c *Core) nodeStatus() *status.Status {
 	st := newStatus(c.cfg.Node, c.cfg.Zone, c.registry, c.clock.Now())
--- /dev/null
+++ b/internal/node/tunnel/client.go
@@ -0,0 +1,135 @@
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+)
+
+// clientBufferSize is the size of the buffer of a connection through a relay, in bytes.
+const clientBufferSize = 4 << 10
+
+// headerKind names the Kind in a relay's answer without a connection.
+const headerKind = "Camphorhinge-Tunnel"
+
+// Client opens connections through relays.
+type Client struct {
+	// Dialer connects to the relays.
+	Dialer NetDialer
+}
+
+var (
+	errAnswer   = errors.New("the relay's answer is not usable")
+	errBuffered = errors.New("bytes were received that are not read yet")
+)
+
+// DialVia implements Via by the method CONNECT of HTTP/1.1.
+func (c *Client) DialVia(ctx context.Context, relay, address string) (net.Conn, error) {
+	fail := func(kind Kind, err error) error { return &Error{Op: "connect through " + relay, Kind: kind, Err: err} }
+	conn, err := c.Dialer.DialContext(ctx, "tcp", relay)
+	if err != nil {
+		return nil, fail(KindRelay, err)
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	br := bufio.NewReaderSize(conn, clientBufferSize)
+	resp, err := connect(conn, br, address) //nolint:bodyclose // connect closes it.
+	if err == nil && resp.StatusCode == http.StatusOK {
+		if !stop() {
+			return nil, fail(KindRelay, ctx.Err())
+		}
+		return newClientConn(conn, br), nil
+	}
+	stop()
+	conn.Close()
+	if err != nil {
+		return nil, fail(KindRelay, err)
+	}
+	switch kind := Kind(resp.Header.Get(headerKind)); kind {
+	case KindBusy, KindUnknown, KindRefused, KindSilent:
+		return nil, fail(kind, errors.New("the relay answered with status "+resp.Status))
+	default:
+		return nil, fail(KindRelay, errAnswer)
+	}
+}
+
+func connect(conn net.Conn, br *bufio.Reader, address string) (*http.Response, error) {
+	if _, err := io.WriteString(conn, "CONNECT "+address+" HTTP/1.1\r\nHost: "+address+"\r\n\r\n"); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return nil, err
+	}
+	return resp, resp.Body.Close()
+}
+
+// clientConn is a connection through a relay. What it reads is framed, so that the end of the target's connection can be told
+// from the loss of the relay; what it writes is not.
+type clientConn struct {
+	net.Conn
+	br *bufio.Reader
+	// left is the rest of the current frame in bytes.
+	left int
+	// ended is set after the frame that marks the end.
+	ended bool
+}
+
+// tcpClientConn is a clientConn whose socket can be examined.
+type tcpClientConn struct {
+	*clientConn
+	tcp *net.TCPConn
+}
+
+// SyscallConn implements syscall.Conn. It fails when bytes have been received that were not read yet, which the socket does
+// not show.
+func (c *tcpClientConn) SyscallConn() (syscall.RawConn, error) {
+	if c.ended || c.left > 0 || c.br.Buffered() > 0 {
+		return nil, &Error{Op: "examine", Kind: KindRelay, Err: errBuffered}
+	}
+	return c.tcp.SyscallConn()
+}
+
+func newClientConn(conn net.Conn, br *bufio.Reader) net.Conn {
+	c := &clientConn{Conn: conn, br: br}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return &tcpClientConn{c, tcp}
+	}
+	return c
+}
+
+// Read implements net.Conn. It returns io.EOF only when the target has closed its connection.
+func (c *clientConn) Read(p []byte) (int, error) {
+	if c.ended {
+		return 0, io.EOF
+	}
+	if c.left == 0 {
+		// A time-out between the bytes of a header loses none of them.
+		header, err := c.br.Peek(frameHeader)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return 0, err
+		}
+		if c.left = frameLength(header); c.left > bufferSize {
+			return 0, &Error{Op: "read", Kind: KindRelay, Err: errAnswer}
+		}
+		if _, err := c.br.Discard(frameHeader); err != nil {
+			return 0, err
+		}
+		if c.left == 0 {
+			c.ended = true
+			return 0, io.EOF
+		}
+	}
+	n, err := c.br.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/node/tunnel/frame.go
@@ -0,0 +1,16 @@
+package tunnel
+
+import "encoding/binary"
+
+const (
+	// frameHeader is the size of the header of a frame, which is its length; a frame of length 0 marks the end.
+	frameHeader = 4
+	// bufferSize is the size of the buffer for each direction of a connection, in bytes. A frame is at most that long.
+	bufferSize = 16 << 10
+)
+
+// frameLength returns the length in a header of a frame; one above bufferSize is that of no frame.
+func frameLength(header []byte) int { return int(binary.BigEndian.Uint32(header)) }
+
+// putFrameLength writes the header of a frame.
+func putFrameLength(header []byte, n int) { binary.BigEndian.PutUint32(header, uint32(n)) }
--- /dev/null
+++ b/internal/node/tunnel/relay.go
@@ -0,0 +1,269 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/node/dial"
+)
+
+const (
+	// maxTunnels bounds the connections through one relay: two buffers of bufferSize each, so some 20 MB in all.
+	maxTunnels = 512
+	// relayDialTimeout bounds connecting to a target.
+	relayDialTimeout = 300 * time.Millisecond
+	// quietTime is how long a connection has been without a byte from the target, after its last one, when it is taken for
+	// idle during a stop.
+	quietTime = time.Second
+	// drainPoll is the time between two checks during a stop.
+	drainPoll = 50 * time.Millisecond
+)
+
+// RelayConfig holds the dependencies of a Relay.
+type RelayConfig struct {
+	Dialer NetDialer
+	// Known reports whether an address is that of a target.
+	Known func(address string) bool
+	// Silent is how long the connection of a node may leave sent data or probes unacknowledged before it fails.
+	Silent  time.Duration
+	Clock   camphorhinge.Clock
+	Log     *slog.Logger
+	Metrics *metrics.Set
+}
+
+// Relay connects other nodes to targets. It handles requests with the method CONNECT.
+type Relay struct {
+	cfg     RelayConfig
+	total   *metrics.Counter
+	refused *metrics.Counter
+	// requests and answers count bytes.
+	requests, answers *metrics.Counter
+
+	mu       sync.Mutex
+	tunnels  map[*tunnel]struct{}
+	opening  int
+	stopping bool
+}
+
+// NewRelay returns a Relay. Drain must be called.
+func NewRelay(cfg RelayConfig) *Relay {
+	return &Relay{
+		cfg: cfg, tunnels: make(map[*tunnel]struct{}),
+		total:    cfg.Metrics.GetOrCreateCounter(MetricsPrefix + "relayed_total"),
+		refused:  cfg.Metrics.GetOrCreateCounter(MetricsPrefix + "refused_total"),
+		requests: cfg.Metrics.GetOrCreateCounter(MetricsPrefix + `bytes_total{direction="to_target"}`),
+		answers:  cfg.Metrics.GetOrCreateCounter(MetricsPrefix + `bytes_total{direction="to_node"}`),
+	}
+}
+
+// tunnel is a connection between a node and a target.
+type tunnel struct {
+	node, target net.Conn
+	// used is set once the node has sent something.
+	used atomic.Bool
+	// repliedAt is the time of the target's last byte if that came after the node's last one, or 0.
+	repliedAt atomic.Int64
+}
+
+// idle reports whether the tunnel carries no request, as far as can be told from outside.
+func (t *tunnel) idle(now camphorhinge.Instant) bool {
+	replied := camphorhinge.Instant(t.repliedAt.Load())
+	return !t.used.Load() || replied > 0 && now.Sub(replied) >= quietTime
+}
+
+func (t *tunnel) close() {
+	t.node.Close()
+	t.target.Close()
+}
+
+// ServeHTTP implements http.Handler for the method CONNECT.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	refuse := func(status int, kind Kind, err error) {
+		r.refused.Inc()
+		r.cfg.Log.Debug("connection not relayed", "target", req.Host, "from", req.RemoteAddr, "kind", kind, "error", err)
+		w.Header().Set(headerKind, string(kind))
+		w.WriteHeader(status)
+	}
+	if !r.cfg.Known(req.Host) {
+		refuse(http.StatusNotFound, KindUnknown, nil)
+		return
+	}
+	if !r.reserve() {
+		refuse(http.StatusServiceUnavailable, KindBusy, nil)
+		return
+	}
+	target, err := r.dial(req.Context(), req.Host)
+	if err != nil {
+		r.add(nil)
+		kind := KindSilent
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			kind = KindRefused
+		}
+		refuse(http.StatusBadGateway, kind, err)
+		return
+	}
+	node, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		r.add(nil)
+		target.Close()
+		refuse(http.StatusNotImplemented, KindBusy, err)
+		return
+	}
+	if tcp, ok := node.(*net.TCPConn); ok {
+		if err := dial.SetProbing(tcp, r.cfg.Silent); err != nil {
+			r.cfg.Log.Warn("relayed connection without probes", "from", req.RemoteAddr, "error", err)
+		}
+	}
+	t := &tunnel{node: node, target: target}
+	if !r.add(t) {
+		t.close()
+		return
+	}
+	r.total.Inc()
+	if _, err := io.WriteString(node, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+		r.cfg.Log.Debug("relayed connection lost", "target", req.Host, "error", err)
+		r.remove(t)
+		return
+	}
+	r.run(t, buffered.Reader)
+}
+
+// reserve reserves a place for a tunnel, which add takes.
+func (r *Relay) reserve() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping || len(r.tunnels)+r.opening >= maxTunnels {
+		return false
+	}
+	r.opening++
+	return true
+}
+
+// add puts a tunnel in its reserved place, or frees the place if t is nil. It returns false during a stop.
+func (r *Relay) add(t *tunnel) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opening--
+	if t == nil || r.stopping {
+		return false
+	}
+	r.tunnels[t] = struct{}{}
+	return true
+}
+
+func (r *Relay) remove(t *tunnel) {
+	t.close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.tunnels, t)
+}
+
+func (r *Relay) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayDialTimeout)
+	defer cancel()
+	return r.cfg.Dialer.DialContext(ctx, "tcp", address)
+}
+
+// run copies in both directions until one of the connections ends.
+func (r *Relay) run(t *tunnel, fromNode io.Reader) {
+	var g errgroup.Group
+	g.Go(func() error {
+		defer t.close()
+		return r.copyRequests(t, fromNode)
+	})
+	err := r.copyAnswers(t)
+	r.remove(t)
+	if requestErr := g.Wait(); requestErr != nil || err != nil {
+		r.cfg.Log.Debug("relayed connection ended", "target", t.target.RemoteAddr(), "error", err, "request_error", requestErr)
+	}
+}
+
+// copyRequests copies what the node sends.
+func (r *Relay) copyRequests(t *tunnel, from io.Reader) error {
+	buffer := make([]byte, bufferSize)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			t.used.Store(true)
+			t.repliedAt.Store(0)
+			r.requests.Add(n)
+			if _, err := t.target.Write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if err != nil {
+			return endOf(err)
+		}
+	}
+}
+
+// copyAnswers copies what the target sends in frames. The end mark follows only if the target closed its connection; one that
+// was reset ends without it.
+func (r *Relay) copyAnswers(t *tunnel) error {
+	buffer := make([]byte, frameHeader+bufferSize)
+	for {
+		n, err := t.target.Read(buffer[frameHeader:])
+		if n > 0 {
+			t.repliedAt.Store(int64(r.cfg.Clock.Now()))
+			r.answers.Add(n)
+		}
+		if n > 0 || errors.Is(err, io.EOF) {
+			putFrameLength(buffer, n)
+			if _, err := t.node.Write(buffer[:frameHeader+n]); err != nil {
+				return err
+			}
+		}
+		if err != nil && n == 0 {
+			return endOf(err)
+		}
+	}
+}
+
+// endOf returns nil for the end of a connection that was closed, and otherwise err.
+func endOf(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Drain refuses further connections, and closes the others as soon as they carry no request, or when ctx ends.
+func (r *Relay) Drain(ctx context.Context) {
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for r.closeQuiet(ctx.Err() != nil) > 0 {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// closeQuiet closes the tunnels that carry no request, or all, and returns how many are left.
+func (r *Relay) closeQuiet(all bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock.Now()
+	for t := range r.tunnels {
+		if all || t.idle(now) {
+			t.close()
+			delete(r.tunnels, t)
+		}
+	}
+	return len(r.tunnels)
+}
--- /dev/null
+++ b/internal/node/tunnel/relay_test.go
@@ -0,0 +1,229 @@
+package tunnel_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"io"
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge/internal/node/clock"
+	"example.org/camphorhinge/internal/node/tunnel"
+)
+
+// server is a target whose connections are served by a function.
+type server struct {
+	net.Listener
+	address string
+}
+
+func newServer(t *testing.T, serve func(c *net.TCPConn)) server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil // The listener is closed.
+			}
+			g.Go(func() error {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		require.NoError(t, g.Wait())
+	})
+	return server{l, l.Addr().String()}
+}
+
+// newRelay returns a relay that knows the given targets, and its address.
+func newRelay(t *testing.T, known ...string) (relay *tunnel.Relay, address string) {
+	t.Helper()
+	relay = tunnel.NewRelay(tunnel.RelayConfig{
+		Dialer: &net.Dialer{}, Silent: time.Second, Clock: clock.New(), Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		Known: func(address string) bool { return slices.Contains(known, address) },
+	})
+	s := httptest.NewServer(relay)
+	t.Cleanup(s.Close)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		relay.Drain(ctx)
+	})
+	return relay, s.Listener.Addr().String()
+}
+
+func open(t *testing.T, relay, target string) net.Conn {
+	t.Helper()
+	c, err := (&tunnel.Client{Dialer: &net.Dialer{}}).DialVia(t.Context(), relay, target)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return c
+}
+
+// TestRelayedEnd guards against an answer that a lost connection cut short and that looks complete, as the end of a connection
+// may mark the end of an answer.
+func TestRelayedEnd(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(c *net.TCPConn, relay *tunnel.Relay)
+		want error
+	}{
+		{"target closes", func(*net.TCPConn, *tunnel.Relay) {}, nil},
+		{"target closes its side", func(c *net.TCPConn, _ *tunnel.Relay) { _ = c.CloseWrite() }, nil},
+		{"target resets", func(c *net.TCPConn, _ *tunnel.Relay) {
+			time.Sleep(100 * time.Millisecond)
+			_ = c.SetLinger(0)
+		}, io.ErrUnexpectedEOF},
+		{"relay ends", func(_ *net.TCPConn, relay *tunnel.Relay) {
+			time.Sleep(100 * time.Millisecond)
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			relay.Drain(ctx)
+		}, io.ErrUnexpectedEOF},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var relay *tunnel.Relay
+			target := newServer(t, func(c *net.TCPConn) {
+				_, _ = io.ReadFull(c, make([]byte, 4))
+				_, _ = io.WriteString(c, "some bytes")
+				tc.end(c, relay)
+			})
+			relay, address := newRelay(t, target.address)
+			c := open(t, address, target.address)
+			_, err := io.WriteString(c, "what")
+			require.NoError(t, err)
+			got, err := io.ReadAll(c)
+			require.Equal(t, "some bytes", string(got))
+			require.Equal(t, tc.want, err)
+		})
+	}
+}
+
+// TestRelayedBytes guards against bytes that are lost, repeated or changed on long bodies in both directions at once.
+func TestRelayedBytes(t *testing.T) {
+	const size = 8 << 20
+	sent := make([]byte, size)
+	_, err := rand.Read(sent)
+	require.NoError(t, err)
+	target := newServer(t, func(c *net.TCPConn) { _, _ = io.Copy(c, io.LimitReader(c, size)) })
+	_, address := newRelay(t, target.address)
+	c := open(t, address, target.address)
+	var g errgroup.Group
+	g.Go(func() error {
+		_, err := c.Write(sent)
+		return err
+	})
+	got, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.NoError(t, g.Wait())
+	require.True(t, bytes.Equal(sent, got))
+}
+
+// TestRelayedCancel guards against work that goes on at a target after its caller has left.
+func TestRelayedCancel(t *testing.T) {
+	ended := make(chan error, 1)
+	target := newServer(t, func(c *net.TCPConn) {
+		_, _ = io.ReadFull(c, make([]byte, 4))
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	})
+	_, address := newRelay(t, target.address)
+	c := open(t, address, target.address)
+	_, err := io.WriteString(c, "what")
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	require.ErrorIs(t, <-ended, io.EOF)
+}
+
+// TestNotRelayed guards against connections to other addresses than those of targets, and against errors that don't tell
+// whether another relay is worth a try.
+func TestNotRelayed(t *testing.T) {
+	gone := newServer(t, func(*net.TCPConn) {})
+	gone.Close()
+	target := newServer(t, func(*net.TCPConn) {})
+	_, address := newRelay(t, gone.address, target.address)
+	stopping, stoppingAddress := newRelay(t, target.address)
+	stopping.Drain(t.Context())
+	for _, tc := range []struct {
+		name, relay, target string
+		want                tunnel.Kind
+	}{
+		{"unknown", address, "127.0.0.1:9", tunnel.KindUnknown},
+		{"refused", address, gone.address, tunnel.KindRefused},
+		{"stopping", stoppingAddress, target.address, tunnel.KindBusy},
+		{"no relay", gone.address, target.address, tunnel.KindRelay},
+		{"no answer of a relay", target.address, target.address, tunnel.KindRelay},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := (&tunnel.Client{Dialer: &net.Dialer{}}).DialVia(t.Context(), tc.relay, tc.target)
+			var e *tunnel.Error
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, tc.want, e.Kind)
+		})
+	}
+}
+
+// TestDrain guards against a planned stop of a relay that breaks off a request, and against one that waits for idle connections.
+func TestDrain(t *testing.T) {
+	target := newServer(t, func(c *net.TCPConn) {
+		_, _ = io.ReadFull(c, make([]byte, 4))
+		time.Sleep(500 * time.Millisecond)
+		_, _ = io.WriteString(c, "done")
+		_, _ = c.Read(make([]byte, 1))
+	})
+	relay, address := newRelay(t, target.address)
+	idle, busy := open(t, address, target.address), open(t, address, target.address)
+	_, err := io.WriteString(busy, "what")
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	var g errgroup.Group
+	g.Go(func() error {
+		relay.Drain(t.Context())
+		return nil
+	})
+	_, err = idle.Read(make([]byte, 1))
+	require.Equal(t, io.ErrUnexpectedEOF, err)
+	got := make([]byte, 4)
+	_, err = io.ReadFull(busy, got)
+	require.NoError(t, err)
+	require.Equal(t, "done", string(got))
+	require.NoError(t, g.Wait())
+	require.Less(t, time.Since(began), 4*time.Second)
+}
+
+// TestUnreadBytes guards against the reuse of a connection on which a target has sent bytes that no request asked for.
+func TestUnreadBytes(t *testing.T) {
+	target := newServer(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "answer and more")
+		_, _ = c.Read(make([]byte, 1))
+	})
+	_, address := newRelay(t, target.address)
+	c := open(t, address, target.address)
+	got := make([]byte, 6)
+	_, err := io.ReadFull(c, got)
+	require.NoError(t, err)
+	_, err = c.(interface {
+		SyscallConn() (syscall.RawConn, error)
+	}).SyscallConn()
+	require.Error(t, err)
+}
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -300,6 +300,9 @@
 	return true
 }
 
+// Retire makes later requests to an address use new connections. Those in use complete their exchange.
+func (c *Client) Retire(address string) { c.connsRetired.Add(c.pool.retire(address)) }
+
 // callerBody records an error of reading the caller's body, to distinguish it from a failure of the target.
 type callerBody struct {
 	io.Reader
--- a/internal/request/exchange/probe.go
+++ b/internal/request/exchange/probe.go
@@ -20,7 +20,7 @@
 		return
 	}
 	if c.probePath() == "" {
-		c.connsRetired.Add(c.pool.retire(address))
+		c.Retire(address)
 		return
 	}
 	c.mu.Lock()
@@ -36,7 +36,7 @@
 			c.mu.Unlock()
 		}()
 		if c.Probe(c.probeCtx, address) == nil {
-			c.connsRetired.Add(c.pool.retire(address))
+			c.Retire(address)
 		}
 		return nil
 	})
--- a/internal/standin/site/core.go
+++ b/internal/standin/site/core.go
@@ -74,6 +74,8 @@
 	name string
 	// link is closed while the node is cut off from the other nodes or frozen.
 	link gate
+	// paths are those to the engines.
+	paths paths
 
 	mu        sync.Mutex
 	applied   int
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -53,7 +53,9 @@
 type Arrival struct {
 	At time.Time
 	// Entry is the index of the entry node that sent it.
-	Entry    int
+	Entry int
+	// Relayed is set if it came through a core node.
+	Relayed  bool
 	Attempt  camphorhinge.AttemptID
 	Segments []uint64
 	Body     string
@@ -172,8 +174,8 @@
 	return e.running && !e.leaving && e.role == camphorhinge.RoleDecode
 }
 
-// dial opens a connection from an entry node.
-func (e *engine) dial(from int) (net.Conn, error) {
+// dial opens a connection for an entry node, which is relayed if it comes through a core node.
+func (e *engine) dial(from int, relayed bool) (net.Conn, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.running {
@@ -184,13 +186,13 @@
 	name, ended := e.name(), e.ended
 	e.site.group.Go(func() error {
 		defer server.Close()
-		e.serve(server, from, name, ended)
+		e.serve(server, from, relayed, name, ended)
 		return nil
 	})
 	return pipeEnd{client}, nil
 }
 
-func (e *engine) serve(c net.Conn, from int, name camphorhinge.TargetName, ended <-chan struct{}) {
+func (e *engine) serve(c net.Conn, from int, relayed bool, name camphorhinge.TargetName, ended <-chan struct{}) {
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -217,7 +219,7 @@
 		}
 		attempt := camphorhinge.AttemptID(r.Header.Get(headerAttempt))
 		e.site.recordArrival(Arrival{
-			At: time.Now(), Entry: from, Attempt: attempt, Segments: hashes, Body: string(body), Prefill: prefill, Target: name, Told: e.told(from),
+			At: time.Now(), Entry: from, Relayed: relayed, Attempt: attempt, Segments: hashes, Body: string(body), Prefill: prefill, Target: name, Told: e.told(from),
 		})
 		if !pause(ended, prefillTime) {
 			return
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -23,6 +23,7 @@
 	"example.org/camphorhinge/internal/node/feed"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
 	"example.org/camphorhinge/internal/node/schedule"
+	"example.org/camphorhinge/internal/node/tunnel"
 	"example.org/camphorhinge/internal/observe/decision"
 	"example.org/camphorhinge/internal/request/budget"
 	"example.org/camphorhinge/internal/request/exchange"
@@ -31,6 +32,9 @@
 	"example.org/camphorhinge/internal/request/quarantine"
 )
 
+// connectTimeout bounds connecting to an engine.
+const connectTimeout = 400 * time.Millisecond
+
 // entry is one entry node.
 type entry struct {
 	site  *Site
@@ -50,6 +54,7 @@
 	stop      context.CancelFunc
 	group     *errgroup.Group
 	exchange  *exchange.Client
+	dialer    *tunnel.Dialer
 	crashes   *quarantine.Client
 	forwarder *forward.Forwarder
 	follower  *feed.Follower
@@ -66,7 +71,7 @@
 	}
 	for _, e := range d.site.allEngines() {
 		if e.address == address {
-			c, err := d.paths.dial(ctx, address, func() (net.Conn, error) { return e.dial(d.index) })
+			c, err := d.paths.dial(ctx, address, func() (net.Conn, error) { return e.dial(d.index, false) })
 			if err != nil {
 				return nil, err
 			}
@@ -117,8 +122,12 @@
 		Node: name, Feed: feedOf, Cores: p.follower.Cores, Local: place.New(place.Config{Zone: "z", Seed: uint64(e.index), Nodes: p.follower.Entries}),
 		Clock: clock, Log: log, Metrics: set,
 	})
+	p.dialer = tunnel.NewDialer(tunnel.Config{
+		Direct: entryDialer{e}, Via: via{e}, Relays: p.follower.Relays, OnChange: func(address string) { p.exchange.Retire(address) },
+		Clock: clock, Log: log, Metrics: set,
+	})
 	p.exchange = exchange.New(exchange.Config{
-		Dialer: entryDialer{e}, Metrics: set, Tracer: noop.NewTracerProvider().Tracer(""), Dialect: protocol{},
+		Dialer: p.dialer, ConnectTimeout: connectTimeout, Metrics: set, Tracer: noop.NewTracerProvider().Tracer(""), Dialect: protocol{},
 		FirstByteTimeout: time.Minute, StallTimeout: time.Minute,
 	})
 	p.forwarder = forward.New(forward.Config{
@@ -147,7 +156,7 @@
 func (p *process) end() error {
 	p.stop()
 	p.requests.Wait()
-	return errors.Join(p.forwarder.Close(), p.crashes.Close(), p.exchange.Close(), p.group.Wait())
+	return errors.Join(p.forwarder.Close(), p.crashes.Close(), p.exchange.Close(), p.dialer.Close(), p.group.Wait())
 }
 
 // RestartEntry replaces the process of an entry node. Requests in progress are completed first.
--- a/internal/standin/site/path.go
+++ b/internal/standin/site/path.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"example.org/camphorhinge/internal/node/tunnel"
 )
 
 // Loss is what happens to the connections between a node and engines when the paths between them are cut.
@@ -50,6 +53,15 @@
 	}
 }
 
+// lose ends all connections, as when their node ends.
+func (p *paths) lose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.end(io.EOF)
+	}
+}
+
 func (p *paths) heal() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -176,6 +188,58 @@
 // HealPaths ends CutPaths.
 func (s *Site) HealPaths(entry int) { s.entries[entry].paths.heal() }
 
+// CutCorePaths cuts the paths between a core node and the given engines until HealCorePaths.
+func (s *Site) CutCorePaths(core int, loss Loss, engines ...int) {
+	s.cores[core].paths.cut(loss, s.addressesOf(engines))
+}
+
+// HealCorePaths ends CutCorePaths.
+func (s *Site) HealCorePaths(core int) { s.cores[core].paths.heal() }
+
+// via connects an entry node to engines through core nodes; it implements tunnel.Via.
+type via struct{ *entry }
+
+// DialVia implements tunnel.Via.
+func (v via) DialVia(ctx context.Context, relay, address string) (net.Conn, error) {
+	c := v.site.coreOf(relay)
+	links := []*gate{&v.process, &v.link, &c.link}
+	for _, g := range links {
+		if err := g.wait(ctx); err != nil {
+			return nil, &tunnel.Error{Op: "connect", Kind: tunnel.KindRelay, Err: err}
+		}
+	}
+	time.Sleep(2 * callDelay)
+	for _, e := range v.site.allEngines() {
+		if e.address != address {
+			continue
+		}
+		conn, err := c.paths.dial(ctx, address, func() (net.Conn, error) { return e.dial(v.index, true) })
+		if err != nil {
+			return nil, &tunnel.Error{Op: "connect", Kind: tunnel.KindRefused, Err: err}
+		}
+		return relayedConn{conn, v.site.ctx, links}, nil
+	}
+	return nil, &tunnel.Error{Op: "connect", Kind: tunnel.KindUnknown, Err: errRefused}
+}
+
+// relayedConn is a connection through a core node, which passes nothing while one of its links is closed.
+type relayedConn struct {
+	net.Conn
+	ctx   context.Context //nolint:containedctx // It ends the simulation.
+	links []*gate
+}
+
+// Read implements net.Conn.
+func (c relayedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for _, g := range c.links {
+		if werr := g.wait(c.ctx); werr != nil {
+			return n, werr
+		}
+	}
+	return n, err
+}
+
 func (s *Site) addressesOf(engines []int) []string {
 	all := s.allEngines()
 	var out []string
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -76,7 +76,7 @@
 	}
 	s.table.Apply(camphorhinge.Entry{}, document)
 	for i := range cfg.Cores {
-		s.cores = append(s.cores, &core{site: s, name: fmt.Sprintf("core-%d", i)})
+		s.cores = append(s.cores, &core{site: s, name: fmt.Sprintf("core-%d", i), paths: paths{site: s}})
 	}
 	for _, c := range s.cores {
 		c.start(s.table)
@@ -226,6 +226,7 @@
 func (s *Site) RestartCore(i int) {
 	c := s.cores[i]
 	c.stop()
+	c.paths.lose()
 	c.start(s.table)
 	s.mu.Lock()
 	c.catchUp(s.log)
