Obey targets that state in answers that they leave or want a pause

Requests went on to a target that had stated in its answers that it leaves, until its announcement said so, and to one that had refused a request and named a time for which it wants none: neither statement was read.

An entry node keeps both beside the target's limit, for the target's incarnation. It does not choose such a target, excludes it with each call to the core node that places requests, and sends requests that were placed before for 300 ms more. Where all targets pause, requests are refused at once with the least time that remains. Values that are not valid are left out and logged.

Not built: a return after a pause that spreads the nodes, the core nodes' own calls, and a report of departures to other nodes.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -124,6 +124,9 @@
 // errTargetLeaving marks a target that stopped accepting requests after it was chosen.
 var errTargetLeaving = errors.New("the target is leaving")
 
+// errTargetClosed marks a target that stated, after it was chosen, that it leaves or wants no requests for a time.
+var errTargetClosed = errors.New("the target wants no requests now")
+
 // isServing reports whether a target still accepts requests. It is checked before each exchange, because a serving
 // engine may have left while the separate prefill ran.
 func (j *job) isServing(t *camphorhinge.Target) bool {
@@ -138,7 +141,7 @@
 // errQuarantined marks a request that the quarantine began to refuse while it waited for its placement or its prefill.
 var errQuarantined = errors.New("the request crashes targets")
 
-// openExchange starts an exchange and records the limit that the target states in its answer. It counts an arrival if the
+// openExchange starts an exchange and records what the target states of itself in its answer. It counts an arrival if the
 // request may have reached the target.
 func (j *job) openExchange(ctx context.Context, call exchange.Call, inFlight *place.InFlight) (*exchange.Answer, *exchange.Error) {
 	if _, refused := j.f.cfg.Quarantine.Refused(j.fingerprint, j.segments...); refused {
@@ -147,15 +150,18 @@
 	if !j.isServing(call.Target) {
 		return nil, &exchange.Error{Op: "open", Kind: exchange.KindConnect, Run: camphorhinge.NotRun, Err: errTargetLeaving}
 	}
+	if inFlight.Barred(j.f.cfg.Clock.Now()) {
+		return nil, &exchange.Error{Op: "open", Kind: exchange.KindConnect, Run: camphorhinge.NotRun, Err: errTargetClosed}
+	}
 	answer, err := j.f.cfg.Exchange.Open(ctx, call)
 	if err == nil {
 		j.arrivals++
-		j.recordLimit(answer.Header, inFlight)
+		j.recordStatements(call.Target, answer.Status, answer.Header, inFlight)
 		return answer, nil
 	}
 	e := asExchangeError(err)
 	if e.Header != nil {
-		j.recordLimit(e.Header, inFlight)
+		j.recordStatements(call.Target, e.Status, e.Header, inFlight)
 	}
 	if e.Run != camphorhinge.NotRun || e.Kind == exchange.KindRefused {
 		j.arrivals++
@@ -163,9 +169,18 @@
 	return nil, e
 }
 
-func (j *job) recordLimit(h http.Header, inFlight *place.InFlight) {
+// recordStatements records what a target states of itself in the header of an answer.
+func (j *job) recordStatements(t *camphorhinge.Target, status int, h http.Header, inFlight *place.InFlight) {
+	now := j.f.cfg.Clock.Now()
 	if limit, ok := j.f.cfg.Protocol.ParseLimit(h); ok {
-		inFlight.RecordLimit(j.f.cfg.Clock.Now(), limit)
+		inFlight.RecordLimit(now, limit)
+	}
+	notice, err := j.f.cfg.Protocol.ParseNotice(status, h)
+	if err != nil {
+		j.f.badNotices.Do(func() { j.f.cfg.Log.Warn("statement of target not valid", "target", t.Name, "error", err) })
+	}
+	if inFlight.RecordNotice(now, notice) {
+		j.f.cfg.Log.Info("target wants no requests", "target", t.Name, "leaving", notice.Leaving, "pause_ms", notice.Pause.Milliseconds())
 	}
 }
 
@@ -193,7 +208,7 @@
 
 // targetOutcome maps the error of a failed attempt to the outcome that is recorded for its target.
 func targetOutcome(ctx context.Context, e *exchange.Error) place.Outcome {
-	if errors.Is(e, errQuarantined) {
+	if errors.Is(e, errQuarantined) || errors.Is(e, errTargetClosed) {
 		return place.Abandoned
 	}
 	switch e.Kind {
--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -53,6 +53,17 @@
 	return limit, err == nil || h.Get("Limit") == ""
 }
 
+func (protocol) ParseNotice(_ int, h http.Header) (place.Notice, error) {
+	n := place.Notice{Leaving: h.Get("Leaving") != ""}
+	if text := h.Get("Pause"); text != "" {
+		var err error
+		if n.Pause, err = time.ParseDuration(text); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 func (protocol) StripInternal(h http.Header) { h.Del("Load") }
 func (protocol) StripStamp(h http.Header)    { h.Del("Stamp") }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/record/routing"
@@ -71,6 +72,9 @@
 	// ParseLimit reads the number of requests a second that a target states, in the header of an answer, to take from all
 	// nodes together. It returns 0 when there is none, and false when it is not valid.
 	ParseLimit(h http.Header) (perSecond float64, ok bool)
+	// ParseNotice reads what a target states in an answer about further requests. The error tells a value that is not valid and
+	// was left out.
+	ParseNotice(status int, h http.Header) (place.Notice, error)
 	// StripInternal removes the fields of an answer's header that callers must not get.
 	StripInternal(h http.Header)
 	// StripStamp removes the target's signature from the header of an answer whose status was replaced, so that the
@@ -169,15 +173,20 @@
 	stopping atomic.Bool
 	// watchers detect callers that close the connection, one for each request in progress.
 	watchers errgroup.Group
+	// badNotices bounds the log lines on statements of targets that are not valid.
+	badNotices rate.Sometimes
 }
 
 // maxBackground bounds the concurrent calls that free KV caches; calls above it are skipped, as engines also free
 // unused caches by themselves.
 const maxBackground = 64
 
+// badNoticeInterval is the least time between two log lines on statements that are not valid, after the first ten.
+const badNoticeInterval = 10 * time.Second
+
 // New returns a Forwarder. Close must be called to release it.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, meters: newMeters(cfg.Metrics)}
+	f := &Forwarder{cfg: cfg, meters: newMeters(cfg.Metrics), badNotices: rate.Sometimes{First: 10, Interval: badNoticeInterval}}
 	f.background.SetLimit(maxBackground)
 	return f
 }
--- a/internal/request/place/limit.go
+++ b/internal/request/place/limit.go
@@ -166,23 +166,31 @@
 }
 
 // LimitWait returns the time after which a request that found no target may be repeated because targets have reached their
-// limits, or 0 if no limit is the reason.
+// limits or want a pause, or 0 if neither is the reason.
 func (p *Placer) LimitWait(now camphorhinge.Instant, live []*camphorhinge.Target, req *Request) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	wait := time.Duration(0)
+	wait, others := time.Duration(0), false
 	for _, t := range live {
 		s := p.stateOf(now, t)
-		if !t.Serving || !req.mayServe(t) || slices.Contains(req.Exclude, t.Name) || p.withinLimit(now, s) {
+		if !t.Serving || !req.mayServe(t) || s.notices.leaving(now) {
 			continue
 		}
-		w := time.Duration((1 - s.limit.tokens) / p.limitRate(&s.limit) * float64(time.Second))
+		w := s.notices.pausedUntil.Sub(now)
+		if w <= 0 && (slices.Contains(req.Exclude, t.Name) || p.withinLimit(now, s)) {
+			others = true
+			continue
+		}
+		if w <= 0 {
+			w = time.Duration((1 - s.limit.tokens) / p.limitRate(&s.limit) * float64(time.Second))
+			w = min(max(w, minLimitRetry), maxLimitRetry)
+		}
 		if wait == 0 || w < wait {
 			wait = w
 		}
 	}
-	if wait == 0 {
-		return 0
+	if others {
+		return min(wait, maxLimitRetry)
 	}
-	return min(max(wait, minLimitRetry), maxLimitRetry)
+	return wait
 }
--- /dev/null
+++ b/internal/request/place/notice.go
@@ -0,0 +1,77 @@
+package place
+
+import (
+	"time"
+
+	"example.org/camphorhinge"
+)
+
+const (
+	// MaxPause bounds the pause that a target may ask for, so that a faulty one does not remove itself for hours.
+	MaxPause = 5 * time.Minute
+	// noticeGrace is the time after a notice in which requests that were placed before it are still sent.
+	noticeGrace = 300 * time.Millisecond
+	// leavingRetention is how long it is known of a target that it leaves; its process ends within seconds to minutes.
+	leavingRetention = 10 * time.Minute
+)
+
+// Notice is what a target stated in an answer about further requests of the node that got it.
+type Notice struct {
+	// Leaving is set if the target leaves.
+	Leaving bool
+	// Pause is the time for which the target wants no request of the node, or 0.
+	Pause time.Duration
+}
+
+// notices holds what a target in one incarnation has stated.
+type notices struct {
+	// leavingSince is the time of the first answer which stated that the target leaves, or 0.
+	leavingSince camphorhinge.Instant
+	// pausedSince and pausedUntil are begin and end of the latest pause.
+	pausedSince, pausedUntil camphorhinge.Instant
+}
+
+// record stores the content of an answer and reports whether it is the first that closes the target.
+func (n *notices) record(now camphorhinge.Instant, x Notice) bool {
+	wasClosed := n.closed(now)
+	if x.Leaving && n.leavingSince == 0 {
+		n.leavingSince = now
+	}
+	if until := now.Add(min(x.Pause, MaxPause)); x.Pause > 0 && until > n.pausedUntil {
+		if now >= n.pausedUntil {
+			n.pausedSince = now
+		}
+		n.pausedUntil = until
+	}
+	return !wasClosed && n.closed(now)
+}
+
+// closed reports whether the target must not be chosen now.
+func (n *notices) closed(now camphorhinge.Instant) bool {
+	return n.leaving(now) || now < n.pausedUntil
+}
+
+// leaving reports whether the target has stated that it leaves.
+func (n *notices) leaving(now camphorhinge.Instant) bool {
+	return n.leavingSince > 0 && now.Sub(n.leavingSince) < leavingRetention
+}
+
+// barred reports whether a request that was placed before must not be sent any more.
+func (n *notices) barred(now camphorhinge.Instant) bool {
+	return n.leaving(now) && now.Sub(n.leavingSince) >= noticeGrace || now < n.pausedUntil && now.Sub(n.pausedSince) >= noticeGrace
+}
+
+// RecordNotice records what the target stated in an answer, and reports whether the node must not choose the target from now
+// on.
+func (f *InFlight) RecordNotice(now camphorhinge.Instant, n Notice) (closed bool) {
+	f.placer.mu.Lock()
+	defer f.placer.mu.Unlock()
+	return f.state.notices.record(now, n)
+}
+
+// Barred reports whether the attempt must not be sent because of what the target has stated since it was placed.
+func (f *InFlight) Barred(now camphorhinge.Instant) bool {
+	f.placer.mu.Lock()
+	defer f.placer.mu.Unlock()
+	return f.state.notices.barred(now)
+}
--- /dev/null
+++ b/internal/request/place/notice_test.go
@@ -0,0 +1,69 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/camphorhinge"
+)
+
+// TestNotice guards against requests to a target that leaves or pauses, and against a pause or a departure that outlasts its
+// process.
+func TestNotice(t *testing.T) {
+	const start = camphorhinge.Instant(time.Hour)
+	for _, tc := range []struct {
+		name string
+		// notices are those of the targets a and b.
+		notices []Notice
+		// after is the time since the notices.
+		after time.Duration
+		// incarnation is that of the targets then.
+		incarnation camphorhinge.Incarnation
+		// want is the target of a further request; with none of them, wait is the time to wait for one.
+		want camphorhinge.TargetName
+		wait time.Duration
+	}{
+		{"one leaves", []Notice{{Leaving: true}, {}}, time.Minute, 1, "b", 0},
+		{"one pauses", []Notice{{Pause: 2 * time.Second}, {}}, time.Second, 1, "b", 0},
+		{"all leave", []Notice{{Leaving: true}, {Leaving: true}}, time.Second, 1, "", 0},
+		{"all pause", []Notice{{Pause: 4 * time.Second}, {Pause: 3 * time.Second}}, time.Second, 1, "", 2 * time.Second},
+		{"one pauses, one leaves", []Notice{{Pause: 4 * time.Second}, {Leaving: true}}, time.Second, 1, "", 3 * time.Second},
+		{"after the pause", []Notice{{Pause: 2 * time.Second}, {Leaving: true}}, 2 * time.Second, 1, "a", 0},
+		{"longest pause", []Notice{{Pause: 100 * time.Hour}, {Leaving: true}}, MaxPause, 1, "a", 0},
+		{"new process", []Notice{{Pause: time.Minute}, {Leaving: true}}, time.Second, 2, "a", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := New(Config{Zone: "z"})
+			targets := func(i camphorhinge.Incarnation) []*camphorhinge.Target {
+				var out []*camphorhinge.Target
+				for _, name := range []camphorhinge.TargetName{"a", "b"} {
+					out = append(out, &camphorhinge.Target{Serving: true, Announcement: camphorhinge.Announcement{Name: name, Service: "s", Incarnation: i}})
+				}
+				return out
+			}
+			live := targets(1)
+			for i, n := range tc.notices {
+				f := p.Adopt(start, Plan{Serve: live[i]}, Request{Service: "s"}).ServeAttempt
+				require.Equal(t, n != Notice{}, f.RecordNotice(start, n))
+				require.False(t, f.Barred(start), "sent at once")
+				require.Equal(t, n != Notice{}, f.Barred(start.Add(time.Second)))
+				f.End(start, Served)
+			}
+			now := start.Add(tc.after)
+			live = targets(tc.incarnation)
+			if tc.want == "a" {
+				live = live[:1]
+			}
+			placed, ok := p.Place(now, live, Request{Service: "s"})
+			require.Equal(t, tc.want != "", ok)
+			if ok {
+				require.Equal(t, tc.want, placed.Serve.Name)
+				return
+			}
+			require.Len(t, p.InBackoff(now, live), 2)
+			require.Equal(t, tc.wait, p.LimitWait(now, live, &Request{Service: "s"}))
+		})
+	}
+}
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -88,15 +88,15 @@
 func (p *Placer) sweep(now camphorhinge.Instant) {
 	p.sweptAt = now
 	for name, at := range p.lastSeen {
-		if now.Sub(at) > stateRetention && p.targets[name].running == 0 {
+		if s := p.targets[name]; now.Sub(at) > stateRetention && s.running == 0 && !s.notices.closed(now) {
 			delete(p.lastSeen, name)
 			delete(p.targets, name)
 		}
 	}
 }
 
-// candidates returns the live targets that may receive a request or prefill its prompt. Targets that failed recently are
-// left out unless no others could serve it.
+// candidates returns the live targets that may receive a request or prefill its prompt. Targets that want none of this node
+// are left out; those that failed recently are, too, unless no others could serve it.
 func (p *Placer) candidates(now camphorhinge.Instant, live []*camphorhinge.Target, req *Request) []*camphorhinge.Target {
 	var ready, unready []*camphorhinge.Target
 	servers := 0
@@ -105,7 +105,11 @@
 		if !t.Serving || slices.Contains(req.Exclude, t.Name) || !prefills && !req.mayServe(t) {
 			continue
 		}
-		if !p.stateOf(now, t).available(now) {
+		s := p.stateOf(now, t)
+		if s.notices.closed(now) {
+			continue
+		}
+		if !s.available(now) {
 			unready = append(unready, t)
 			continue
 		}
@@ -156,13 +160,14 @@
 	return p.adopt(now, plan, &req)
 }
 
-// InBackoff returns the live targets that are in backoff after failures or refusals recorded by this Placer.
+// InBackoff returns the live targets that are in backoff after failures or refusals recorded by this Placer, or that want no
+// requests of this node.
 func (p *Placer) InBackoff(now camphorhinge.Instant, live []*camphorhinge.Target) []camphorhinge.TargetName {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []camphorhinge.TargetName
 	for _, t := range live {
-		if s := p.targets[t.Name]; s != nil && s.incarnation == t.Incarnation && now < s.backoffUntil {
+		if s := p.targets[t.Name]; s != nil && s.incarnation == t.Incarnation && (now < s.backoffUntil || s.notices.closed(now)) {
 			out = append(out, t.Name)
 		}
 	}
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -78,8 +78,9 @@
 	// slowdown is the moving average of the time of a prefill, relative to the service's engines in that role.
 	slowdown float64
 
-	cache cache
-	limit limiter
+	cache   cache
+	limit   limiter
+	notices notices
 }
 
 // otherNodesRequests estimates the number of requests of other nodes at the target, from the decayed reported load.
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -40,6 +40,10 @@
 	CrashBody string
 	// Limit is the number of requests a second that an engine states in its answers as its limit; 0 is none.
 	Limit float64
+	// Leaving makes the engine state in its answers that it leaves, while it announces that it does not.
+	Leaving bool
+	// Pause is the time for which an engine that refuses all requests wants none of the entry node; 0 is none.
+	Pause time.Duration
 	// CloseDelimited makes the engine send answers that have neither a length nor chunks and end with the connection.
 	CloseDelimited bool
 }
@@ -61,7 +65,7 @@
 	Body     string
 	Prefill  bool
 	Target   camphorhinge.TargetName
-	// Told is for how long the entry node had known that the engine states a limit; 0 if it did not.
+	// Told is for how long the entry node had known that the engine states a limit, leaves or wants a pause; 0 if it did not.
 	Told time.Duration
 }
 
@@ -83,7 +87,7 @@
 	// ended is closed when the current process ends.
 	ended chan struct{}
 	conns map[net.Conn]struct{}
-	// toldAt is when the engine first stated its limit to each entry node.
+	// toldAt is when the engine first stated its limit, that it leaves, or the current pause to each entry node.
 	toldAt map[int]time.Time
 }
 
@@ -224,8 +228,10 @@
 		if !pause(ended, prefillTime) {
 			return
 		}
-		e.recordTold(from, trouble)
-		if prefill {
+		told := e.recordTold(from, trouble)
+		if trouble.Pause > 0 {
+			err = refuse(c, attempt, trouble, told)
+		} else if prefill {
 			err = e.answerPrefill(c, attempt, trouble)
 		} else if trouble.crashes(hashes, string(body)) {
 			if _, err := io.WriteString(c, streamHeader(attempt, trouble)); err != nil || !pause(ended, crashDelay) {
@@ -252,21 +258,42 @@
 	return 0
 }
 
-// recordTold records that an entry node gets an answer.
-func (e *engine) recordTold(entry int, t Trouble) {
+// recordTold records that an entry node gets an answer. It reports whether that tells the node something new.
+func (e *engine) recordTold(entry int, t Trouble) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.toldAt[entry]; t.Limit > 0 && !ok {
-		e.toldAt[entry] = time.Now()
-	}
-	if t.Limit == 0 {
+	at, ok := e.toldAt[entry]
+	if t.Limit == 0 && !t.Leaving && t.Pause == 0 {
 		delete(e.toldAt, entry)
+		return false
+	}
+	if ok && (t.Pause == 0 || time.Since(at) < t.Pause) {
+		return false
+	}
+	e.toldAt[entry] = time.Now()
+	return true
+}
+
+// forget records that an entry node restarts.
+func (e *engine) forget(entry int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.toldAt, entry)
+}
+
+// refuse refuses a request, and asks for a pause if that is new to the entry node.
+func refuse(c net.Conn, attempt camphorhinge.AttemptID, t Trouble, asks bool) error {
+	field := ""
+	if asks {
+		field = headerPause + ": " + t.Pause.String() + "\r\n"
 	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", headerAttempt, attempt, headerNotRun, field)
+	return err
 }
 
 func (e *engine) answerPrefill(c net.Conn, attempt camphorhinge.AttemptID, t Trouble) error {
 	body := "handle 1"
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s%s\r\n%s", headerAttempt, attempt, limitHeader(t), lengthHeader(len(body), t), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s%s\r\n%s", headerAttempt, attempt, statements(t), lengthHeader(len(body), t), body)
 	return err
 }
 
@@ -318,14 +345,19 @@
 	if t.CloseDelimited {
 		framing = ""
 	}
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%s%s\r\n", headerAttempt, attempt, limitHeader(t), framing)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%s%s\r\n", headerAttempt, attempt, statements(t), framing)
 }
 
-func limitHeader(t Trouble) string {
-	if t.Limit == 0 {
-		return ""
+// statements returns the fields of an answer in which an engine tells of itself.
+func statements(t Trouble) string {
+	out := ""
+	if t.Limit > 0 {
+		out += headerLimit + ": " + strconv.FormatFloat(t.Limit, 'f', -1, 64) + "\r\n"
+	}
+	if t.Leaving {
+		out += headerLeaving + ": 1\r\n"
 	}
-	return headerLimit + ": " + strconv.FormatFloat(t.Limit, 'f', -1, 64) + "\r\n"
+	return out
 }
 
 func lengthHeader(n int, t Trouble) string {
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -102,6 +102,9 @@
 	p := &process{ctx: ctx, stop: stop, group: g}
 	set, clock, log := metrics.NewSet(), e.site.clock, slog.New(slog.DiscardHandler)
 	name := camphorhinge.NodeID(fmt.Sprintf("entry-%d", e.index))
+	for _, x := range e.site.allEngines() {
+		x.forget(e.index)
+	}
 	feedOf := func(address string) peerpb.Feed {
 		return remoteFeed{core: e.site.coreOf(address), from: []*gate{&e.link, &e.process}}
 	}
--- /dev/null
+++ b/internal/standin/site/notice_test.go
@@ -0,0 +1,83 @@
+package site
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// drainTime is the time after which a target that states that it leaves gets no requests of the entry node.
+const drainTime = 2 * time.Second
+
+// TestLeavingInAnswers guards against requests to an engine that has stated in an answer to the same entry node that it leaves,
+// before the core nodes know of it.
+func TestLeavingInAnswers(t *testing.T) {
+	forEachDisturbance(t, func(t *testing.T, d disturbance, seed uint64) {
+		checkNotice(t, d, seed, Trouble{Leaving: true}, func(a Arrival) bool { return a.Told > drainTime }, 0)
+	})
+}
+
+// TestPauseInAnswers guards against requests to an engine that has refused one of the same entry node and wants none for a time.
+func TestPauseInAnswers(t *testing.T) {
+	const length = 4 * time.Second
+	forEachDisturbance(t, func(t *testing.T, d disturbance, seed uint64) {
+		within := func(a Arrival) bool { return a.Told > 500*time.Millisecond && a.Told < length }
+		checkNotice(t, d, seed, Trouble{Pause: length}, within, 2)
+	})
+}
+
+// checkNotice plays two engines that generate and one that only prefills in trouble. Of each statement to an entry node, at most
+// the given number of arrivals may be late.
+func checkNotice(t *testing.T, d disturbance, seed uint64, trouble Trouble, late func(a Arrival) bool, allowed int) {
+	t.Helper()
+	const from, length = 5 * time.Second, 16 * time.Second
+	s := New(Config{Entries: 24, Cores: 5, Prefill: 4, Decode: 5})
+	defer func() { require.NoError(t, s.Close()) }()
+	troubled := []int{0, 4, 5}
+	time.Sleep(3 * time.Second)
+	began := time.Now()
+	out := &outages{}
+	var g errgroup.Group
+	g.Go(func() error {
+		d.run(t, s, out.begin)
+		return nil
+	})
+	g.Go(func() error {
+		time.Sleep(from)
+		for _, i := range troubled {
+			s.SetTrouble(i, trouble)
+		}
+		return nil
+	})
+	load := &traffic{site: s, length: length, crashFrom: 2 * length, interval: 25 * time.Millisecond, seed: seed}
+	load.run()
+	require.NoError(t, g.Wait())
+
+	type statement struct {
+		entry, engine int
+		at            time.Time
+	}
+	told, counts := 0, map[statement]int{}
+	for _, a := range s.Arrivals() {
+		i := slices.IndexFunc(troubled, func(i int) bool { return strings.HasPrefix(string(a.Target), s.engines[i].address+"-") })
+		if i < 0 || a.At.Sub(began) < from {
+			continue
+		}
+		told++
+		if late(a) {
+			counts[statement{a.Entry, troubled[i], a.At.Add(-a.Told)}]++
+		}
+	}
+	require.GreaterOrEqual(t, told, 20)
+	for x, n := range counts {
+		require.LessOrEqual(t, n, allowed, "entry node %d, engine %d, told %v", x.entry, x.engine, x.at.Sub(began))
+	}
+	meanwhile, n := load.servedShare(began.Add(from+contact), began.Add(length-time.Second))
+	before, _ := load.servedShare(began, began.Add(from-time.Second))
+	require.GreaterOrEqual(t, n, 20)
+	require.GreaterOrEqual(t, meanwhile, before/2, "served meanwhile")
+}
--- a/internal/standin/site/protocol.go
+++ b/internal/standin/site/protocol.go
@@ -25,6 +25,8 @@
 	headerResumes  = "Resumes"
 	headerLimit    = "Limit"
 	headerNotRun   = "Not-Run"
+	headerLeaving  = "Leaving"
+	headerPause    = "Pause"
 )
 
 // segmentTokens is the size of each prompt segment.
@@ -74,6 +76,18 @@
 	return limit, err == nil || h.Get(headerLimit) == ""
 }
 
+// ParseNotice implements forward.Protocol.
+func (protocol) ParseNotice(_ int, h http.Header) (place.Notice, error) {
+	n := place.Notice{Leaving: h.Get(headerLeaving) != ""}
+	text := h.Get(headerPause)
+	if text == "" {
+		return n, nil
+	}
+	var err error
+	n.Pause, err = time.ParseDuration(text)
+	return n, err
+}
+
 // StripInternal implements forward.Protocol.
 func (protocol) StripInternal(http.Header) {}
 
