Do not take a refusal without an attempt id for that of a later request on the connection

Callers could be told that a request had not run which a target was running: a faulty target that writes an earlier refusal once more on a kept connection, without the id of its attempt, was believed. With the id such a refusal was an error of class unknown before, too.

The cause is that an answer without an id was taken for that of the request on the connection. A refusal that names no attempt on a connection with earlier requests is of class unknown now; on a new connection it can belong to one request only.

--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -247,6 +247,11 @@
 		return nil, newError(ctx, "open", cn, fmt.Errorf("%w: header %.80q", errAttempt, id))
 	}
 	cn.setKeepAlive(resp.Header)
+	if a.Class() == camphorhinge.NotRun && call.Attempt != "" && cn.requests > 1 && c.cfg.Dialect.Attempt(resp.Header) == "" {
+		// It may be the refusal of an earlier request on the connection once more, while the target runs this one.
+		a.finish()
+		return nil, newError(ctx, "open", cn, errAnonymousRefusal)
+	}
 	if a.Class() == camphorhinge.NotRun {
 		// The header makes the refusal certain; a truncated body only shortens the message.
 		cn.progressBy = time.Now().Add(c.cfg.StallTimeout)
--- a/internal/request/exchange/conn.go
+++ b/internal/request/exchange/conn.go
@@ -20,6 +20,8 @@
 	net.Conn
 	br      *bufio.Reader
 	address string
+	// requests is the number of requests that were sent, with the current one.
+	requests int
 	// sentBytes counts the bytes of the current request that the kernel accepted.
 	sentBytes atomic.Int64
 	// headerBudget is the number of bytes that may still be read before the header of the answer is complete.
@@ -47,6 +49,7 @@
 
 // reset prepares the counters and timeouts for a new request; headerBudget is in bytes.
 func (c *conn) reset(readTimeout, writeTimeout time.Duration, headerBudget int64) {
+	c.requests++
 	c.sentBytes.Store(0)
 	c.readTimeout, c.writeTimeout, c.headerBudget, c.probe = readTimeout, writeTimeout, headerBudget, nil
 	c.progressBy = time.Time{}
--- a/internal/request/exchange/error.go
+++ b/internal/request/exchange/error.go
@@ -64,14 +64,16 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 var (
-	errAttempt   = errors.New("answer belongs to another attempt")
-	errOffset    = errors.New("event offset is not contiguous")
-	errNoEndMark = errors.New("stream ended without an end mark")
-	errNoFinish  = errors.New("end mark without a finish reason")
-	errFraming   = errors.New("answer has neither a content length nor chunked encoding")
-	errTooLong   = errors.New("answer exceeds the size limit")
-	errNoStream  = errors.New("answer is not an event stream")
-	errClosed    = errors.New("client is closed")
+	errAttempt = errors.New("answer belongs to another attempt")
+	// errAnonymousRefusal marks a refusal on a reused connection that names no attempt.
+	errAnonymousRefusal = errors.New("refusal names no attempt")
+	errOffset           = errors.New("event offset is not contiguous")
+	errNoEndMark        = errors.New("stream ended without an end mark")
+	errNoFinish         = errors.New("end mark without a finish reason")
+	errFraming          = errors.New("answer has neither a content length nor chunked encoding")
+	errTooLong          = errors.New("answer exceeds the size limit")
+	errNoStream         = errors.New("answer is not an event stream")
+	errClosed           = errors.New("client is closed")
 )
 
 func statusError(status int) error { return fmt.Errorf("target answered with status %d", status) }
@@ -91,7 +93,7 @@
 		e.Kind = KindCallerLeft
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &ne) && ne.Timeout():
 		e.Kind = KindSilent
-	case errors.Is(err, errAttempt), errors.Is(err, errOffset), errors.Is(err, errNoFinish),
+	case errors.Is(err, errAttempt), errors.Is(err, errAnonymousRefusal), errors.Is(err, errOffset), errors.Is(err, errNoFinish),
 		errors.Is(err, errFraming), errors.Is(err, errTooLong), errors.Is(err, errNoStream),
 		errors.Is(err, errHeaderSize):
 		e.Kind = KindProtocol
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -129,8 +129,9 @@
 type Quarantine interface {
 	// Refused reports whether a request is refused, by its fingerprint or by one of its segments, and for how long.
 	Refused(fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (time.Duration, bool)
-	// Begin records that a request is in flight at a target; segments are the parts that other requests may have as well. The returned function must be called once when the attempt ends: crashed means that the connection was reset
-	// or closed during it, succeeded that the answer was complete.
+	// Begin records that a request is in flight at a target; segments are the parts that other requests may have as well. The
+	// returned function must be called once when the attempt ends: crashed means that the connection was reset or closed
+	// during it, succeeded that the answer was complete.
 	Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
 }
 
