Refuse a request that was alone in flight at two crashes

Crashes within 50 ms of each other count once for a segment, also where the only request in flight at both targets was the same one of two callers through two nodes; and three crashes were awaited where the fingerprint of a single caller's request needs two.

A crash report names which segments are whole requests. Such a segment that is not known to be sound is refused at the score of a fingerprint, 1.5, with 1/n for n whole requests in flight, without regard to the time between crashes; it is released like others.

Three cases failed before: two of TestSegments ("a request alone in flight twice", "... one right after the other, beside others before"), and TestRequestAloneAtTargets. The calls of Begin in tests got the additional argument, 0 where no whole request is meant.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -237,7 +237,7 @@
 func (j *job) execute(ctx context.Context, call exchange.Call, inFlight *place.InFlight) *exchange.Error {
 	clock := j.f.cfg.Clock
 	j.recordOrigin(call.Target)
-	end := j.f.cfg.Quarantine.Begin(call.Target, j.fingerprint, j.segments...)
+	end := j.f.cfg.Quarantine.Begin(call.Target, j.fingerprint, j.request, j.segments...)
 	result, err := j.relayAnswer(ctx, call, inFlight)
 	if err != nil {
 		if err.Kind != exchange.KindStatus { // relayAnswer returns the outcome of a server error itself.
--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -287,7 +287,7 @@
 	return q.until, q.until > 0
 }
 
-func (noQuarantine) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(bool, bool) {
+func (noQuarantine) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(bool, bool) {
 	return func(bool, bool) {}
 }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -129,10 +129,10 @@
 type Quarantine interface {
 	// Refused reports whether a request is refused, by its fingerprint or by one of its segments, and for how long.
 	Refused(fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (time.Duration, bool)
-	// Begin records that a request is in flight at a target; segments are the parts that other requests may have as well. The
-	// returned function must be called once when the attempt ends: crashed means that the connection was reset or closed
+	// Begin records that a request is in flight at a target; segments are the parts that other requests may have as well, and
+	// request is the one of them that is the request without its caller. The returned function must be called once when the attempt ends: crashed means that the connection was reset or closed
 	// during it, succeeded that the answer was complete.
-	Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
+	Begin(target *camphorhinge.Target, fp, request camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
 }
 
 // Sink receives the answer for a caller; *ingress.Sink implements it.
@@ -283,6 +283,11 @@
 	return camphorhinge.Fingerprint(d.Sum64())
 }
 
+// requestFingerprint returns the hash by which the quarantine counts the request whoever sends it.
+func (j *job) requestFingerprint() camphorhinge.Fingerprint {
+	return quarantine.RequestFingerprint(j.service.Name, j.in.Method, j.in.RequestTarget, j.body)
+}
+
 // fingerprintParts returns hashes of the caller, of the request target and of the body, in hexadecimal. They tell which part
 // differs between requests of different fingerprints, without any of their content.
 func (j *job) fingerprintParts() string {
@@ -299,7 +304,7 @@
 		_, _ = d.WriteString(string(j.service.Name)) // Writes to a hash don't fail.
 		out = append(out, camphorhinge.Fingerprint(d.Sum64()))
 	}
-	return append(out, quarantine.RequestFingerprint(j.service.Name, j.in.Method, j.in.RequestTarget, j.body))
+	return append(out, j.request)
 }
 
 func isTimeout(err error) bool {
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -29,6 +29,8 @@
 	body   []byte
 	// fingerprint is the hash by which the quarantine counts crashes of the request.
 	fingerprint camphorhinge.Fingerprint
+	// request is the hash by which it counts crashes of the request whoever sends it.
+	request camphorhinge.Fingerprint
 	// segments are the hashes by which it counts crashes of what other requests may have in common with this one.
 	segments []camphorhinge.Fingerprint
 	began    camphorhinge.Instant
@@ -69,7 +71,8 @@
 
 // runAttempts places and sends the request until an attempt succeeds or no further attempt is allowed.
 func (j *job) runAttempts(ctx context.Context) *Error {
-	j.fingerprint, j.segments = j.crashFingerprint(), j.segmentFingerprints()
+	j.fingerprint, j.request = j.crashFingerprint(), j.requestFingerprint()
+	j.segments = j.segmentFingerprints()
 	var last *exchange.Error
 	for try := 0; ; try++ {
 		if err := j.quarantineError(ctx, last); err != nil {
--- a/internal/request/forward/quarantine_test.go
+++ b/internal/request/forward/quarantine_test.go
@@ -28,7 +28,7 @@
 	return 5 * time.Second, q.allowed < 0
 }
 
-func (*lateQuarantine) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(bool, bool) {
+func (*lateQuarantine) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(bool, bool) {
 	return func(bool, bool) {}
 }
 
--- a/internal/request/forward/truncated_test.go
+++ b/internal/request/forward/truncated_test.go
@@ -17,7 +17,7 @@
 	crashes int
 }
 
-func (q *crashCounter) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(bool, bool) {
+func (q *crashCounter) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(bool, bool) {
 	return func(crashed, _ bool) {
 		if crashed {
 			q.crashes++
--- a/internal/request/frontend/frontend.go
+++ b/internal/request/frontend/frontend.go
@@ -74,9 +74,9 @@
 	// Refused reports whether a request is refused, by its fingerprint or by one of its segments, and for how long.
 	Refused(fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (time.Duration, bool)
 	// Begin records that a request is in flight at a target; segments are the parts that other requests may have as
-	// well. The returned function must be called once when the attempt ends: crashed means that the connection was reset
+	// well, and request is the one of them that is the request without its workspace. The returned function must be called once when the attempt ends: crashed means that the connection was reset
 	// or closed during it, succeeded that the answer was complete.
-	Begin(target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
+	Begin(target *camphorhinge.Target, fp, request camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
 }
 
 // jitterer is an optional interface of an Admission that provides a random delay before a retry.
--- a/internal/request/frontend/job.go
+++ b/internal/request/frontend/job.go
@@ -229,7 +229,7 @@
 ) *leg {
 	l := &leg{choice: choice, attempt: attempt, began: time.Now(), endRoute: endRoute, endInFlight: func(bool, bool) {}}
 	if q := j.f.cfg.Quarantine; q != nil {
-		l.endInFlight = q.Begin(choice.Target, j.fingerprint, j.crashSegments()...)
+		l.endInFlight = q.Begin(choice.Target, j.fingerprint, j.anyCaller, j.crashSegments()...)
 	}
 	return l
 }
--- a/internal/request/frontend/refuse_test.go
+++ b/internal/request/frontend/refuse_test.go
@@ -35,7 +35,7 @@
 	return g.quarantined, g.quarantined > 0
 }
 
-func (g *gate) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(crashed, succeeded bool) {
+func (g *gate) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(crashed, succeeded bool) {
 	return func(crashed, succeeded bool) {
 		switch {
 		case crashed:
--- a/internal/request/frontend/segments_test.go
+++ b/internal/request/frontend/segments_test.go
@@ -40,7 +40,7 @@
 	return time.Minute, true
 }
 
-func (*segmentRecorder) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(bool, bool) {
+func (*segmentRecorder) Begin(*camphorhinge.Target, camphorhinge.Fingerprint, camphorhinge.Fingerprint, ...camphorhinge.Fingerprint) func(bool, bool) {
 	return func(bool, bool) {}
 }
 
--- a/internal/request/quarantine/client.go
+++ b/internal/request/quarantine/client.go
@@ -68,9 +68,11 @@
 type inFlight struct {
 	target      *camphorhinge.Target
 	fingerprint camphorhinge.Fingerprint
-	segments    []camphorhinge.Fingerprint
-	began       camphorhinge.Instant
-	reported    bool
+	// request is that of the segments which is the whole request, or 0.
+	request  camphorhinge.Fingerprint
+	segments []camphorhinge.Fingerprint
+	began    camphorhinge.Instant
+	reported bool
 }
 
 // observation is a crash or a success that this node reports.
@@ -172,12 +174,13 @@
 }
 
 // Begin records an attempt at a target; segments are the parts that other requests may have as well: those of its prompt,
-// and the RequestFingerprint. The returned function must be called once when the attempt ends: crashed means that the connection was reset or closed
-// during the attempt, succeeded that the answer was complete.
+// and request, which is the RequestFingerprint, or 0 if that is not to be counted. The returned function must be called once
+// when the attempt ends: crashed means that the connection was reset or closed during the attempt, succeeded that the answer
+// was complete.
 func (c *Client) Begin(
-	target *camphorhinge.Target, fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint,
+	target *camphorhinge.Target, fp, request camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint,
 ) func(crashed, succeeded bool) {
-	f := &inFlight{target: target, fingerprint: fp, segments: segments, began: c.cfg.Clock.Now()}
+	f := &inFlight{target: target, fingerprint: fp, request: request, segments: segments, began: c.cfg.Clock.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	set := c.inFlight[target.Name]
@@ -242,14 +245,18 @@
 func (c *Client) reportCrash(target camphorhinge.TargetName, incarnation camphorhinge.Incarnation, unconfirmed *camphorhinge.Target) {
 	now := c.cfg.Clock.Now()
 	o := &observation{command: command{Node: c.cfg.Node, Target: target, Incarnation: incarnation}, at: now, unconfirmed: unconfirmed}
+	fingerprints, requests := make(map[camphorhinge.Fingerprint]struct{}), make(map[camphorhinge.Fingerprint]struct{})
 	// segments holds since when each segment was in flight.
-	requests, segments := make(map[camphorhinge.Fingerprint]struct{}), make(map[camphorhinge.Fingerprint]camphorhinge.Instant)
+	segments := make(map[camphorhinge.Fingerprint]camphorhinge.Instant)
 	for f := range c.inFlight[target] {
 		if f.reported || f.target.Incarnation > incarnation {
 			continue
 		}
 		f.reported = true
-		requests[f.fingerprint] = struct{}{}
+		fingerprints[f.fingerprint] = struct{}{}
+		if f.request != 0 {
+			requests[f.request] = struct{}{}
+		}
 		for _, seg := range f.segments {
 			if since, ok := segments[seg]; !ok || f.began < since {
 				segments[seg] = f.began
@@ -257,7 +264,8 @@
 		}
 	}
 	c.forgetEnds(now)
-	o.Fingerprints, o.Segments = slices.Sorted(maps.Keys(requests)), slices.Sorted(maps.Keys(segments))
+	o.Fingerprints, o.Segments = slices.Sorted(maps.Keys(fingerprints)), slices.Sorted(maps.Keys(segments))
+	o.Requests = slices.Sorted(maps.Keys(requests))
 	for _, seg := range o.Segments {
 		if last, ok := c.sound.last(seg); ok {
 			o.Sound = append(o.Sound, success{Segment: seg, Age: now.Sub(last.at).Milliseconds()})
@@ -309,7 +317,7 @@
 func (c *Client) deliver(o *observation) error {
 	if len(o.Segments) > 0 && o.unconfirmed != nil && c.survived(o.unconfirmed) {
 		c.cfg.Log.Info("target survived a broken connection", "target", o.Target)
-		o.Segments, o.Retried = nil, nil
+		o.Segments, o.Requests, o.Retried = nil, nil, nil
 	}
 	if len(o.Segments) > 0 {
 		c.mu.Lock()
--- a/internal/request/quarantine/machine.go
+++ b/internal/request/quarantine/machine.go
@@ -63,8 +63,10 @@
 	Incarnation  camphorhinge.Incarnation   `json:"i,omitempty"`
 	Fingerprints []camphorhinge.Fingerprint `json:"f"`
 	Success      bool                       `json:"s,omitempty"`
-	// Segments are those of the prompts in flight when the target ended, Sound successes with any segments.
+	// Segments are those in flight when the target ended, Sound successes with any segments.
 	Segments []camphorhinge.Fingerprint `json:"g,omitempty"`
+	// Requests are those of the Segments that are whole requests.
+	Requests []camphorhinge.Fingerprint `json:"q,omitempty"`
 	Sound    []success                  `json:"o,omitempty"`
 	// Retried are those of the Segments that the node sent to the target only after it had seen another one end with them.
 	Retried []camphorhinge.Fingerprint `json:"r,omitempty"`
@@ -99,6 +101,8 @@
 	Segments []camphorhinge.Fingerprint `json:"g,omitempty"`
 	// Retried are the Segments that came to the target only after they had been in another crash, sorted.
 	Retried []camphorhinge.Fingerprint `json:"r,omitempty"`
+	// Requests are those of the Segments that are whole requests, sorted.
+	Requests []camphorhinge.Fingerprint `json:"q,omitempty"`
 }
 
 // Machine is the replicated state of crashes and scores; it implements camphorhinge.Machine.
@@ -190,7 +194,7 @@
 			m.refusedUntil[fp] = m.stamp + Window.Milliseconds()
 		}
 	}
-	m.segments.addCrash(e, current, c.Segments, c.Retried)
+	m.segments.addCrash(e, current, c)
 }
 
 // total returns the score of a fingerprint in scoreUnits, over the crashes within Window.
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -137,7 +137,7 @@
 		}
 		settle := func() { time.Sleep(3 * time.Second); synctest.Wait() }
 
-		ends := []func(bool, bool){c.Begin(target(1), 7), c.Begin(target(1), 8), c.Begin(target(1), 9)}
+		ends := []func(bool, bool){c.Begin(target(1), 7, 0), c.Begin(target(1), 8, 0), c.Begin(target(1), 9, 0)}
 		for _, end := range ends {
 			end(true, false)
 		}
@@ -146,7 +146,7 @@
 		for inc := camphorhinge.Incarnation(2); inc < 4; inc++ {
 			_, refused := c.Refused(7)
 			require.False(t, refused)
-			end := c.Begin(target(inc), 7)
+			end := c.Begin(target(inc), 7, 0)
 			if inc == 2 {
 				end(true, false)
 			} else {
@@ -164,7 +164,7 @@
 		_, refused = other.Refused(7)
 		require.True(t, refused)
 
-		c.Begin(target(9), 8)(false, true)
+		c.Begin(target(9), 8, 0)(false, true)
 		settle()
 		require.Len(t, l.Scores(time.Since(zero).Milliseconds()), 2, "a success resets the score of another fingerprint")
 		time.Sleep(Window)
--- a/internal/request/quarantine/segments.go
+++ b/internal/request/quarantine/segments.go
@@ -15,6 +15,9 @@
 	// segmentThreshold is the number of crashes after which a segment is refused. The threshold is higher for one with
 	// which requests succeeded within Window: it was probably only in flight.
 	segmentThreshold, soundThreshold = 3, 5
+	// minCrashes is the least number of crashes after which a segment can be refused: that of a request that was alone in
+	// flight at both.
+	minCrashes = 2
 	// correlatedCrashes is the time within which crashes of several targets count once for a segment that was in flight at
 	// all of them. They usually have another cause, such as a power failure.
 	correlatedCrashes = 50 * time.Millisecond
@@ -72,12 +75,12 @@
 	}
 }
 
-// addCrash adds segments to a stored crash; retried are those that came to the target after another crash. A segment
-// counts once for each incarnation of a target, however late the reports on it come.
-func (s *segmentScores) addCrash(e camphorhinge.Entry, cr *crash, segments, retried []camphorhinge.Fingerprint) {
-	for _, seg := range segments {
+// addCrash adds the segments of a report to a stored crash. A segment counts once for each incarnation of a target, however
+// late the reports on it come.
+func (s *segmentScores) addCrash(e camphorhinge.Entry, cr *crash, c command) {
+	for _, seg := range c.Segments {
 		i, found := slices.BinarySearch(cr.Segments, seg)
-		if j, was := slices.BinarySearch(cr.Retried, seg); found && was && !slices.Contains(retried, seg) {
+		if j, was := slices.BinarySearch(cr.Retried, seg); found && was && !slices.Contains(c.Retried, seg) {
 			// Another node had it in flight there before.
 			cr.Retried = slices.Delete(cr.Retried, j, j+1)
 		}
@@ -88,10 +91,14 @@
 			continue
 		}
 		cr.Segments = slices.Insert(cr.Segments, i, seg)
-		if slices.Contains(retried, seg) {
+		if slices.Contains(c.Retried, seg) {
 			cr.Retried = append(cr.Retried, seg)
 			slices.Sort(cr.Retried)
 		}
+		if slices.Contains(c.Requests, seg) {
+			cr.Requests = append(cr.Requests, seg)
+			slices.Sort(cr.Requests)
+		}
 		s.crashes[seg] = append(s.crashes[seg], cr)
 		s.index[seg] = e.Index
 	}
@@ -149,7 +156,7 @@
 	n, last := 0, int64(0)
 	for _, cr := range list {
 		switch {
-		case now-cr.At >= Window.Milliseconds(), cr.At <= s.soundAt[seg], skip != nil && skip(cr):
+		case !s.counts(cr, seg, now) || skip != nil && skip(cr):
 		case cr.isRetried(seg):
 			n++
 		case last > 0 && cr.At-last < correlatedCrashes.Milliseconds():
@@ -160,6 +167,23 @@
 	return n
 }
 
+// counts reports whether a crash is within Window and after the last success with a segment.
+func (s *segmentScores) counts(cr *crash, seg camphorhinge.Fingerprint, now int64) bool {
+	return now-cr.At < Window.Milliseconds() && cr.At > s.soundAt[seg]
+}
+
+// requestScore returns the score of a segment that is a whole request, in scoreUnits: for each crash that counts and is not to
+// be skipped, 1 divided by the number of requests in flight.
+func (s *segmentScores) requestScore(seg camphorhinge.Fingerprint, now int64, skip func(*crash) bool) int {
+	score := 0
+	for _, cr := range s.crashes[seg] {
+		if _, is := slices.BinarySearch(cr.Requests, seg); is && s.counts(cr, seg, now) && !skip(cr) {
+			score += scoreUnit / len(cr.Requests)
+		}
+	}
+	return score
+}
+
 // isRetried reports whether a segment came to the target only after another crash with it.
 func (cr *crash) isRetried(seg camphorhinge.Fingerprint) bool {
 	_, found := slices.BinarySearch(cr.Retried, seg)
@@ -215,7 +239,7 @@
 	var out []camphorhinge.Fingerprint
 	for _, cr := range s.crashes[seg] {
 		for _, x := range cr.Segments {
-			if x != seg && len(s.crashes[x]) >= segmentThreshold {
+			if x != seg && len(s.crashes[x]) >= minCrashes {
 				out = append(out, x)
 			}
 		}
@@ -259,7 +283,8 @@
 			})
 		}
 		was := s.refused[x.segment].Until > e.Stamp
-		is := x.crashes >= x.threshold() && s.count(x.segment, e.Stamp, explained) >= x.threshold()
+		is := x.crashes >= x.threshold() && s.count(x.segment, e.Stamp, explained) >= x.threshold() ||
+			!x.sound && s.requestScore(x.segment, e.Stamp, explained) >= refusalThreshold
 		switch {
 		case is:
 			blamed = append(blamed, x)
--- a/internal/request/quarantine/segments_test.go
+++ b/internal/request/quarantine/segments_test.go
@@ -24,6 +24,13 @@
 	return command{Node: "n", Target: camphorhinge.TargetName(target), Incarnation: 1, Segments: in, Sound: sound}
 }
 
+// requestsAt returns a report on a target's first incarnation with whole requests in flight.
+func requestsAt(target string, sound []success, in ...camphorhinge.Fingerprint) command {
+	c := crashAt(target, sound, in...)
+	c.Requests = in
+	return c
+}
+
 // TestSegments guards against engines that end one after the other under one prompt segment, and against the refusal of
 // segments that were only in flight beside it.
 func TestSegments(t *testing.T) {
@@ -94,6 +101,21 @@
 		{"success when refused", []step{
 			{0, crashAt("a", nil, 7)}, {1000, crashAt("b", nil, 7)}, {2000, crashAt("c", nil, 7)}, {3000, ok(7)},
 		}, nil},
+		{"a request alone in flight twice", []step{{0, requestsAt("a", nil, 7)}, {1000, requestsAt("b", nil, 7)}}, segments{7}},
+		{"a request alone in flight at targets that end one right after the other, beside others before", []step{
+			{0, requestsAt("a", nil, 7, 8)}, {2000, requestsAt("b", nil, 7)}, {2020, requestsAt("c", nil, 7)},
+		}, segments{7}},
+		{"a request beside others twice", []step{{0, requestsAt("a", nil, 7, 8)}, {1000, requestsAt("b", nil, 7, 9)}}, nil},
+		{"a request alone in flight twice that succeeded lately", []step{
+			{0, requestsAt("a", soundAt(50, 7), 7)}, {1000, requestsAt("b", nil, 7)},
+		}, nil},
+		{"a request alone in flight twice that succeeds afterwards elsewhere", []step{
+			{0, requestsAt("a", nil, 7)}, {1000, requestsAt("b", nil, 7)}, {1100, ok(7)},
+		}, nil},
+		{"another node reports that a request was not alone", []step{
+			{0, requestsAt("a", nil, 7)}, {1000, requestsAt("b", nil, 7)}, {1040, requestsAt("b", nil, 8)}, {1080, requestsAt("a", nil, 8)},
+		}, nil},
+		{"one target reported twice", []step{{0, requestsAt("a", nil, 7)}, {6000, requestsAt("a", nil, 7)}}, nil},
 		{"a delayed report counts at the time of the crash", []step{
 			{0, crashAt("a", nil, 7)},
 			{1000, crashAt("b", nil, 7)},
@@ -196,11 +218,11 @@
 		c := newTestClient(p, time.Now(), nil)
 		defer func() { require.NoError(t, c.Close()) }()
 		time.Sleep(time.Second)
-		c.Begin(target("x"), 1, 5)(false, true)
+		c.Begin(target("x"), 1, 0, 5)(false, true)
 		for i, name := range []camphorhinge.TargetName{"a", "b", "c"} {
 			_, refused := c.Refused(1, 5, 7)
 			require.False(t, refused, "crash %d", i)
-			c.Begin(target(name), camphorhinge.Fingerprint(10+i), 5, 7)(true, false)
+			c.Begin(target(name), camphorhinge.Fingerprint(10+i), 0, 5, 7)(true, false)
 			time.Sleep(time.Second)
 			synctest.Wait()
 		}
@@ -234,7 +256,7 @@
 		c := newTestClient(p, time.Now(), func(_ context.Context, t *camphorhinge.Target) bool { return t.Name == "alive" })
 		defer func() { require.NoError(t, c.Close()) }()
 		for _, name := range []camphorhinge.TargetName{"alive", "gone"} {
-			c.Begin(target(name), 1, 7)(true, false)
+			c.Begin(target(name), 1, 0, 7)(true, false)
 		}
 		synctest.Wait()
 		require.Len(t, p.commands, 2)
@@ -253,7 +275,7 @@
 		c := newTestClient(p, time.Now(), nil)
 		defer func() { require.NoError(t, c.Close()) }()
 		time.Sleep(time.Second)
-		c.Begin(target("a"), 1, 7)(false, true)
+		c.Begin(target("a"), 1, 0, 7)(false, true)
 		time.Sleep(time.Minute)
 		for index := range camphorhinge.Index(3) {
 			c.MergeScores([]Score{{Fingerprint: 7, Value: 2, Index: index + 1, Segment: true}})
@@ -298,6 +320,27 @@
 	}
 }
 
+// TestRequestAloneAtTargets guards against a request that comes from several callers through several nodes, each time alone in
+// flight, and that ends a third target. Another request in flight at the same targets is not refused.
+func TestRequestAloneAtTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &machineProposer{m: NewMachine()}
+		c, other := newTestClient(p, time.Now(), nil), newTestClient(p, time.Now(), nil)
+		defer func() { require.NoError(t, errors.Join(c.Close(), other.Close())) }()
+		first, beside := c.Begin(target("a"), 1, 7, 7), other.Begin(target("a"), 2, 8, 8)
+		time.Sleep(40 * time.Millisecond)
+		first(true, false)
+		beside(true, false)
+		time.Sleep(time.Second)
+		c.Begin(target("b"), 3, 7, 7)(true, false)
+		time.Sleep(20 * time.Millisecond)
+		_, refused := c.Refused(9, 7)
+		require.True(t, refused)
+		_, refused = other.Refused(9, 8)
+		require.False(t, refused)
+	})
+}
+
 // machineProposer commits commands to a Machine, the first one after firstDelay and others at once.
 type machineProposer struct {
 	m          *Machine
@@ -344,25 +387,25 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newTestClient(&machineProposer{m: NewMachine(), firstDelay: tc.commit}, time.Now(), nil)
 				defer func() { require.NoError(t, c.Close()) }()
-				first := c.Begin(target("a"), 1, 7)
+				first := c.Begin(target("a"), 1, 0, 7)
 				second := func(bool, bool) {}
 				if !tc.retried {
-					second = c.Begin(target("b"), 2, 7)
+					second = c.Begin(target("b"), 2, 0, 7)
 				}
 				if tc.beside {
-					defer c.Begin(target("b"), 3, 7)(false, false)
+					defer c.Begin(target("b"), 3, 0, 7)(false, false)
 				}
 				time.Sleep(tc.delay)
 				first(true, false)
 				if tc.retried {
-					second = c.Begin(target("b"), 1, 7)
+					second = c.Begin(target("b"), 1, 0, 7)
 				}
 				time.Sleep(tc.delay)
 				second(true, false)
 				time.Sleep(time.Second)
 				_, refused := c.Refused(9, 7)
 				require.False(t, refused, "after two crashes")
-				c.Begin(target("c"), 4, 7)(true, false)
+				c.Begin(target("c"), 4, 0, 7)(true, false)
 				time.Sleep(time.Second)
 				_, refused = c.Refused(9, 7)
 				require.Equal(t, tc.refused, refused)
@@ -377,13 +420,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestClient(&machineProposer{m: NewMachine()}, time.Now(), nil)
 		defer func() { require.NoError(t, c.Close()) }()
-		a, b := c.Begin(target("a"), 1, 7), c.Begin(target("b"), 2, 7)
+		a, b := c.Begin(target("a"), 1, 0, 7), c.Begin(target("b"), 2, 0, 7)
 		time.Sleep(40 * time.Millisecond)
 		a(true, false)
-		a = c.Begin(target("c"), 1, 7)
+		a = c.Begin(target("c"), 1, 0, 7)
 		time.Sleep(20 * time.Millisecond)
 		b(true, false)
-		b = c.Begin(target("d"), 2, 7)
+		b = c.Begin(target("d"), 2, 0, 7)
 		time.Sleep(10 * time.Millisecond)
 		a(true, false)
 		time.Sleep(20 * time.Millisecond)
