Give a target its share of the requests back step by step after a pause

When a target had asked many nodes for a pause, all of them sent it their requests at the moment the pause ended: each found it idle beside busier targets.

For 2 s after a pause a target is preferred for a growing share of a node's requests, also in placements by a core node, and for all of them where no other target may serve.

--- a/internal/request/place/notice.go
+++ b/internal/request/place/notice.go
@@ -11,6 +11,9 @@
 	MaxPause = 5 * time.Minute
 	// noticeGrace is the time after a notice in which requests that were placed before it are still sent.
 	noticeGrace = 300 * time.Millisecond
+	// resumeTime is the time after a pause in which a target gets back its share of the requests. All nodes' pauses may end
+	// together, and each node would find the target idle.
+	resumeTime = 2 * time.Second
 	// leavingRetention is how long it is known of a target that it leaves; its process ends within seconds to minutes.
 	leavingRetention = 10 * time.Minute
 )
@@ -51,6 +54,14 @@
 	return n.leaving(now) || now < n.pausedUntil
 }
 
+// resumed returns the share of the requests for which the target may be preferred to others again after a pause, from 0 to 1.
+func (n *notices) resumed(now camphorhinge.Instant) float64 {
+	if n.pausedUntil == 0 {
+		return 1
+	}
+	return min(max(now.Sub(n.pausedUntil).Seconds()/resumeTime.Seconds(), 0), 1)
+}
+
 // leaving reports whether the target has stated that it leaves.
 func (n *notices) leaving(now camphorhinge.Instant) bool {
 	return n.leavingSince > 0 && now.Sub(n.leavingSince) < leavingRetention
--- a/internal/request/place/notice_test.go
+++ b/internal/request/place/notice_test.go
@@ -67,3 +67,52 @@
 		})
 	}
 }
+
+// TestReturnAfterPause guards against all nodes sending their requests to one target when its pause at each of them ends.
+func TestReturnAfterPause(t *testing.T) {
+	const start, pause = camphorhinge.Instant(time.Hour), 3 * time.Second
+	var live []*camphorhinge.Target
+	for _, name := range []camphorhinge.TargetName{"a", "b", "c", "d"} {
+		live = append(live, &camphorhinge.Target{Serving: true, Announcement: camphorhinge.Announcement{Name: name, Service: "s", Incarnation: 1}})
+	}
+	var nodes []*Placer
+	for seed := range uint64(100) {
+		p := New(Config{Zone: "z", Seed: seed})
+		f := p.Adopt(start, Plan{Serve: live[0]}, Request{Service: "s"}).ServeAttempt
+		require.True(t, f.RecordNotice(start, Notice{Pause: pause}))
+		f.End(start, Served)
+		nodes = append(nodes, p)
+	}
+	for _, tc := range []struct {
+		after       time.Duration
+		least, most int
+	}{
+		{0, 0, 25},
+		{200 * time.Millisecond, 0, 25},
+		{resumeTime, 90, 100},
+	} {
+		got := 0
+		for _, p := range nodes {
+			now := start.Add(pause + tc.after)
+			// The others report that they are busy with requests of other nodes.
+			for _, busy := range live[1:] {
+				f := p.Adopt(now, Plan{Serve: busy}, Request{Service: "s"}).ServeAttempt
+				f.RecordLoad(now, Load{Running: 6})
+				f.End(now, Served)
+			}
+			placed, ok := p.Place(now, live, Request{Service: "s"})
+			require.True(t, ok)
+			if placed.Serve.Name == "a" {
+				got++
+			}
+			placed.ServeAttempt.End(now, Served)
+		}
+		require.GreaterOrEqual(t, got, tc.least, "after %v", tc.after)
+		require.LessOrEqual(t, got, tc.most, "after %v", tc.after)
+	}
+	now := start.Add(pause)
+	require.Equal(t, []camphorhinge.TargetName{"a"}, nodes[0].InBackoff(now, live))
+	require.Empty(t, nodes[0].InBackoff(now, live[:1]), "no other target")
+	_, ok := nodes[0].Place(now, live[:1], Request{Service: "s"})
+	require.True(t, ok, "no other target")
+}
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -96,9 +96,9 @@
 }
 
 // candidates returns the live targets that may receive a request or prefill its prompt. Targets that want none of this node
-// are left out; those that failed recently are, too, unless no others could serve it.
+// are left out; those that failed recently or are spared after a pause are, too, unless no others could serve it.
 func (p *Placer) candidates(now camphorhinge.Instant, live []*camphorhinge.Target, req *Request) []*camphorhinge.Target {
-	var ready, unready []*camphorhinge.Target
+	var ready, unready, spared []*camphorhinge.Target
 	servers := 0
 	for _, t := range live {
 		prefills := req.Engine != nil && t.Role == camphorhinge.RolePrefill
@@ -113,11 +113,18 @@
 			unready = append(unready, t)
 			continue
 		}
+		if p.spares(now, s) {
+			spared = append(spared, t)
+			continue
+		}
 		ready = append(ready, t)
 		if !prefills {
 			servers++
 		}
 	}
+	if servers == 0 {
+		ready = append(ready, spared...)
+	}
 	switch {
 	case len(ready) == 0:
 		return unready
@@ -127,6 +134,12 @@
 	return ready
 }
 
+// spares reports whether a request should go to another target because this one has just ended a pause.
+func (p *Placer) spares(now camphorhinge.Instant, s *targetState) bool {
+	resumed := s.notices.resumed(now)
+	return resumed < 1 && p.random.Float64() >= resumed
+}
+
 // Place chooses a plan for a request and records its work; ok is false when no live target may take it.
 func (p *Placer) Place(now camphorhinge.Instant, live []*camphorhinge.Target, req Request) (*Placement, bool) {
 	p.mu.Lock()
@@ -160,17 +173,27 @@
 	return p.adopt(now, plan, &req)
 }
 
-// InBackoff returns the live targets that are in backoff after failures or refusals recorded by this Placer, or that want no
-// requests of this node.
+// InBackoff returns the live targets that are in backoff after failures or refusals recorded by this Placer, that want no
+// requests of this node, or that are spared after a pause while others may serve.
 func (p *Placer) InBackoff(now camphorhinge.Instant, live []*camphorhinge.Target) []camphorhinge.TargetName {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []camphorhinge.TargetName
+	var out, spared []camphorhinge.TargetName
+	others := false
 	for _, t := range live {
-		if s := p.targets[t.Name]; s != nil && s.incarnation == t.Incarnation && (now < s.backoffUntil || s.notices.closed(now)) {
+		s := p.targets[t.Name]
+		switch known := s != nil && s.incarnation == t.Incarnation; {
+		case known && (now < s.backoffUntil || s.notices.closed(now)):
 			out = append(out, t.Name)
+		case known && p.spares(now, s):
+			spared = append(spared, t.Name)
+		case t.Serving && t.Role != camphorhinge.RolePrefill:
+			others = true
 		}
 	}
+	if others {
+		out = append(out, spared...)
+	}
 	return out
 }
 
