Show with a request which targets its node did not choose, since when and why

Nothing told from a request's id that its node passed over targets which had stated that they leave or want a pause: the log line had neither the service nor how long the statement counts, and came long before the request.

The line has both now ("service", "closed_ms"), and `request ID` shows those of the request's node and service that were in force.

--- a/internal/cli/command/report.go
+++ b/internal/cli/command/report.go
@@ -150,11 +150,12 @@
 	}
 }
 
-// selectEntries returns the lines on a request, and those on its targets and on core nodes from contextWindow before
-// its start to contextWindow after its end, in order of time.
+// selectEntries returns the lines on a request, those on its targets and on core nodes from contextWindow before its start to
+// contextWindow after its end, and those on targets of its service that its node did not choose then, in order of time.
 func selectEntries(all []logEntry, id string) []logEntry {
 	var from, to time.Time
 	targets := map[any]bool{}
+	var request logEntry
 	for _, e := range all {
 		if e.fields["request"] != id {
 			continue
@@ -164,7 +165,7 @@
 			from = start
 		}
 		if e.at.After(to) {
-			to = e.at
+			to, request = e.at, e
 		}
 		for _, name := range []string{"target", "prefill", "fetch"} {
 			if t := e.fields[name]; t != nil {
@@ -175,8 +176,9 @@
 	var out []logEntry
 	for _, e := range all {
 		inWindow := !from.IsZero() && e.at.After(from.Add(-contextWindow)) && e.at.Before(to.Add(contextWindow))
-		_, request := e.fields["request"]
-		if e.fields["request"] == id || inWindow && !request && (targets[e.fields["target"]] || e.fields["target"] == nil) {
+		_, onRequest := e.fields["request"]
+		if e.fields["request"] == id || inWindow && !onRequest && (targets[e.fields["target"]] || e.fields["target"] == nil) ||
+			closes(e, request, from, to) {
 			out = append(out, e)
 		}
 	}
@@ -184,6 +186,16 @@
 	return out
 }
 
+// closes reports whether a line says that the node of a request did not choose a target of its service at some time from from
+// to to.
+func closes(e, request logEntry, from, to time.Time) bool {
+	closed, ok := e.fields["closed_ms"].(float64)
+	if !ok || e.fields["node"] != request.fields["node"] || e.fields["service"] != request.fields["service"] {
+		return false
+	}
+	return e.at.Before(to) && e.at.Add(time.Duration(closed)*time.Millisecond).After(from)
+}
+
 // showEntry prints a log line with its fields sorted by name.
 func showEntry(w io.Writer, e logEntry) {
 	fmt.Fprintf(w, "%s %v %v:", e.at.Format("15:04:05.000"), dashNil(e.fields["node"]), e.fields["msg"])
--- a/internal/cli/command/report_test.go
+++ b/internal/cli/command/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -79,6 +80,29 @@
 	require.Equal(t, ExitUsage, Run(context.Background(), []string{"request", "r1", path + "x"}, &out, &errs))
 }
 
+// TestRequestShowsTargetsNotChosen guards against a request whose report does not tell which targets of its service its node
+// passed over, since when and why.
+func TestRequestShowsTargetsNotChosen(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	line := func(second, node, service, target string, closed int) string {
+		return fmt.Sprintf(`{"time":"2026-10-01T10:00:%s.000Z","msg":"target wants no requests","node":%q,"service":%q,"target":%q,"leaving":false,"closed_ms":%d}`,
+			second, node, service, target, closed)
+	}
+	require.NoError(t, os.WriteFile(path, []byte(strings.Join([]string{
+		`{"time":"2026-10-01T10:00:40.000Z","level":"WARN","msg":"request ended","node":"e1","service":"s","request":"r1","outcome":"served","target":"i-1","took_ms":900}`,
+		line("20", "e1", "s", "i-2", 60_000),
+		line("20", "e1", "s", "i-3", 10_000),
+		line("20", "e2", "s", "i-4", 60_000),
+		line("20", "e1", "other", "i-5", 60_000),
+		line("50", "e1", "s", "i-6", 60_000),
+	}, "\n")), 0o600))
+	var out, errs bytes.Buffer
+	require.Zero(t, Run(context.Background(), []string{"request", "r1", path}, &out, &errs), errs.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 2)
+	require.Equal(t, "10:00:20.000 e1 target wants no requests: closed_ms=60000 leaving=false service=s target=i-2", lines[0])
+}
+
 // TestStatusOfPlatformNode guards against a status of a platform node that requires a token, or that hides that the
 // node is unreachable.
 func TestStatusOfPlatformNode(t *testing.T) {
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -179,8 +179,8 @@
 	if err != nil {
 		j.f.badNotices.Do(func() { j.f.cfg.Log.Warn("statement of target not valid", "target", t.Name, "error", err) })
 	}
-	if inFlight.RecordNotice(now, notice) {
-		j.f.cfg.Log.Info("target wants no requests", "target", t.Name, "leaving", notice.Leaving, "pause_ms", notice.Pause.Milliseconds())
+	if closed := inFlight.RecordNotice(now, notice); closed > 0 {
+		j.f.cfg.Log.Info("target wants no requests", "target", t.Name, "service", t.Service, "leaving", notice.Leaving, "closed_ms", closed.Milliseconds())
 	}
 }
 
--- a/internal/request/place/notice.go
+++ b/internal/request/place/notice.go
@@ -34,8 +34,8 @@
 	pausedSince, pausedUntil camphorhinge.Instant
 }
 
-// record stores the content of an answer and reports whether it is the first that closes the target.
-func (n *notices) record(now camphorhinge.Instant, x Notice) bool {
+// record stores the content of an answer. If it is the first that closes the target, record returns for how long, otherwise 0.
+func (n *notices) record(now camphorhinge.Instant, x Notice) time.Duration {
 	wasClosed := n.closed(now)
 	if x.Leaving && n.leavingSince == 0 {
 		n.leavingSince = now
@@ -46,7 +46,13 @@
 		}
 		n.pausedUntil = until
 	}
-	return !wasClosed && n.closed(now)
+	switch {
+	case wasClosed:
+		return 0
+	case n.leaving(now):
+		return leavingRetention
+	}
+	return max(n.pausedUntil.Sub(now), 0)
 }
 
 // closed reports whether the target must not be chosen now.
@@ -72,9 +78,9 @@
 	return n.leaving(now) && now.Sub(n.leavingSince) >= noticeGrace || now < n.pausedUntil && now.Sub(n.pausedSince) >= noticeGrace
 }
 
-// RecordNotice records what the target stated in an answer, and reports whether the node must not choose the target from now
-// on.
-func (f *InFlight) RecordNotice(now camphorhinge.Instant, n Notice) (closed bool) {
+// RecordNotice records what the target stated in an answer. If the node must not choose the target from now on, it returns for
+// how long, otherwise 0.
+func (f *InFlight) RecordNotice(now camphorhinge.Instant, n Notice) time.Duration {
 	f.placer.mu.Lock()
 	defer f.placer.mu.Unlock()
 	return f.state.notices.record(now, n)
--- a/internal/request/place/notice_test.go
+++ b/internal/request/place/notice_test.go
@@ -46,7 +46,8 @@
 			live := targets(1)
 			for i, n := range tc.notices {
 				f := p.Adopt(start, Plan{Serve: live[i]}, Request{Service: "s"}).ServeAttempt
-				require.Equal(t, n != Notice{}, f.RecordNotice(start, n))
+				require.Equal(t, n != Notice{}, f.RecordNotice(start, n) > 0)
+				require.Zero(t, f.RecordNotice(start, n), "known")
 				require.False(t, f.Barred(start), "sent at once")
 				require.Equal(t, n != Notice{}, f.Barred(start.Add(time.Second)))
 				f.End(start, Served)
@@ -79,7 +80,7 @@
 	for seed := range uint64(100) {
 		p := New(Config{Zone: "z", Seed: seed})
 		f := p.Adopt(start, Plan{Serve: live[0]}, Request{Service: "s"}).ServeAttempt
-		require.True(t, f.RecordNotice(start, Notice{Pause: pause}))
+		require.Equal(t, pause, f.RecordNotice(start, Notice{Pause: pause}))
 		f.End(start, Served)
 		nodes = append(nodes, p)
 	}
