Test statements of targets that come through a core node

Entry nodes that have lost their paths get the statements of leaving and of pauses through a core node, and must obey them as others do.

--- a/internal/standin/site/notice_test.go
+++ b/internal/standin/site/notice_test.go
@@ -1,9 +1,11 @@
 package site
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -30,9 +32,41 @@
 	})
 }
 
+// TestNoticesThroughCoreNodes guards against a node that misses what engines state in answers that came through a core node, or
+// that takes a connection through a core node for a way round the statement.
+func TestNoticesThroughCoreNodes(t *testing.T) {
+	const length = 4 * time.Second
+	cut := disturbance{"paths lost", func(_ *testing.T, s *Site, _ func(int) func()) {
+		time.Sleep(2 * time.Second)
+		for i := range 8 {
+			s.CutPaths(i, Refused, 0, 1, 2, 3, 4, 5, 6, 7, 8)
+		}
+	}}
+	for _, tc := range []struct {
+		name    string
+		trouble Trouble
+		late    func(a Arrival) bool
+		allowed int
+	}{
+		{"leaving", Trouble{Leaving: true}, func(a Arrival) bool { return a.Told > drainTime }, 0},
+		{"pause", Trouble{Pause: length}, func(a Arrival) bool { return a.Told > 500*time.Millisecond && a.Told < length }, 2},
+	} {
+		for seed := range *seedCount {
+			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					arrivals := checkNotice(t, cut, seed, tc.trouble, tc.late, tc.allowed)
+					relayed := slices.DeleteFunc(arrivals, func(a Arrival) bool { return !a.Relayed || a.Entry >= 8 })
+					require.NotEmpty(t, relayed)
+				})
+			})
+		}
+	}
+}
+
 // checkNotice plays two engines that generate and one that only prefills in trouble. Of each statement to an entry node, at most
-// the given number of arrivals may be late.
-func checkNotice(t *testing.T, d disturbance, seed uint64, trouble Trouble, late func(a Arrival) bool, allowed int) {
+// the given number of arrivals may be late. It returns the arrivals at these engines.
+func checkNotice(t *testing.T, d disturbance, seed uint64, trouble Trouble, late func(a Arrival) bool, allowed int) []Arrival {
 	t.Helper()
 	const from, length = 5 * time.Second, 16 * time.Second
 	s := New(Config{Entries: 24, Cores: 5, Prefill: 4, Decode: 5})
@@ -61,18 +95,19 @@
 		entry, engine int
 		at            time.Time
 	}
-	told, counts := 0, map[statement]int{}
+	var told []Arrival
+	counts := map[statement]int{}
 	for _, a := range s.Arrivals() {
 		i := slices.IndexFunc(troubled, func(i int) bool { return strings.HasPrefix(string(a.Target), s.engines[i].address+"-") })
 		if i < 0 || a.At.Sub(began) < from {
 			continue
 		}
-		told++
+		told = append(told, a)
 		if late(a) {
 			counts[statement{a.Entry, troubled[i], a.At.Add(-a.Told)}]++
 		}
 	}
-	require.GreaterOrEqual(t, told, 20)
+	require.GreaterOrEqual(t, len(told), 20)
 	for x, n := range counts {
 		require.LessOrEqual(t, n, allowed, "entry node %d, engine %d, told %v", x.entry, x.engine, x.at.Sub(began))
 	}
@@ -80,4 +115,5 @@
 	before, _ := load.servedShare(began, began.Add(from-time.Second))
 	require.GreaterOrEqual(t, n, 20)
 	require.GreaterOrEqual(t, meanwhile, before/2, "served meanwhile")
+	return told
 }
