Wait for the end of a pause where a request's time allows it

When all targets of a service had asked a node for a pause, callers were refused even where the pause ended long before they would give up, and a request that had got the refusals itself was told to come back after 0.3 s, before the pause ended.

Such a request waits now for the first target that ends its pause, and up to 0.5 s more, if that is at most half of its remaining time. Otherwise it is refused at once with the least time that remains.

--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -106,6 +106,11 @@
 	return p, refusal, ok
 }
 
+// PauseLeft implements forward.Placer.
+func (c *Client) PauseLeft(live []*camphorhinge.Target, req place.Request) time.Duration {
+	return c.cfg.Local.PauseLeft(c.cfg.Clock.Now(), live, &req)
+}
+
 func encodeLimits(limits []place.Limit) []*peerpb.Limit {
 	out := make([]*peerpb.Limit, 0, len(limits))
 	for _, l := range limits {
--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -202,9 +202,14 @@
 // makes it refuse all requests.
 type listOrderPlacer struct {
 	placer  *place.Placer
+	clock   camphorhinge.Clock
 	refusal time.Duration
 }
 
+func (o listOrderPlacer) PauseLeft(live []*camphorhinge.Target, req place.Request) time.Duration {
+	return o.placer.PauseLeft(o.clock.Now(), live, &req)
+}
+
 func (o listOrderPlacer) Place(_ context.Context, live []*camphorhinge.Target, req place.Request) (*place.Placement, time.Duration, bool) {
 	if o.refusal > 0 {
 		return nil, o.refusal, false
@@ -326,16 +331,16 @@
 	if route.MaxAttempts == 0 {
 		route.MaxAttempts = 2
 	}
+	clock := virtualClock{time.Now()}
 	b := &fixture{
 		targets: w,
 		client: exchange.New(exchange.Config{
 			Dialer: w, Metrics: metrics.NewSet(), Tracer: noop.NewTracerProvider().Tracer(""), Dialect: protocol{},
 			FirstByteTimeout: time.Minute, StallTimeout: time.Minute,
 		}),
-		place: listOrderPlacer{placer: place.New(place.Config{})},
+		place: listOrderPlacer{placer: place.New(place.Config{}), clock: clock},
 	}
 	b.index.Store(routing.NewIndex(&routing.Config{Version: 1, Routes: []routing.Route{route}, Services: []routing.Service{service}}))
-	clock := virtualClock{time.Now()}
 	b.Forwarder = New(Config{
 		Index: b.index.Load, Targets: w, Placer: &b.place, Origins: &b.origins, Exchange: b.client,
 		Budget:     budget.New(budget.Config{Allowance: 100, Window: 10 * time.Second}),
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -85,6 +85,10 @@
 		if !ok && ctx.Err() != nil {
 			return j.interruptedError(ctx)
 		}
+		if !ok && j.awaitPause(ctx) {
+			j.exclude, j.retryReserved = nil, last != nil && j.arrivals > 0
+			continue
+		}
 		if refusal > 0 && j.runs == 0 {
 			return newUnavailable(KindOverload, refusal, "the request can't be served before its caller gives up")
 		}
@@ -221,10 +225,10 @@
 	case KindTarget:
 		e.Kind = KindNoTarget
 	}
-	e.Status, e.RetryAfter = http.StatusServiceUnavailable, targetRetryAfter
+	e.Status, e.RetryAfter = http.StatusServiceUnavailable, max(targetRetryAfter, j.pauseLeft())
 	if j.continues() {
 		// Few targets have the version that began the stream.
-		e.RetryAfter = versionRetryAfter
+		e.RetryAfter = max(versionRetryAfter, e.RetryAfter)
 	}
 	return e
 }
--- a/internal/request/forward/notice_test.go
+++ b/internal/request/forward/notice_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,3 +43,43 @@
 		})
 	}
 }
+
+// TestWaitsForPause guards against callers that are refused although their targets' pause ends long before they give up, and
+// against callers that wait in vain or are told to come back before the pause ends.
+func TestWaitsForPause(t *testing.T) {
+	pause := func(text string) step { return sendRaw(fullAnswer(503, "Pause: "+text+"\r\nNot-Run: 1\r\n", "")) }
+	fine := sendRaw(fullAnswer(200, "", "fine"))
+	for _, tc := range []struct {
+		name    string
+		targets []*target
+		// timeout is the caller's timeout in milliseconds.
+		timeout int
+		status  int
+		// least and most bound the time until the answer, or the Retry-After of a refusal, which comes at once.
+		least, most time.Duration
+	}{
+		{"short pause", []*target{{steps: []step{pause("1s"), fine}}}, 3000, 200, time.Second, time.Second + maxPauseSpread},
+		{"the shorter of two", []*target{{steps: []step{pause("1s"), fine}}, {steps: []step{pause("10s")}}}, 3000, 200, time.Second, time.Second + maxPauseSpread},
+		{"only one pauses", []*target{{steps: []step{pause("1s")}}, {steps: []step{fine}}}, 3000, 200, 0, 0},
+		{"most of the time that is left", []*target{{steps: []step{pause("2s")}}}, 3000, 503, 2 * time.Second, 2 * time.Second},
+		{"longer than the time that is left", []*target{{steps: []step{pause("20s")}}}, 3000, 503, 20 * time.Second, 20 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFixture(t, routing.Route{Retry: routing.RetryIfNotRun}, tc.targets...)
+				began := time.Now()
+				out := b.do(t, func(in *Request) { in.Header.Set("Left", strconv.Itoa(tc.timeout)) })
+				require.Equal(t, tc.status, out.status)
+				took := time.Since(began)
+				if tc.status != http.StatusOK {
+					require.Zero(t, took)
+					s, err := strconv.ParseFloat(out.header.Get("Retry-After"), 64)
+					require.NoError(t, err)
+					took = time.Duration(s * float64(time.Second))
+				}
+				require.GreaterOrEqual(t, took, tc.least)
+				require.LessOrEqual(t, took, tc.most)
+			})
+		})
+	}
+}
--- a/internal/request/place/notice.go
+++ b/internal/request/place/notice.go
@@ -92,3 +92,25 @@
 	defer f.placer.mu.Unlock()
 	return f.state.notices.barred(now)
 }
+
+// PauseLeft returns the time until the first of the targets that may serve a request ends its pause, or 0 if they don't all want
+// one.
+func (p *Placer) PauseLeft(now camphorhinge.Instant, live []*camphorhinge.Target, req *Request) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	least := time.Duration(0)
+	for _, t := range live {
+		s := p.stateOf(now, t)
+		if !t.Serving || t.Role == camphorhinge.RolePrefill || !req.mayServe(t) || s.notices.leaving(now) {
+			continue
+		}
+		left := s.notices.pausedUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
