Obey statements of leaving and of pauses where a core node passes requests on

A target that had asked a core node for a pause, or stated that it leaves, in an answer to one entry node's request got the requests of other entry nodes through the same core node: it sees one node, while each entry node knows only its own answers.

The core node reads the statement in the head of the answer and keeps it for the target's incarnation. It refuses further connections to the target, and sends a mark between two frames on open ones, after which an entry node uses the connection for no further request. An answer in progress is complete.

TestUnwantedTarget and TestNoticesOfRelay are new: without the change there is nothing that they could call.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -358,12 +358,15 @@
 	return len(r.targets)
 }
 
-// HasAddress reports whether a recorded target has or had the address, an IP:port; it is used only with Config.Exclusive.
-func (r *Registry) HasAddress(address string) bool {
+// AtAddress returns the recorded target that has or had an address, an IP:port, or nil; it is used only with
+// Config.Exclusive.
+func (r *Registry) AtAddress(address string) *camphorhinge.Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, ok := r.addressOwners[address]
-	return ok
+	if e := r.targets[r.addressOwners[address]]; e != nil {
+		return e.target
+	}
+	return nil
 }
 
 // All returns the live targets of all services, sorted by name.
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,6 +25,7 @@
 	"example.org/camphorhinge/internal/record/routing"
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/origin"
+	"example.org/camphorhinge/internal/request/place"
 )
 
 const (
@@ -58,6 +60,8 @@
 	Decode routing.Decoder
 	// Peers returns the peer addresses of core nodes that the settings currently name.
 	Peers func() []string
+	// ParseNotice reads what a target states in an answer about further requests, as forward.Protocol does.
+	ParseNotice func(status int, h http.Header) (place.Notice, error)
 	// Dialect encodes calls to targets; Engines creates the client that sends orders to engines.
 	Dialect exchange.Dialect
 	Engines func(*exchange.Client) Engines
@@ -90,10 +94,13 @@
 // the operator, and distributes both to the entry nodes.
 type Core struct {
 	*Server
-	settings    setting.Core
-	scheduler   *schedule.Scheduler
-	exchange    *exchange.Client
-	relay       *tunnel.Relay
+	settings  setting.Core
+	scheduler *schedule.Scheduler
+	exchange  *exchange.Client
+	relay     *tunnel.Relay
+	// notices holds what targets stated in answers that this node passed on.
+	notices     place.Notices
+	parseNotice func(status int, h http.Header) (place.Notice, error)
 	balancer    *balance.Balancer
 	versions    *origin.Keeper
 	controlPort *web.Server
@@ -132,10 +139,12 @@
 	c.discovery = discovery.New(discovery.Config{
 		Node: c.cfg.Node, Registry: c.registry, Pool: c.pool, Others: c.otherCoreAddresses, Metrics: c.metrics,
 	})
+	c.parseNotice = cfg.ParseNotice
 	direct := dial.NewProbing(connectTimeout, silentTimeout)
 	c.exchange = newExchange(c.metrics, cfg.Dialect, direct)
 	c.relay = tunnel.NewRelay(tunnel.RelayConfig{
-		Dialer: direct, Known: c.registry.HasAddress, Silent: silentTimeout, Clock: c.clock, Log: c.log, Metrics: c.metrics,
+		Dialer: direct, Known: func(address string) bool { return c.registry.AtAddress(address) != nil },
+		Statements: c.statements, Silent: silentTimeout, Clock: c.clock, Log: c.log, Metrics: c.metrics,
 	})
 	engines := cfg.Engines(c.exchange)
 	c.scheduler = schedule.New(schedule.Config{
@@ -319,6 +328,33 @@
 	return err
 }
 
+// relayedTarget is a target that other nodes are connected to through this node; it implements tunnel.Statements.
+type relayedTarget struct {
+	core   *Core
+	target *camphorhinge.Target
+}
+
+func (c *Core) statements(address string) tunnel.Statements {
+	if t := c.registry.AtAddress(address); t != nil {
+		return relayedTarget{c, t}
+	}
+	return nil
+}
+
+// Closed implements tunnel.Statements.
+func (r relayedTarget) Closed() bool { return r.core.notices.Closed(r.core.clock.Now(), r.target) }
+
+// Record implements tunnel.Statements. A value that is not valid is logged by the node that sent the request.
+func (r relayedTarget) Record(status int, h http.Header) bool {
+	notice, _ := r.core.parseNotice(status, h)
+	closed := r.core.notices.Record(r.core.clock.Now(), r.target, notice)
+	if closed > 0 {
+		r.core.log.Info("target wants no requests", "target", r.target.Name, "service", r.target.Service, "leaving", notice.Leaving,
+			"closed_ms", closed.Milliseconds())
+	}
+	return closed > 0
+}
+
 // drainRelay waits until no connection through this node carries a request.
 func (c *Core) drainRelay() {
 	ctx, cancel := context.WithTimeout(context.Background(), relayGrace)
--- a/internal/node/tunnel/client.go
+++ b/internal/node/tunnel/client.go
@@ -25,6 +25,7 @@
 var (
 	errAnswer   = errors.New("the relay's answer is not usable")
 	errBuffered = errors.New("bytes were received that are not read yet")
+	errRetired  = errors.New("the target wants no further request on the connection")
 )
 
 // DialVia implements Via by the method CONNECT of HTTP/1.1.
@@ -49,7 +50,7 @@
 		return nil, fail(KindRelay, err)
 	}
 	switch kind := Kind(resp.Header.Get(headerKind)); kind {
-	case KindBusy, KindUnknown, KindRefused, KindSilent:
+	case KindBusy, KindUnknown, KindUnwanted, KindRefused, KindSilent:
 		return nil, fail(kind, errors.New("the relay answered with status "+resp.Status))
 	default:
 		return nil, fail(KindRelay, errAnswer)
@@ -74,8 +75,8 @@
 	br *bufio.Reader
 	// left is the rest of the current frame in bytes.
 	left int
-	// ended is set after the frame that marks the end.
-	ended bool
+	// ended is set after the frame that marks the end, retired after the retireMark.
+	ended, retired bool
 }
 
 // tcpClientConn is a clientConn whose socket can be examined.
@@ -85,8 +86,11 @@
 }
 
 // SyscallConn implements syscall.Conn. It fails when bytes have been received that were not read yet, which the socket does
-// not show.
+// not show, and when the connection must not be used for a further request.
 func (c *tcpClientConn) SyscallConn() (syscall.RawConn, error) {
+	if c.retired {
+		return nil, &Error{Op: "examine", Kind: KindUnwanted, Err: errRetired}
+	}
 	if c.ended || c.left > 0 || c.br.Buffered() > 0 {
 		return nil, &Error{Op: "examine", Kind: KindRelay, Err: errBuffered}
 	}
@@ -106,7 +110,7 @@
 	if c.ended {
 		return 0, io.EOF
 	}
-	if c.left == 0 {
+	for c.left == 0 {
 		// A time-out between the bytes of a header loses none of them.
 		header, err := c.br.Peek(frameHeader)
 		if err != nil {
@@ -115,15 +119,21 @@
 			}
 			return 0, err
 		}
-		if c.left = frameLength(header); c.left > bufferSize {
+		length := frameLength(header)
+		if length > bufferSize && length != retireMark {
 			return 0, &Error{Op: "read", Kind: KindRelay, Err: errAnswer}
 		}
 		if _, err := c.br.Discard(frameHeader); err != nil {
 			return 0, err
 		}
-		if c.left == 0 {
+		switch length {
+		case retireMark:
+			c.retired = true
+		case 0:
 			c.ended = true
 			return 0, io.EOF
+		default:
+			c.left = length
 		}
 	}
 	n, err := c.br.Read(p[:min(len(p), c.left)])
--- a/internal/node/tunnel/error.go
+++ b/internal/node/tunnel/error.go
@@ -16,6 +16,8 @@
 	KindBusy Kind = "busy"
 	// KindUnknown marks a target that the relay does not know.
 	KindUnknown Kind = "unknown"
+	// KindUnwanted marks a target that wants no requests of the relay.
+	KindUnwanted Kind = "unwanted"
 	// KindRefused marks a target that refuses connections from the relay.
 	KindRefused Kind = "refused"
 	// KindSilent marks a target that the relay can't reach.
--- a/internal/node/tunnel/relay.go
+++ b/internal/node/tunnel/relay.go
@@ -1,6 +1,8 @@
 package tunnel
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -31,11 +33,21 @@
 	drainPoll = 50 * time.Millisecond
 )
 
+// Statements holds what a target stated, in answers to requests that this node passed on, about further ones.
+type Statements interface {
+	// Closed reports whether the target wants no requests now.
+	Closed() bool
+	// Record records the head of an answer, and reports whether the target wants no requests from now on.
+	Record(status int, header http.Header) (closed bool)
+}
+
 // RelayConfig holds the dependencies of a Relay.
 type RelayConfig struct {
 	Dialer NetDialer
 	// Known reports whether an address is that of a target.
 	Known func(address string) bool
+	// Statements returns what is known of the statements of the target at an address. With nil no answer is examined.
+	Statements func(address string) Statements
 	// Silent is how long the connection of a node may leave sent data or probes unacknowledged before it fails.
 	Silent  time.Duration
 	Clock   camphorhinge.Clock
@@ -71,6 +83,16 @@
 // tunnel is a connection between a node and a target.
 type tunnel struct {
 	node, target net.Conn
+	// address is that of the target.
+	address string
+	// statements are those of the target, or nil.
+	statements Statements
+	// writing guards writes to node.
+	writing sync.Mutex
+	// retiring is set when the node must be told that it must not use the connection for a further request.
+	retiring atomic.Bool
+	// awaited is set while the node has sent something and the target has not answered yet.
+	awaited atomic.Bool
 	// used is set once the node has sent something.
 	used atomic.Bool
 	// repliedAt is the time of the target's last byte if that came after the node's last one, or 0.
@@ -100,6 +122,14 @@
 		refuse(http.StatusNotFound, KindUnknown, nil)
 		return
 	}
+	var statements Statements
+	if r.cfg.Statements != nil {
+		statements = r.cfg.Statements(req.Host)
+	}
+	if statements != nil && statements.Closed() {
+		refuse(http.StatusServiceUnavailable, KindUnwanted, nil)
+		return
+	}
 	if !r.reserve() {
 		refuse(http.StatusServiceUnavailable, KindBusy, nil)
 		return
@@ -126,7 +156,7 @@
 			r.cfg.Log.Warn("relayed connection without probes", "from", req.RemoteAddr, "error", err)
 		}
 	}
-	t := &tunnel{node: node, target: target}
+	t := &tunnel{node: node, target: target, address: req.Host, statements: statements}
 	if !r.add(t) {
 		t.close()
 		return
@@ -198,6 +228,7 @@
 		if n > 0 {
 			t.used.Store(true)
 			t.repliedAt.Store(0)
+			t.awaited.Store(true)
 			r.requests.Add(n)
 			if _, err := t.target.Write(buffer[:n]); err != nil {
 				return err
@@ -218,10 +249,13 @@
 		if n > 0 {
 			t.repliedAt.Store(int64(r.cfg.Clock.Now()))
 			r.answers.Add(n)
+			if t.awaited.Swap(false) {
+				r.examine(t, buffer[frameHeader:frameHeader+n])
+			}
 		}
 		if n > 0 || errors.Is(err, io.EOF) {
 			putFrameLength(buffer, n)
-			if _, err := t.node.Write(buffer[:frameHeader+n]); err != nil {
+			if err := t.send(buffer[:frameHeader+n]); err != nil {
 				return err
 			}
 		}
@@ -231,6 +265,73 @@
 	}
 }
 
+// examine records what the target states in the head of an answer. A head that does not come in one piece is left out.
+func (r *Relay) examine(t *tunnel, answer []byte) {
+	end := bytes.Index(answer, []byte("\r\n\r\n"))
+	if t.statements == nil || end < 0 {
+		return
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(answer[:end+4])), nil)
+	if err != nil {
+		r.cfg.Log.Debug("answer not examined", "target", t.address, "error", err)
+		return
+	}
+	resp.Body.Close()
+	if resp.StatusCode < http.StatusOK {
+		t.awaited.Store(true)
+	}
+	if t.statements.Record(resp.StatusCode, resp.Header) {
+		r.retire(t.address)
+	}
+}
+
+// retire tells the nodes that are connected to a target that they must not use the connections for further requests.
+func (r *Relay) retire(address string) {
+	var tunnels []*tunnel
+	r.mu.Lock()
+	for t := range r.tunnels {
+		if t.address == address {
+			tunnels = append(tunnels, t)
+		}
+	}
+	r.mu.Unlock()
+	for _, t := range tunnels {
+		t.retiring.Store(true)
+		// A frame that is being sent is followed by the mark.
+		if !t.writing.TryLock() {
+			continue
+		}
+		err := t.sendMark()
+		t.writing.Unlock()
+		if err != nil {
+			r.cfg.Log.Debug("relayed connection lost", "target", t.address, "error", err)
+			t.close()
+		}
+	}
+}
+
+// send sends a frame to the node, and the retireMark if that is due.
+func (t *tunnel) send(frame []byte) error {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	if err := t.sendMark(); err != nil {
+		return err
+	}
+	_, err := t.node.Write(frame)
+	return err
+}
+
+// sendMark sends the retireMark if it is due. The caller holds t.writing.
+func (t *tunnel) sendMark() error {
+	if !t.retiring.Swap(false) {
+		return nil
+	}
+	mark := make([]byte, frameHeader)
+	putFrameLength(mark, retireMark)
+	_, err := t.node.Write(mark)
+	return err
+}
+
 // endOf returns nil for the end of a connection that was closed, and otherwise err.
 func endOf(err error) error {
 	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
--- a/internal/node/tunnel/relay_test.go
+++ b/internal/node/tunnel/relay_test.go
@@ -1,14 +1,18 @@
 package tunnel_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/rand"
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -227,3 +231,89 @@
 	}).SyscallConn()
 	require.Error(t, err)
 }
+
+// statements implements tunnel.Statements: a target that answers with 503 wants no more requests.
+type statements struct{ atomic.Bool }
+
+func (s *statements) Closed() bool { return s.Load() }
+
+func (s *statements) Record(status int, _ http.Header) bool {
+	return status == http.StatusServiceUnavailable && !s.Swap(true)
+}
+
+// TestUnwantedTarget guards against requests that reach a target through a relay after the target has stated to the relay that it
+// wants none: on new connections, and on those that other nodes hold or are just using.
+func TestUnwantedTarget(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	slow := make(chan struct{})
+	target := newServer(t, func(c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			switch r.URL.Path {
+			case "/pause":
+				_, _ = io.WriteString(c, refusal)
+			case "/slow":
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nfour")
+				<-slow
+				_, _ = io.WriteString(c, "more")
+			default:
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+	})
+	var closed statements
+	relay := tunnel.NewRelay(tunnel.RelayConfig{
+		Dialer: &net.Dialer{}, Silent: time.Second, Clock: clock.New(), Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		Known:      func(string) bool { return true },
+		Statements: func(string) tunnel.Statements { return &closed },
+	})
+	s := httptest.NewServer(relay)
+	t.Cleanup(s.Close)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		relay.Drain(ctx)
+	})
+	address := s.Listener.Addr().String()
+	request := func(c net.Conn, path string) *bufio.Reader {
+		_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		return bufio.NewReader(c)
+	}
+	answer := func(br *bufio.Reader) string {
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp.Status + " " + string(body)
+	}
+	examine := func(c net.Conn) error {
+		_, err := c.(syscall.Conn).SyscallConn()
+		return err
+	}
+	idle, busy, told := open(t, address, target.address), open(t, address, target.address), open(t, address, target.address)
+	require.Equal(t, "200 OK ", answer(request(idle, "/")))
+	require.NoError(t, examine(idle))
+	reading := request(busy, "/slow")
+	_, err := reading.Peek(1)
+	require.NoError(t, err)
+	require.Equal(t, "503 Service Unavailable ", answer(request(told, "/pause")))
+	close(slow)
+	require.Equal(t, "200 OK fourmore", answer(reading))
+
+	for name, c := range map[string]net.Conn{"idle": idle, "told": told, "busy": busy} {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		_, err := c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded, "%s: no bytes for the node", name)
+		require.Error(t, examine(c), name)
+	}
+	_, err = (&tunnel.Client{Dialer: &net.Dialer{}}).DialVia(t.Context(), address, target.address)
+	var e *tunnel.Error
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, tunnel.KindUnwanted, e.Kind)
+}
--- a/internal/request/place/notice.go
+++ b/internal/request/place/notice.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"maps"
+	"sync"
 	"time"
 
 	"example.org/camphorhinge"
@@ -78,6 +80,47 @@
 	return n.leaving(now) && now.Sub(n.leavingSince) >= noticeGrace || now < n.pausedUntil && now.Sub(n.pausedSince) >= noticeGrace
 }
 
+// Notices holds what targets stated to one node that only passes on requests which others have placed. It is safe for concurrent
+// use; the zero value is empty.
+type Notices struct {
+	mu       sync.Mutex
+	byTarget map[camphorhinge.TargetName]*targetNotices
+}
+
+// targetNotices are those of a target in one incarnation.
+type targetNotices struct {
+	notices
+	incarnation camphorhinge.Incarnation
+}
+
+// Record records what a target stated in an answer. If the node must send it no request from now on, it returns for how long,
+// otherwise 0.
+func (s *Notices) Record(now camphorhinge.Instant, t *camphorhinge.Target, n Notice) time.Duration {
+	if n == (Notice{}) {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.byTarget, func(_ camphorhinge.TargetName, x *targetNotices) bool { return !x.closed(now) })
+	if s.byTarget == nil {
+		s.byTarget = make(map[camphorhinge.TargetName]*targetNotices)
+	}
+	x := s.byTarget[t.Name]
+	if x == nil || x.incarnation != t.Incarnation {
+		x = &targetNotices{incarnation: t.Incarnation}
+		s.byTarget[t.Name] = x
+	}
+	return x.record(now, n)
+}
+
+// Closed reports whether the node must send a target no request now.
+func (s *Notices) Closed(now camphorhinge.Instant, t *camphorhinge.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.byTarget[t.Name]
+	return x != nil && x.incarnation == t.Incarnation && x.closed(now)
+}
+
 // RecordNotice records what the target stated in an answer. If the node must not choose the target from now on, it returns for
 // how long, otherwise 0.
 func (f *InFlight) RecordNotice(now camphorhinge.Instant, n Notice) time.Duration {
--- a/internal/request/place/notice_test.go
+++ b/internal/request/place/notice_test.go
@@ -117,3 +117,23 @@
 	_, ok := nodes[0].Place(now, live[:1], Request{Service: "s"})
 	require.True(t, ok, "no other target")
 }
+
+// TestNoticesOfRelay guards against a node that passes requests on to a target which leaves or pauses, and against one that holds
+// the statement against a new process of the same name.
+func TestNoticesOfRelay(t *testing.T) {
+	const start = camphorhinge.Instant(time.Hour)
+	target := func(i camphorhinge.Incarnation) *camphorhinge.Target {
+		return &camphorhinge.Target{Announcement: camphorhinge.Announcement{Name: "a", Incarnation: i}}
+	}
+	var s Notices
+	require.False(t, s.Closed(start, target(1)))
+	require.Zero(t, s.Record(start, target(1), Notice{}))
+	require.Equal(t, 2*time.Second, s.Record(start, target(1), Notice{Pause: 2 * time.Second}))
+	require.Zero(t, s.Record(start, target(1), Notice{Pause: time.Second}), "known")
+	require.True(t, s.Closed(start.Add(time.Second), target(1)))
+	require.False(t, s.Closed(start.Add(time.Second), target(2)), "another process")
+	require.False(t, s.Closed(start.Add(2*time.Second), target(1)))
+	require.Equal(t, leavingRetention, s.Record(start.Add(3*time.Second), target(2), Notice{Leaving: true}))
+	require.True(t, s.Closed(start.Add(time.Minute), target(2)))
+	require.Len(t, s.byTarget, 1)
+}
