--- a/internal/cli/command/report.go
+++ b/internal/cli/command/report.go
@@ -178,7 +178,7 @@
 		inWindow := !from.IsZero() && e.at.After(from.Add(-contextWindow)) && e.at.Before(to.Add(contextWindow))
 		_, onRequest := e.fields["request"]
 		if e.fields["request"] == id || inWindow && !onRequest && (targets[e.fields["target"]] || e.fields["target"] == nil) ||
-			closes(e, request, from, to) {
+			tellsOfTargetNotChosen(e, request, from, to) {
 			out = append(out, e)
 		}
 	}
@@ -186,9 +186,9 @@
 	return out
 }
 
-// closes reports whether a line says that the node of a request did not choose a target of its service at some time from from
-// to to.
-func closes(e, request logEntry, from, to time.Time) bool {
+// tellsOfTargetNotChosen reports whether a line says that the node of a request did not choose a target of its service at some
+// time between from and to.
+func tellsOfTargetNotChosen(e, request logEntry, from, to time.Time) bool {
 	closed, ok := e.fields["closed_ms"].(float64)
 	if !ok || e.fields["node"] != request.fields["node"] || e.fields["service"] != request.fields["service"] {
 		return false
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -144,7 +144,7 @@
 	c.exchange = newExchange(c.metrics, cfg.Dialect, direct)
 	c.relay = tunnel.NewRelay(tunnel.RelayConfig{
 		Dialer: direct, Known: func(address string) bool { return c.registry.AtAddress(address) != nil },
-		Statements: c.statements, Silent: silentTimeout, Clock: c.clock, Log: c.log, Metrics: c.metrics,
+		Notices: c.noticesAt, Silent: silentTimeout, Clock: c.clock, Log: c.log, Metrics: c.metrics,
 	})
 	engines := cfg.Engines(c.exchange)
 	c.scheduler = schedule.New(schedule.Config{
@@ -328,25 +328,29 @@
 	return err
 }
 
-// relayedTarget is a target that other nodes are connected to through this node; it implements tunnel.Statements.
+// relayedTarget is a target that other nodes are connected to through this node; it implements tunnel.Notices.
 type relayedTarget struct {
 	core   *Core
 	target *camphorhinge.Target
 }
 
-func (c *Core) statements(address string) tunnel.Statements {
+func (c *Core) noticesAt(address string) tunnel.Notices {
 	if t := c.registry.AtAddress(address); t != nil {
 		return relayedTarget{c, t}
 	}
 	return nil
 }
 
-// Closed implements tunnel.Statements.
+// Closed implements tunnel.Notices.
 func (r relayedTarget) Closed() bool { return r.core.notices.Closed(r.core.clock.Now(), r.target) }
 
-// Record implements tunnel.Statements. A value that is not valid is logged by the node that sent the request.
+// Record implements tunnel.Notices.
 func (r relayedTarget) Record(status int, h http.Header) bool {
-	notice, _ := r.core.parseNotice(status, h)
+	notice, err := r.core.parseNotice(status, h)
+	if err != nil {
+		// The node that sent the request warns of it.
+		r.core.log.Debug("statement of target not valid", "target", r.target.Name, "error", err)
+	}
 	closed := r.core.notices.Record(r.core.clock.Now(), r.target, notice)
 	if closed > 0 {
 		r.core.log.Info("target wants no requests", "target", r.target.Name, "service", r.target.Service, "leaving", notice.Leaving,
--- a/internal/node/tunnel/relay.go
+++ b/internal/node/tunnel/relay.go
@@ -33,8 +33,8 @@
 	drainPoll = 50 * time.Millisecond
 )
 
-// Statements holds what a target stated, in answers to requests that this node passed on, about further ones.
-type Statements interface {
+// Notices holds what a target stated, in answers to requests that this node passed on, about further ones.
+type Notices interface {
 	// Closed reports whether the target wants no requests now.
 	Closed() bool
 	// Record records the head of an answer, and reports whether the target wants no requests from now on.
@@ -46,8 +46,8 @@
 	Dialer NetDialer
 	// Known reports whether an address is that of a target.
 	Known func(address string) bool
-	// Statements returns what is known of the statements of the target at an address. With nil no answer is examined.
-	Statements func(address string) Statements
+	// Notices returns those of the target at an address, or nil if there is none. With a nil function no answer is examined.
+	Notices func(address string) Notices
 	// Silent is how long the connection of a node may leave sent data or probes unacknowledged before it fails.
 	Silent  time.Duration
 	Clock   camphorhinge.Clock
@@ -85,8 +85,8 @@
 	node, target net.Conn
 	// address is that of the target.
 	address string
-	// statements are those of the target, or nil.
-	statements Statements
+	// notices are those of the target, or nil.
+	notices Notices
 	// writing guards writes to node.
 	writing sync.Mutex
 	// retiring is set when the node must be told that it must not use the connection for a further request.
@@ -122,11 +122,11 @@
 		refuse(http.StatusNotFound, KindUnknown, nil)
 		return
 	}
-	var statements Statements
-	if r.cfg.Statements != nil {
-		statements = r.cfg.Statements(req.Host)
+	var notices Notices
+	if r.cfg.Notices != nil {
+		notices = r.cfg.Notices(req.Host)
 	}
-	if statements != nil && statements.Closed() {
+	if notices != nil && notices.Closed() {
 		refuse(http.StatusServiceUnavailable, KindUnwanted, nil)
 		return
 	}
@@ -156,7 +156,7 @@
 			r.cfg.Log.Warn("relayed connection without probes", "from", req.RemoteAddr, "error", err)
 		}
 	}
-	t := &tunnel{node: node, target: target, address: req.Host, statements: statements}
+	t := &tunnel{node: node, target: target, address: req.Host, notices: notices}
 	if !r.add(t) {
 		t.close()
 		return
@@ -268,7 +268,7 @@
 // examine records what the target states in the head of an answer. A head that does not come in one piece is left out.
 func (r *Relay) examine(t *tunnel, answer []byte) {
 	end := bytes.Index(answer, []byte("\r\n\r\n"))
-	if t.statements == nil || end < 0 {
+	if t.notices == nil || end < 0 {
 		return
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(answer[:end+4])), nil)
@@ -280,7 +280,7 @@
 	if resp.StatusCode < http.StatusOK {
 		t.awaited.Store(true)
 	}
-	if t.statements.Record(resp.StatusCode, resp.Header) {
+	if t.notices.Record(resp.StatusCode, resp.Header) {
 		r.retire(t.address)
 	}
 }
--- a/internal/node/tunnel/relay_test.go
+++ b/internal/node/tunnel/relay_test.go
@@ -59,10 +59,15 @@
 // newRelay returns a relay that knows the given targets, and its address.
 func newRelay(t *testing.T, known ...string) (relay *tunnel.Relay, address string) {
 	t.Helper()
-	relay = tunnel.NewRelay(tunnel.RelayConfig{
-		Dialer: &net.Dialer{}, Silent: time.Second, Clock: clock.New(), Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
-		Known: func(address string) bool { return slices.Contains(known, address) },
-	})
+	return startRelay(t, tunnel.RelayConfig{Known: func(address string) bool { return slices.Contains(known, address) }})
+}
+
+// startRelay starts a relay with the given functions of its configuration.
+func startRelay(t *testing.T, cfg tunnel.RelayConfig) (relay *tunnel.Relay, address string) {
+	t.Helper()
+	cfg.Dialer, cfg.Silent, cfg.Clock = &net.Dialer{}, time.Second, clock.New()
+	cfg.Log, cfg.Metrics = slog.New(slog.DiscardHandler), metrics.NewSet()
+	relay = tunnel.NewRelay(cfg)
 	s := httptest.NewServer(relay)
 	t.Cleanup(s.Close)
 	t.Cleanup(func() {
@@ -232,13 +237,13 @@
 	require.Error(t, err)
 }
 
-// statements implements tunnel.Statements: a target that answers with 503 wants no more requests.
-type statements struct{ atomic.Bool }
+// notices implements tunnel.Notices: a target that answers with 503 wants no more requests.
+type notices struct{ atomic.Bool }
 
-func (s *statements) Closed() bool { return s.Load() }
+func (n *notices) Closed() bool { return n.Load() }
 
-func (s *statements) Record(status int, _ http.Header) bool {
-	return status == http.StatusServiceUnavailable && !s.Swap(true)
+func (n *notices) Record(status int, _ http.Header) bool {
+	return status == http.StatusServiceUnavailable && !n.Swap(true)
 }
 
 // TestUnwantedTarget guards against requests that reach a target through a relay after the target has stated to the relay that it
@@ -265,20 +270,10 @@
 			}
 		}
 	})
-	var closed statements
-	relay := tunnel.NewRelay(tunnel.RelayConfig{
-		Dialer: &net.Dialer{}, Silent: time.Second, Clock: clock.New(), Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
-		Known:      func(string) bool { return true },
-		Statements: func(string) tunnel.Statements { return &closed },
-	})
-	s := httptest.NewServer(relay)
-	t.Cleanup(s.Close)
-	t.Cleanup(func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		relay.Drain(ctx)
+	var closed notices
+	_, address := startRelay(t, tunnel.RelayConfig{
+		Known: func(string) bool { return true }, Notices: func(string) tunnel.Notices { return &closed },
 	})
-	address := s.Listener.Addr().String()
 	request := func(c net.Conn, path string) *bufio.Reader {
 		_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
 		require.NoError(t, err)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -133,8 +133,8 @@
 	// Refused reports whether a request is refused, by its fingerprint or by one of its segments, and for how long.
 	Refused(fp camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (time.Duration, bool)
 	// Begin records that a request is in flight at a target; segments are the parts that other requests may have as well, and
-	// request is the one of them that is the request without its caller. The returned function must be called once when the attempt ends: crashed means that the connection was reset or closed
-	// during it, succeeded that the answer was complete.
+	// request is the one of them that is the request without its caller. The returned function must be called once when the
+	// attempt ends: crashed means that the connection was reset or closed during it, succeeded that the answer was complete.
 	Begin(target *camphorhinge.Target, fp, request camphorhinge.Fingerprint, segments ...camphorhinge.Fingerprint) (end func(crashed, succeeded bool))
 }
 
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -86,15 +86,14 @@
 			return j.interruptedError(ctx)
 		}
 		if !ok && j.awaitPause(ctx) {
-			j.exclude, j.retryReserved = nil, last != nil && j.arrivals > 0
+			j.placeAgain(last)
 			continue
 		}
 		if refusal > 0 && j.runs == 0 {
 			return newUnavailable(KindOverload, refusal, "the request can't be served before its caller gives up")
 		}
 		if !ok && j.awaitVersion(ctx, last) {
-			// The attempt that was allowed above is still to be made.
-			j.exclude, j.retryReserved = nil, last != nil && j.arrivals > 0
+			j.placeAgain(last)
 			continue
 		}
 		if !ok && len(j.exclude) > 0 {
@@ -115,6 +114,11 @@
 	}
 }
 
+// placeAgain prepares another placement after a wait. The attempt that was allowed after last is still to be made, at any target.
+func (j *job) placeAgain(last *exchange.Error) {
+	j.exclude, j.retryReserved = nil, last != nil && j.arrivals > 0
+}
+
 // quarantineError returns the Error of a request that the quarantine refuses, or nil. last is the error of the attempt
 // before, or nil.
 func (j *job) quarantineError(ctx context.Context, last *exchange.Error) *Error {
--- a/internal/request/quarantine/doc.go
+++ b/internal/request/quarantine/doc.go
@@ -6,7 +6,8 @@
 //
 // The segments of the prompts in flight are counted apart, since requests that have a segment in common need have nothing
 // else in common. A segment is refused after some crashes without a success since, unless another refused one explains
-// them.
+// them. A whole request without its caller is a segment as well; one that is not known to be sound is also refused by its
+// score, like a fingerprint.
 //
 // Invariants:
 //   - A crash counts once: a node reports an attempt at most once, and the reports of several nodes on one crash are
--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -131,6 +131,17 @@
 	run func(t *testing.T, s *Site, disturb func(entry int) (end func()))
 }
 
+// start begins the disturbance in a group and returns its outages.
+func (d disturbance) start(t *testing.T, s *Site, g *errgroup.Group) *outages {
+	t.Helper()
+	out := &outages{}
+	g.Go(func() error {
+		d.run(t, s, out.begin)
+		return nil
+	})
+	return out
+}
+
 func disturbances() []disturbance {
 	return []disturbance{
 		{"none", func(*testing.T, *Site, func(int) func()) {}},
@@ -311,12 +322,8 @@
 	}
 	time.Sleep(3 * time.Second)
 	began := time.Now()
-	out := &outages{}
 	var g errgroup.Group
-	g.Go(func() error {
-		d.run(t, s, out.begin)
-		return nil
-	})
+	out := d.start(t, s, &g)
 	load := &traffic{
 		site: s, length: 40 * time.Second, crashFrom: 8 * time.Second, interval: 30 * time.Millisecond, crashInterval: 400 * time.Millisecond,
 		crash: c.crash, seed: seed,
--- a/internal/standin/site/limit_test.go
+++ b/internal/standin/site/limit_test.go
@@ -30,12 +30,8 @@
 	limits := map[int]float64{0: 2, 4: 2.5, 5: 3.25, 6: 0.5, 7: 4}
 	time.Sleep(3 * time.Second)
 	began := time.Now()
-	out := &outages{}
 	var g errgroup.Group
-	g.Go(func() error {
-		d.run(t, s, out.begin)
-		return nil
-	})
+	out := d.start(t, s, &g)
 	g.Go(func() error {
 		time.Sleep(from)
 		for i, limit := range limits {
--- a/internal/standin/site/notice_test.go
+++ b/internal/standin/site/notice_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge"
 )
 
 // drainTime is the time after which a target that states that it leaves gets no requests of the entry node.
@@ -74,12 +80,8 @@
 	troubled := []int{0, 4, 5}
 	time.Sleep(3 * time.Second)
 	began := time.Now()
-	out := &outages{}
 	var g errgroup.Group
-	g.Go(func() error {
-		d.run(t, s, out.begin)
-		return nil
-	})
+	d.start(t, s, &g)
 	g.Go(func() error {
 		time.Sleep(from)
 		for _, i := range troubled {
@@ -117,3 +119,73 @@
 	require.GreaterOrEqual(t, meanwhile, before/2, "served meanwhile")
 	return told
 }
+
+// TestPauseOfAllEngines guards against refusals of requests whose engines all want a pause that ends well before the callers give
+// up: at least half of them must be served, where callers come back once after the time that they are told.
+func TestPauseOfAllEngines(t *testing.T) {
+	const from, timeout = 3 * time.Second, 4 * time.Second
+	for _, pause := range []time.Duration{500 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Config{Entries: 24, Cores: 5, Prefill: 4, Decode: 5})
+				defer func() { require.NoError(t, s.Close()) }()
+				time.Sleep(3 * time.Second)
+				began := time.Now()
+				setTrouble := func(x Trouble) {
+					for i := 4; i < 9; i++ {
+						s.SetTrouble(i, x)
+					}
+				}
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					time.Sleep(from)
+					setTrouble(Trouble{Pause: pause})
+					time.Sleep(pause)
+					setTrouble(Trouble{})
+				})
+				random := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // The traffic repeats from its seed.
+				var sent, served atomic.Int64
+				for n := uint64(0); time.Since(began) < from+pause; n++ {
+					time.Sleep(time.Duration(random.ExpFloat64() * float64(20*time.Millisecond)))
+					r := Request{Segments: []uint64{firstSegment, 0x10000 + n}, Output: 5 + random.IntN(40)}
+					entries := []int{random.IntN(24), random.IntN(24)}
+					wg.Go(func() {
+						meanwhile := time.Since(began) >= from
+						ok := sendTwice(s, r, n, entries, timeout)
+						if meanwhile {
+							sent.Add(1)
+						}
+						if meanwhile && ok {
+							served.Add(1)
+						}
+					})
+				}
+				wg.Wait()
+				t.Logf("served %d of %d", served.Load(), sent.Load())
+				require.GreaterOrEqual(t, sent.Load(), int64(20))
+				require.GreaterOrEqual(t, 2*served.Load(), sent.Load())
+			})
+		})
+	}
+}
+
+// sendTwice sends request n to the first of the entry nodes, and after a refusal to the second one when it says. It reports
+// whether the request was served within timeout.
+func sendTwice(s *Site, r Request, n uint64, entries []int, timeout time.Duration) bool {
+	began := time.Now()
+	for i, entry := range entries {
+		r.Attempt, r.Timeout = camphorhinge.AttemptID(fmt.Sprintf("r%d-%d", n, i)), timeout-time.Since(began)
+		answer, _ := s.Send(entry, r)
+		if answer.Complete(r.Output) {
+			return time.Since(began) <= timeout
+		}
+		after, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+		wait := time.Duration(after * float64(time.Second))
+		if err != nil || time.Since(began)+wait > timeout {
+			return false
+		}
+		time.Sleep(wait)
+	}
+	return false
+}
