Show how much a core node considers to place requests, and how late it is

Logs and metrics could not tell a core node without processor time from one without engines: both showed waiting requests. The line on waiting requests now has the requests and considered targets since the one before and the longest delay of a run of the queue; metrics have the same, the time to a decision, and the connections that were replaced after timeouts.

--- a/internal/node/peer/client.go
+++ b/internal/node/peer/client.go
@@ -83,9 +83,10 @@
 	if p.creds != nil {
 		scheme = "https://"
 	}
-	link := newTransport(p.newHTTPTransport)
+	link := newTransport(p.newHTTPTransport, func() {})
 	var rt http.RoundTripper = link
 	if p.traffic != nil {
+		link.onReplace = p.traffic.GetOrCreateCounter(TrafficPrefix + "replaced_total").Inc
 		rt = &trafficCounter{inner: rt, set: p.traffic}
 	}
 	client := &http.Client{Transport: rt}
--- a/internal/node/peer/transport.go
+++ b/internal/node/peer/transport.go
@@ -27,6 +27,8 @@
 // It also adds the trace context to the headers of calls.
 type transport struct {
 	open func(http2 bool) *http.Transport
+	// onReplace is called when a connection is replaced after a timeout.
+	onReplace func()
 
 	mu      sync.Mutex
 	current *http.Transport
@@ -36,8 +38,8 @@
 	replaceInterval time.Duration
 }
 
-func newTransport(open func(http2 bool) *http.Transport) *transport {
-	return &transport{open: open, current: open(false), replaceInterval: minReplaceInterval}
+func newTransport(open func(http2 bool) *http.Transport, onReplace func()) *transport {
+	return &transport{open: open, onReplace: onReplace, current: open(false), replaceInterval: minReplaceInterval}
 }
 
 // speaksHTTP2 is a header of HTTP/1.1 responses by which a peer shows that it also speaks HTTP/2.
@@ -101,6 +103,7 @@
 		return
 	}
 	used.CloseIdleConnections()
+	t.onReplace()
 	t.current, t.replacedAt = t.open(true), now
 	t.replaceInterval = min(2*t.replaceInterval, maxReplaceInterval)
 }
--- a/internal/node/schedule/origin_test.go
+++ b/internal/node/schedule/origin_test.go
@@ -127,7 +127,7 @@
 		Targets: &s.targets, Configuration: func() *routing.Config {
 			return &routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 8}}}}
 		},
-		Self: name, Others: func() []string { return others }, Feed: s.feed, Clock: s.clock, Log: slog.New(slog.DiscardHandler),
+		Self: name, Others: func() []string { return others }, Feed: s.feed, Clock: s.clock, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 		Versions: func(context.Context, camphorhinge.ServiceName) ([]camphorhinge.SoftwareVersion, error) {
 			if durable := s.durable.Load(); durable != nil {
 				return *durable, nil
--- a/internal/node/schedule/schedule_test.go
+++ b/internal/node/schedule/schedule_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
@@ -46,7 +47,7 @@
 	config := &routing.Config{Version: 1, Services: []routing.Service{{
 		Name: "s", Engine: &routing.Engine{Slots: 64, CacheCapacity: 500_000, TokenBytes: 160_000, LinkMbps: 1.6e6},
 	}}}
-	return New(Config{Targets: f, Configuration: func() *routing.Config { return config }, Clock: bubbleClock{time.Now()}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	return New(Config{Targets: f, Configuration: func() *routing.Config { return config }, Clock: bubbleClock{time.Now()}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewSet()})
 }
 
 // newPlaceRequest returns a request for one placement; shared is the hash of the first segment of its prompt.
--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
@@ -55,6 +56,7 @@
 	Clock    camphorhinge.Clock
 	Seed     uint64
 	Log      *slog.Logger
+	Metrics  *metrics.Set
 }
 
 // Scheduler places the requests of all entry nodes. It is safe for use by several goroutines.
@@ -72,6 +74,21 @@
 	cacheReportsSince camphorhinge.Instant
 	// requestedAt is the time of the latest placement request.
 	requestedAt camphorhinge.Instant
+	// load is the work since the last line of logLoad.
+	load load
+
+	// runLate is how late the runs of the queue are, decisionTime the time from a placement request to its decision, both in seconds.
+	runLate, decisionTime *metrics.Histogram
+}
+
+// load is the work of a Scheduler within a span of time, for logs.
+type load struct {
+	since camphorhinge.Instant
+	// considered is that of the placer at the begin of the span.
+	considered uint64
+	requests   int
+	// runLate is the longest delay of a run of the queue.
+	runLate time.Duration
 }
 
 // session holds the placements of an entry node's current session.
@@ -103,11 +120,17 @@
 // New returns a Scheduler without placements. Run must be running for requests to be decided.
 func New(cfg Config) *Scheduler {
 	placer := place.New(place.Config{Seed: cfg.Seed, Central: true})
+	cfg.Metrics.NewGauge("camphorhinge_placement_considered", func() float64 { return float64(placer.Considered()) })
 	return &Scheduler{
 		cfg: cfg, origins: newOrigins(cfg.Clock.Now()), placer: placer, queue: place.NewQueue(placer), sessions: map[string]*session{},
+		runLate:      cfg.Metrics.NewHistogram("camphorhinge_placement_run_late_seconds"),
+		decisionTime: cfg.Metrics.NewHistogram("camphorhinge_placement_decision_seconds"),
 	}
 }
 
+// Considered returns the number of targets that were considered for requests so far, as place.Placer does.
+func (s *Scheduler) Considered() uint64 { return s.placer.Considered() }
+
 // Run decides the waiting requests and polls engine caches until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -122,15 +145,20 @@
 func (s *Scheduler) runQueue(ctx context.Context) error {
 	ticker := time.NewTicker(queueInterval)
 	defer ticker.Stop()
+	last := s.cfg.Clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		now := s.cfg.Clock.Now()
 		s.mu.Lock()
+		now := s.cfg.Clock.Now()
+		late := max(now.Sub(last)-queueInterval, 0)
+		last = now
+		s.load.runLate = max(s.load.runLate, late)
 		if s.queue.Len() > 0 {
+			s.runLate.Update(late.Seconds())
 			s.queue.Run(now)
 		}
 		if now.Sub(s.lastSweep) >= sweepInterval {
@@ -141,15 +169,20 @@
 	}
 }
 
-// logLoad logs the waiting requests and the estimated speeds while requests wait. The caller holds s.mu.
+// logLoad logs the waiting requests, the work since the line before and the estimated speeds while requests wait. The caller
+// holds s.mu.
 func (s *Scheduler) logLoad(now camphorhinge.Instant) {
-	config := s.cfg.Configuration()
+	config, work := s.cfg.Configuration(), s.load
+	considered := s.placer.Considered()
+	s.load = load{since: now, considered: considered}
 	if s.queue.Len() == 0 || config == nil {
 		return
 	}
 	for i := range config.Services {
 		if svc := &config.Services[i]; svc.Engine != nil {
 			s.cfg.Log.Info("requests wait for an engine", "service", svc.Name, "waiting", s.queue.Len(),
+				"since_ms", now.Sub(work.since).Milliseconds(), "requests", work.requests, "considered", considered-work.considered,
+				"run_late_ms", work.runLate.Milliseconds(),
 				"engines", s.placer.Speeds(now, svc.Name, s.cfg.Targets.Live(svc.Name)))
 		}
 	}
@@ -280,6 +313,7 @@
 // enqueue queues a new request.
 func (s *Scheduler) enqueue(now camphorhinge.Instant, sess *session, req *peerpb.PlaceRequest, service *routing.Service) *pendingRequest {
 	s.requestedAt = now
+	s.load.requests++
 	pending := &pendingRequest{lastCall: now, decided: make(chan struct{})}
 	r := decodeRequest(now, req)
 	r.Engine = service.Engine
@@ -287,6 +321,7 @@
 	pending.queued = &place.QueuedRequest{
 		Request: r, Live: func() []*camphorhinge.Target { return s.cfg.Targets.Live(service.Name) },
 		OnDecision: func(p *place.Placement, retry time.Duration) {
+			s.decisionTime.Update(s.cfg.Clock.Now().Sub(now).Seconds())
 			pending.response = newResponse(p, retry)
 			if p != nil {
 				sess.placements[id] = activePlacement{p, s.cfg.Clock.Now()}
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -150,6 +150,7 @@
 	c.scheduler = schedule.New(schedule.Config{
 		Targets: c.registry, Configuration: c.routes.Current, Caches: engines, Clock: c.clock, Seed: c.seed(), Log: c.log,
 		Self: c.self.GetAddress(), Others: c.otherCoreAddresses, Feed: func(address string) peerpb.Feed { return c.pool.Get(address).Feed }, Versions: c.versionsInService,
+		Metrics: c.metrics,
 	})
 	c.source = feed.NewSource(feed.SourceConfig{
 		Zone: c.cfg.Zone, Registry: c.registry, Table: c.routes, Cores: c.durable.coreAddresses, Scores: c.durable.scores, Clock: c.clock,
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -52,6 +52,8 @@
 	speeds map[speedKey]*speed
 	// demands are the work of each service's requests.
 	demands map[camphorhinge.ServiceName]*demand
+	// considered is the number of targets that were considered for requests so far.
+	considered uint64
 }
 
 // New returns a Placer without any recorded work, load or cache contents.
@@ -151,8 +153,17 @@
 	return p.adopt(now, best.Plan, &req), true
 }
 
+// Considered returns the number of targets that were considered for requests so far, each time one was. The processor time
+// of placements is in proportion to it.
+func (p *Placer) Considered() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.considered
+}
+
 // bestPlan returns the plan with the least cost; ok is false when no live target may take the request.
 func (p *Placer) bestPlan(now camphorhinge.Instant, live []*camphorhinge.Target, req *Request) (scoredPlan, bool) {
+	p.considered += uint64(len(live))
 	targets := p.candidates(now, live, req)
 	if len(targets) == 0 {
 		return scoredPlan{}, false
--- a/internal/standin/site/core.go
+++ b/internal/standin/site/core.go
@@ -76,6 +76,8 @@
 	link gate
 	// paths are those to the engines.
 	paths paths
+	// processor does the node's work.
+	processor processor
 
 	mu        sync.Mutex
 	applied   int
@@ -92,6 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stop, c.applied, c.crashes = stop, 0, quarantine.NewMachine()
+	c.processor.restart()
 	var source *feed.Source
 	c.registry = registry.New(registry.Config{
 		Clock: c.site.clock, Expiry: 30 * time.Second, Exclusive: true, Metrics: metrics.NewSet(),
@@ -105,6 +108,7 @@
 		Feed: func(address string) peerpb.Feed {
 			return remoteFeed{core: c.site.coreOf(address), from: []*gate{&c.link}}
 		},
+		Metrics: metrics.NewSet(),
 	})
 	crashes := c.crashes
 	source = feed.NewSource(feed.SourceConfig{
@@ -175,13 +179,27 @@
 	if err := r.cross(ctx); err != nil {
 		return zero, err
 	}
+	if err := r.core.work(ctx, callWork); err != nil {
+		return zero, err
+	}
 	resp, err := do(ctx, req)
 	if err != nil {
 		return zero, err
 	}
+	if err := r.core.work(ctx, 0); err != nil {
+		return zero, err
+	}
 	return resp, r.cross(ctx)
 }
 
+// work waits until the node has done its work so far and the given one.
+func (c *core) work(ctx context.Context, d time.Duration) error {
+	c.mu.Lock()
+	scheduler := c.scheduler
+	c.mu.Unlock()
+	return c.processor.work(ctx, d, scheduler.Considered())
+}
+
 func (r remoteFeed) current() (*feed.Source, *schedule.Scheduler) {
 	r.core.mu.Lock()
 	defer r.core.mu.Unlock()
@@ -239,6 +257,9 @@
 	if err := r.cross(ctx); err != nil {
 		return nil, errNoLeader
 	}
+	if err := leader.work(ctx, callWork); err != nil {
+		return nil, camphorhinge.ErrUncertain
+	}
 	out, err := p.site.commit(leader, data)
 	if err != nil {
 		return nil, err
--- a/internal/standin/site/crash_test.go
+++ b/internal/standin/site/crash_test.go
@@ -55,6 +55,8 @@
 	interval, crashInterval time.Duration
 	// crash turns a sound request into a crashing one.
 	crash func(random *rand.Rand, r *Request)
+	// private is the number of further segments that only one request has.
+	private int
 	// popular is the share of the sound requests that are one request of many callers.
 	popular float64
 	seed    uint64
@@ -76,6 +78,9 @@
 		n++
 		// Some further segments are shared by few requests, and the last one by none.
 		segments := []uint64{firstSegment, 0x100 + random.Uint64N(40), 0x200 + random.Uint64N(10), 0x10000 + n}
+		for i := range r.private {
+			segments = append(segments, 1<<32+n*0x100+uint64(i))
+		}
 		request := Request{
 			Attempt: camphorhinge.AttemptID(fmt.Sprintf("r%d", n)), Segments: segments, Output: 5 + random.IntN(40), Timeout: 4 * time.Second,
 		}
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -87,6 +87,8 @@
 	// ended is closed when the current process ends.
 	ended chan struct{}
 	conns map[net.Conn]struct{}
+	// prefilledAt is when the prompts so far will be prefilled, if that is done one after the other.
+	prefilledAt time.Time
 	// toldAt is when the engine first stated its limit, that it leaves, or the current pause to each entry node.
 	toldAt map[int]time.Time
 }
@@ -225,7 +227,7 @@
 		e.site.recordArrival(Arrival{
 			At: time.Now(), Entry: from, Relayed: relayed, Attempt: attempt, Segments: hashes, Body: string(body), Prefill: prefill, Target: name, Told: e.told(from),
 		})
-		if !pause(ended, prefillTime) {
+		if !pause(ended, e.prefillWait(r.Header.Get(headerSource) != "")) {
 			return
 		}
 		told := e.recordTold(from, trouble)
@@ -248,6 +250,22 @@
 	}
 }
 
+// prefillWait returns the time until the prompt of a new request is prefilled; fetched is set if another engine has done that.
+func (e *engine) prefillWait(fetched bool) time.Duration {
+	serial := e.site.cfg.PrefillTime
+	if serial == 0 || fetched {
+		return prefillTime
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if e.prefilledAt.Before(now) {
+		e.prefilledAt = now
+	}
+	e.prefilledAt = e.prefilledAt.Add(serial)
+	return e.prefilledAt.Sub(now)
+}
+
 // told returns for how long an entry node has known the limit of the engine, or 0.
 func (e *engine) told(entry int) time.Duration {
 	e.mu.Lock()
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -31,10 +31,16 @@
 	Entries, Cores int
 	// Prefill and Decode are the numbers of engines in each role.
 	Prefill, Decode int
+	// Busy makes the work of core nodes take processor time.
+	Busy bool
+	// PrefillTime is the time to prefill a prompt if engines do that one after the other; 0 stands for prefillTime and any number
+	// at once.
+	PrefillTime time.Duration
 }
 
 // Site is a running site. Its methods are safe for concurrent use inside the bubble.
 type Site struct {
+	cfg     Config
 	clock   virtualClock
 	ctx     context.Context //nolint:containedctx // It ends all goroutines of the simulation.
 	stop    context.CancelFunc
@@ -62,7 +68,7 @@
 // New starts a site; Close must be called.
 func New(cfg Config) *Site {
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Site{clock: virtualClock{time.Now()}, ctx: ctx, stop: stop, table: routing.NewTable(decodeConfig)}
+	s := &Site{cfg: cfg, clock: virtualClock{time.Now()}, ctx: ctx, stop: stop, table: routing.NewTable(decodeConfig)}
 	document, err := json.Marshal(routing.Config{
 		Version: 1,
 		Routes: []routing.Route{{
@@ -76,7 +82,7 @@
 	}
 	s.table.Apply(camphorhinge.Entry{}, document)
 	for i := range cfg.Cores {
-		s.cores = append(s.cores, &core{site: s, name: fmt.Sprintf("core-%d", i), paths: paths{site: s}})
+		s.cores = append(s.cores, &core{site: s, name: fmt.Sprintf("core-%d", i), paths: paths{site: s}, processor: processor{idle: !cfg.Busy}})
 	}
 	for _, c := range s.cores {
 		c.start(s.table)
