--- a/internal/standin/site/busy_test.go
+++ b/internal/standin/site/busy_test.go
@@ -15,7 +15,7 @@
 		s := New(Config{Entries: 295, Cores: 5, Prefill: 180, Decode: 60, Busy: true, PrefillTime: 230 * time.Millisecond})
 		defer func() { require.NoError(t, s.Close()) }()
 		time.Sleep(3 * time.Second)
-		load := &traffic{site: s, length: 4 * time.Second, crashFrom: time.Hour, private: 7, interval: time.Second / 840}
+		load := &traffic{site: s, length: 4 * time.Second, crashFrom: time.Hour, private: 7, interval: time.Second / 1000}
 		load.run()
 		var placed []uint64
 		for _, c := range s.cores {
