Keep a connection to a slow peer on which other calls are answered

Cause: each call that timed out opened another connection, every 0.5 s while any call succeeded, so that an overloaded peer had more work for each call that it was late with. A connection is now replaced only if nothing was received on it since the call was sent, and the interval between replacements grows until 4 s pass without a timeout. TestSlowPeerKeepsConnection had 5 connections before, where one is allowed, and passes now.

--- a/internal/node/peer/client.go
+++ b/internal/node/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -114,9 +115,17 @@
 
 // newHTTPTransport returns a transport with one connection for all calls over HTTP/2, or with a connection for each
 // concurrent call over HTTP/1.1.
-func (p *Pool) newHTTPTransport(http2 bool) *http.Transport {
+func (p *Pool) newHTTPTransport(http2 bool) *connections {
+	c := &connections{}
+	dialer := dial.New(dialTimeout, p.source)
 	t := &http.Transport{
-		DialContext:         dial.New(dialTimeout, p.source).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return watchedConn{conn, &c.received}, nil
+		},
 		TLSHandshakeTimeout: dialTimeout,
 		MaxIdleConnsPerHost: connectionsPerPeer,
 		IdleConnTimeout:     idleTimeout,
@@ -134,7 +143,8 @@
 	if p.creds != nil {
 		t.TLSClientConfig = p.creds.clientConfig()
 	}
-	return t
+	c.Transport = t
+	return c
 }
 
 func isTimeout(err error) bool {
--- a/internal/node/peer/transport.go
+++ b/internal/node/peer/transport.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -14,31 +16,55 @@
 )
 
 const (
-	// minReplaceInterval is the least time between two replacements of a connection on which calls time out: a peer that
-	// is only slow answers on the connection that it has. The interval doubles while no call succeeds, up to
-	// maxReplaceInterval, because a peer that was paused finds all these connections when it continues.
+	// minReplaceInterval is the least time between two replacements of a connection on which calls time out. The interval
+	// doubles up to maxReplaceInterval, because a peer that was paused or is slow has to serve all these connections. It
+	// returns to the least one after maxReplaceInterval without a timeout.
 	minReplaceInterval = 500 * time.Millisecond
 	maxReplaceInterval = 4 * time.Second
 )
 
 // transport sends the calls to one peer over a shared HTTP/2 connection, which needs one descriptor at both ends however
-// many calls wait for their answers. After a timeout, later calls use another connection. It begins with HTTP/1.1, and
+// many calls wait for their answers. After a call that timed out while nothing was received, later calls use another
+// connection: a peer that is only slow answers on the one that it has. It begins with HTTP/1.1, and
 // returns to it after a failure, until a response shows that the peer speaks HTTP/2: one of an earlier version does not.
 // It also adds the trace context to the headers of calls.
 type transport struct {
-	open func(http2 bool) *http.Transport
+	open func(http2 bool) *connections
 	// onReplace is called when a connection is replaced after a timeout.
 	onReplace func()
 
 	mu      sync.Mutex
-	current *http.Transport
+	current *connections
 	http2   bool
 	// replacedAt is the time of the latest replacement after a timeout, and replaceInterval the least time to the next.
-	replacedAt      time.Time
-	replaceInterval time.Duration
+	// timedOutAt is the time of the latest timeout.
+	replacedAt, timedOutAt time.Time
+	replaceInterval        time.Duration
 }
 
-func newTransport(open func(http2 bool) *http.Transport, onReplace func()) *transport {
+// connections are the connections to a peer over one version of HTTP.
+type connections struct {
+	*http.Transport
+	// received is when bytes were last received, in nanoseconds since 1970.
+	received atomic.Int64
+}
+
+// watchedConn records when bytes are received.
+type watchedConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c watchedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+func newTransport(open func(http2 bool) *connections, onReplace func()) *transport {
 	return &transport{open: open, onReplace: onReplace, current: open(false), replaceInterval: minReplaceInterval}
 }
 
@@ -54,14 +80,15 @@
 	t.mu.Lock()
 	used, http2 := t.current, t.http2
 	t.mu.Unlock()
+	sent := time.Now()
 	resp, err := used.RoundTrip(req)
-	t.recordEnd(used, err == nil)
+	t.recordEnd(used)
 	switch {
 	case err == nil && !http2 && resp.Header.Get(speaksHTTP2) != "":
 		t.replace(used, true)
 	case err == nil || errors.Is(err, context.Canceled):
 	case http2 && (errors.Is(err, context.DeadlineExceeded) || isTimeout(err)):
-		t.replaceSilent(used)
+		t.replaceSilent(used, sent)
 	case http2:
 		t.replace(used, false)
 	case isTimeout(err):
@@ -72,20 +99,16 @@
 
 // recordEnd records the end of a call. The connection of a transport that has been replaced is closed after its last
 // call.
-func (t *transport) recordEnd(used *http.Transport, ok bool) {
+func (t *transport) recordEnd(used *connections) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.current != used {
 		used.CloseIdleConnections()
-		return
-	}
-	if ok {
-		t.replaceInterval = minReplaceInterval
 	}
 }
 
 // replace makes later calls use another transport than the given one. Calls in progress continue.
-func (t *transport) replace(used *http.Transport, http2 bool) {
+func (t *transport) replace(used *connections, http2 bool) {
 	used.CloseIdleConnections()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -94,12 +117,17 @@
 	}
 }
 
-// replaceSilent makes later calls use another connection, unless this one is recent.
-func (t *transport) replaceSilent(used *http.Transport) {
+// replaceSilent makes later calls use another connection after a call that was sent at the given time and timed out, unless
+// something has been received since then or this connection is recent.
+func (t *transport) replaceSilent(used *connections, sent time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	if t.current != used || now.Sub(t.replacedAt) < t.replaceInterval {
+	if now.Sub(t.timedOutAt) > maxReplaceInterval {
+		t.replaceInterval = minReplaceInterval
+	}
+	t.timedOutAt = now
+	if t.current != used || used.received.Load() >= sent.UnixNano() || now.Sub(t.replacedAt) < t.replaceInterval {
 		return
 	}
 	used.CloseIdleConnections()
