Consider targets for a request with less work, and waiting requests less often

Cause, by a profile: for each request and target the state and the speeds were looked up by name several times and receivers were weighed once for each zone; and each run of the queue, every 5 ms, tried up to 18 waiting requests again, each with all 240 engines. The class is work at one node that grows with requests times targets. State, speeds and receivers are now found once for each request, with the same choices (the tests of the package are unchanged), and a run tries waiting requests again for at most 1,200 targets, in turn.

--- a/internal/request/place/engine.go
+++ b/internal/request/place/engine.go
@@ -74,16 +74,46 @@
 	home *camphorhinge.Target
 	// holders are the engines that have all shared segments cached, as far as recorded.
 	holders []*camphorhinge.Target
-	// servers is the number of engines that generate, by software version.
-	servers map[camphorhinge.SoftwareVersion]int
+	// versions is the number of engines that generate, by software version.
+	versions map[camphorhinge.SoftwareVersion]int
+	// prefill and decodeRole are the speeds of prefills in the prefill and in the decode role.
+	prefill, decodeRole *speed
 	// receivers are the best engines to receive a KV cache, by the zone of the prefill engine.
 	receivers map[camphorhinge.Zone]receiver
 }
 
+// speedOf returns the prefill speed of an engine in its role.
+func (c *planInput) speedOf(t *camphorhinge.Target) *speed {
+	if t.Role == camphorhinge.RoleDecode {
+		return c.decodeRole
+	}
+	return c.prefill
+}
+
+// prefillTime returns the time in which an engine prefills n tokens, without the overhead and corrected by its measured
+// slowdown.
+func (c *planInput) prefillTime(t candidate, n float64) time.Duration {
+	return time.Duration(n * c.speedOf(t.Target).perToken * t.state.slowdown * float64(time.Millisecond))
+}
+
+// prefillOverhead returns the time of a prefill that does not depend on its size.
+func (c *planInput) prefillOverhead(t *camphorhinge.Target) time.Duration {
+	return time.Duration(c.speedOf(t).overhead * float64(time.Millisecond))
+}
+
+// server is an engine that may run the request.
+type server struct {
+	candidate
+	// occupied is the number of attempts that take a slot.
+	occupied int
+	// cost is the cost of choosing the engine, whichever engine does the prefill.
+	cost time.Duration
+}
+
 // receiver is an engine that receives a KV cache, with the transfer time, which includes Rates.Setup, and the cost of
 // choosing it.
 type receiver struct {
-	target   *camphorhinge.Target
+	*server
 	transfer time.Duration
 	cost     time.Duration
 }
@@ -100,23 +130,22 @@
 // bestEnginePlan returns the plan with the least cost; the result is false when none of the targets can run the
 // request. The targets are those of live that may receive it. When none has capacity, a central Placer returns a plan
 // with a wait of fullWait, while another one ignores the capacity, but not the limits that targets state.
-func (p *Placer) bestEnginePlan(now camphorhinge.Instant, live, targets []*camphorhinge.Target, req *Request) (scoredPlan, bool) {
-	prefillers, servers := splitByRole(targets)
-	if len(servers) == 0 {
+func (p *Placer) bestEnginePlan(now camphorhinge.Instant, live []*camphorhinge.Target, targets []candidate, req *Request) (scoredPlan, bool) {
+	prefillers, generating := splitByRole(targets)
+	if len(generating) == 0 {
 		return scoredPlan{}, false
 	}
-	versions := countVersions(servers)
-	full := scoredPlan{wait: fullWait, full: true, Plan: Plan{Serve: servers[0], Expected: fullWait}}
-	prefillers, servers = p.underLimit(now, prefillers), p.underLimit(now, servers)
-	if len(servers) == 0 {
+	full := scoredPlan{wait: fullWait, full: true, Plan: Plan{Serve: generating[0].Target, Expected: fullWait}}
+	c := &planInput{now: now, req: req, versions: countVersions(generating), receivers: map[camphorhinge.Zone]receiver{}}
+	prefillers, generating = p.underLimit(now, prefillers), p.underLimit(now, generating)
+	if len(generating) == 0 {
 		return full, p.cfg.Central
 	}
-	if free := p.withCapacity(now, servers, req); len(free) > 0 {
-		servers = free
-	} else if p.cfg.Central {
+	servers, free := p.servers(c, generating)
+	if !free && p.cfg.Central {
 		return full, true
 	}
-	c := &planInput{now: now, req: req, servers: versions, receivers: map[camphorhinge.Zone]receiver{}}
+	c.prefill, c.decodeRole = p.prefillSpeeds(generating[0].Service)
 	c.shared, c.sharedTokens = req.shared()
 	p.findHolders(c, live, targets)
 
@@ -127,13 +156,12 @@
 			best = o
 		}
 	}
-	for _, t := range servers {
+	for i := range servers {
+		t := &servers[i]
 		o := p.directPlan(c, t)
-		o.cost += c.loneCost(t)
 		if len(prefillers) > 0 && t.Role == camphorhinge.RoleDecode {
 			// The prefill is interleaved with the decode steps of all requests that run there, and delays each of them.
-			running := float64(p.stateOf(now, t).occupied(now))
-			o.cost += time.Duration((1 + interferenceCost*running) * float64(p.prefillTime(t, float64(o.Uncached))))
+			o.cost += time.Duration((1 + interferenceCost*float64(t.occupied)) * float64(c.prefillTime(t.candidate, float64(o.Uncached))))
 		}
 		consider(o)
 	}
@@ -146,7 +174,7 @@
 }
 
 // splitByRole divides engines into those that only prefill and those that run requests.
-func splitByRole(targets []*camphorhinge.Target) (prefillers, servers []*camphorhinge.Target) {
+func splitByRole(targets []candidate) (prefillers, servers []candidate) {
 	for _, t := range targets {
 		if t.Role == camphorhinge.RolePrefill {
 			prefillers = append(prefillers, t)
@@ -157,30 +185,40 @@
 	return prefillers, servers
 }
 
-// withCapacity returns the engines that have slots and memory left for a request. An engine that runs out of memory
-// preempts requests and prefills their prompts again, which delays many others.
-func (p *Placer) withCapacity(now camphorhinge.Instant, servers []*camphorhinge.Target, req *Request) []*camphorhinge.Target {
-	var out []*camphorhinge.Target
-	for _, t := range servers {
-		s := p.stateOf(now, t)
-		slots := t.Slots == 0 || float64(s.occupied(now)) < fullShare*float64(t.Slots) && s.awaited < t.Slots
-		memory := req.Engine.CacheCapacity == 0 || s.running == 0 ||
-			float64(s.reserved+req.Prompt+req.Output) < fullShare*float64(req.Engine.CacheCapacity)
+// servers returns the engines that have slots and memory left for a request, or all if none has; free is false then. An engine
+// that runs out of memory preempts requests and prefills their prompts again, which delays many others.
+func (p *Placer) servers(c *planInput, generating []candidate) (out []server, free bool) {
+	all := make([]server, 0, len(generating))
+	for _, t := range generating {
+		s, x := t.state, server{candidate: t}
+		x.occupied = s.occupied(c.now)
+		x.cost = p.crowdingCost(c, &x) + c.crossZoneCost(t.Target) + c.loneCost(t.Target)
+		all = append(all, x)
+		slots := t.Slots == 0 || float64(x.occupied) < fullShare*float64(t.Slots) && s.awaited < t.Slots
+		memory := c.req.Engine.CacheCapacity == 0 || s.running == 0 ||
+			float64(s.reserved+c.req.Prompt+c.req.Output) < fullShare*float64(c.req.Engine.CacheCapacity)
 		if slots && memory {
-			out = append(out, t)
+			out = append(out, x)
 		}
 	}
-	return out
+	if len(out) == 0 {
+		return all, false
+	}
+	return out, true
 }
 
 // findHolders determines the home and the holders of the shared segments. Holders may be any live engines, because
 // draining ones still serve fetches.
-func (p *Placer) findHolders(c *planInput, live, targets []*camphorhinge.Target) {
+func (p *Placer) findHolders(c *planInput, live []*camphorhinge.Target, targets []candidate) {
 	if len(c.shared) == 0 {
 		return
 	}
 	if !p.cfg.Central {
-		c.home = homes(c.shared[len(c.shared)-1].Hash, targets, 1)[0]
+		engines := make([]*camphorhinge.Target, 0, len(targets))
+		for _, t := range targets {
+			engines = append(engines, t.Target)
+		}
+		c.home = homes(c.shared[len(c.shared)-1].Hash, engines, 1)[0]
 	}
 	for _, t := range live {
 		if p.stateOf(c.now, t).cache.cachedTokens(c.shared) == c.sharedTokens {
@@ -210,10 +248,10 @@
 
 // estimatePrefill estimates the prefill at a target, which fetches the shared segments missing from its cache from a
 // holder.
-func (p *Placer) estimatePrefill(c *planInput, t *camphorhinge.Target) prefillEstimate {
-	s := p.stateOf(c.now, t)
+func (p *Placer) estimatePrefill(c *planInput, t candidate) prefillEstimate {
+	s := t.state
 	cached := s.cache.cachedOrPendingTokens(c.shared)
-	if t == c.home {
+	if t.Target == c.home {
 		cached = c.sharedTokens // Assumed, because other nodes send the segments there as well.
 	}
 	missing := c.sharedTokens - cached
@@ -221,7 +259,7 @@
 	var transfer time.Duration
 	extra := camphorhinge.Tokens(0)
 	if missing > 0 {
-		switch r.fetch = nearest(c.holders, t); {
+		switch r.fetch = nearest(c.holders, t.Target); {
 		case r.fetch == nil && c.home == nil:
 			extra = missing
 		case r.fetch == nil:
@@ -229,14 +267,14 @@
 			r.fetch, extra = c.home, missing*homeMissPercent/100
 		}
 		if r.fetch != nil {
-			transfer = transferTime(missing, c.req.Engine, r.fetch, t) + p.cfg.Rates.Setup
+			transfer = transferTime(missing, c.req.Engine, r.fetch, t.Target) + p.cfg.Rates.Setup
 		}
 	}
 	r.uncached = max(c.req.Prompt-c.sharedTokens, 1) + extra
 	r.wait = s.backlog(c.now) + time.Duration(p.otherNodesRequests(s, c.now)*float64(otherNodeRequestTime))
 	// The transfer runs while the prompts ahead are prefilled.
-	r.total = max(r.wait, transfer) + p.prefillTime(t, float64(r.uncached)) + p.prefillOverhead(t)
-	r.cost = r.total + time.Duration(4*s.currentFailureShare(c.now)*float64(r.total)) + p.prefillTime(t, evictionCostShare*float64(missing))
+	r.total = max(r.wait, transfer) + c.prefillTime(t, float64(r.uncached)) + c.prefillOverhead(t.Target)
+	r.cost = r.total + time.Duration(4*s.currentFailureShare(c.now)*float64(r.total)) + c.prefillTime(t, evictionCostShare*float64(missing))
 	return r
 }
 
@@ -252,11 +290,11 @@
 }
 
 // directPlan returns the plan in which one engine both prefills and decodes.
-func (p *Placer) directPlan(c *planInput, t *camphorhinge.Target) scoredPlan {
-	r := p.estimatePrefill(c, t)
+func (p *Placer) directPlan(c *planInput, t *server) scoredPlan {
+	r := p.estimatePrefill(c, t.candidate)
 	return scoredPlan{
-		Plan: Plan{Serve: t, Fetch: r.fetch, Expected: r.total, Uncached: r.uncached, Reason: reason("direct", r.fetch)},
-		cost: r.cost + c.req.Upload + p.crowdingCost(c, t) + c.crossZoneCost(t), wait: r.wait,
+		Plan: Plan{Serve: t.Target, Fetch: r.fetch, Expected: r.total, Uncached: r.uncached, Reason: reason("direct", r.fetch)},
+		cost: r.cost + c.req.Upload + t.cost, wait: r.wait,
 	}
 }
 
@@ -268,33 +306,32 @@
 }
 
 // separatePlan returns the plan in which an engine of the prefill role computes the KV cache for another engine.
-func (p *Placer) separatePlan(c *planInput, prefiller *camphorhinge.Target, servers []*camphorhinge.Target) scoredPlan {
+func (p *Placer) separatePlan(c *planInput, prefiller candidate, servers []server) scoredPlan {
 	r := p.estimatePrefill(c, prefiller)
-	to := p.bestReceiver(c, prefiller, servers)
-	server := to.target
+	to := p.bestReceiver(c, prefiller.Target, servers)
 	// The server starts the request between the chunks of its own prefills, without waiting for their end.
-	handover := to.transfer + p.prefillOverhead(server)
+	handover := to.transfer + c.prefillOverhead(to.Target)
 	expected := r.total + handover
 	return scoredPlan{
-		Plan: Plan{Prefill: prefiller, Serve: server, Fetch: r.fetch, Expected: expected, Uncached: r.uncached, Reason: reason("separate prefill", r.fetch)},
-		cost: r.cost + 2*c.req.Upload + handover + separatePrefillPenalty + p.crowdingCost(c, server) + c.crossZoneCost(prefiller) + c.crossZoneCost(server) + c.loneCost(server),
+		Plan: Plan{Prefill: prefiller.Target, Serve: to.Target, Fetch: r.fetch, Expected: expected, Uncached: r.uncached, Reason: reason("separate prefill", r.fetch)},
+		cost: r.cost + 2*c.req.Upload + handover + separatePrefillPenalty + c.crossZoneCost(prefiller.Target) + to.server.cost,
 		wait: r.wait,
 	}
 }
 
 // bestReceiver returns the engine to which prefiller hands over the KV cache. The choice depends on the zone of
 // prefiller only, so it is made once per zone.
-func (p *Placer) bestReceiver(c *planInput, prefiller *camphorhinge.Target, servers []*camphorhinge.Target) receiver {
+func (p *Placer) bestReceiver(c *planInput, prefiller *camphorhinge.Target, servers []server) receiver {
 	if r, ok := c.receivers[prefiller.Zone]; ok {
 		return r
 	}
 	var best receiver
-	for _, t := range servers {
-		s := p.stateOf(c.now, t)
-		transfer := transferTime(c.req.Prompt, c.req.Engine, prefiller, t)
-		busy := s.backlog(c.now) + time.Duration((float64(s.occupied(c.now))+p.otherNodesRequests(s, c.now))*float64(runningRequestCost))
-		cost := 2*transfer + busy + p.crowdingCost(c, t) + c.crossZoneCost(t) + c.loneCost(t)
-		if best.target == nil || cost < best.cost {
+	for i := range servers {
+		t := &servers[i]
+		transfer := transferTime(c.req.Prompt, c.req.Engine, prefiller, t.Target)
+		busy := t.state.backlog(c.now) + time.Duration((float64(t.occupied)+p.otherNodesRequests(t.state, c.now))*float64(runningRequestCost))
+		cost := 2*transfer + busy + t.cost
+		if best.server == nil || cost < best.cost {
 			best = receiver{t, transfer + p.cfg.Rates.Setup, cost}
 		}
 	}
@@ -303,7 +340,7 @@
 }
 
 // countVersions returns the number of engines by software version.
-func countVersions(servers []*camphorhinge.Target) map[camphorhinge.SoftwareVersion]int {
+func countVersions(servers []candidate) map[camphorhinge.SoftwareVersion]int {
 	out := map[camphorhinge.SoftwareVersion]int{}
 	for _, t := range servers {
 		out[t.Software]++
@@ -314,7 +351,7 @@
 // loneCost returns loneVersionCost for an engine that no other one could continue the stream after, while there are engines of
 // another version, and otherwise 0.
 func (c *planInput) loneCost(t *camphorhinge.Target) time.Duration {
-	if c.req.Resumable && c.req.Software == nil && len(c.servers) > 1 && c.servers[t.Software] == 1 {
+	if c.req.Resumable && c.req.Software == nil && len(c.versions) > 1 && c.versions[t.Software] == 1 {
 		return loneVersionCost
 	}
 	return 0
@@ -335,11 +372,11 @@
 }
 
 // crowdingCost returns the cost of an engine whose slots or memory are nearly exhausted, by this node's estimate.
-func (p *Placer) crowdingCost(c *planInput, t *camphorhinge.Target) time.Duration {
-	s := p.stateOf(c.now, t)
+func (p *Placer) crowdingCost(c *planInput, t *server) time.Duration {
+	s := t.state
 	used := 0.0
 	if t.Slots > 0 {
-		used = (float64(s.occupied(c.now)) + p.otherNodesRequests(s, c.now)) / float64(t.Slots)
+		used = (float64(t.occupied) + p.otherNodesRequests(s, c.now)) / float64(t.Slots)
 	}
 	if c.req.Engine.CacheCapacity > 0 {
 		used = max(used, float64(s.reserved+c.req.Prompt)/float64(c.req.Engine.CacheCapacity))
--- a/internal/request/place/limit.go
+++ b/internal/request/place/limit.go
@@ -110,14 +110,8 @@
 }
 
 // underLimit returns the targets that may be sent a request now according to their limits.
-func (p *Placer) underLimit(now camphorhinge.Instant, targets []*camphorhinge.Target) []*camphorhinge.Target {
-	var out []*camphorhinge.Target
-	for _, t := range targets {
-		if p.withinLimit(now, p.stateOf(now, t)) {
-			out = append(out, t)
-		}
-	}
-	return out
+func (p *Placer) underLimit(now camphorhinge.Instant, targets []candidate) []candidate {
+	return slices.DeleteFunc(targets, func(t candidate) bool { return !p.withinLimit(now, t.state) })
 }
 
 // setLimit records what a target stated in an answer at the given time.
--- a/internal/request/place/placement.go
+++ b/internal/request/place/placement.go
@@ -105,7 +105,7 @@
 	f.segments = req.Segments
 	if prefills {
 		f.prefilling, f.speed, f.uncached, f.fetches = true, p.prefillSpeedOf(t), float64(plan.Uncached), plan.Fetch != nil
-		f.prefillTime = p.prefillTime(t, f.uncached)
+		f.prefillTime = time.Duration(f.uncached * f.speed.perToken * s.slowdown * float64(time.Millisecond))
 		f.prefillDue = s.startPrefill(now, f.prefillTime)
 	}
 	s.cache.addPending(now, f, req.Engine.CacheCapacity)
--- a/internal/request/place/placer.go
+++ b/internal/request/place/placer.go
@@ -41,11 +41,10 @@
 type Placer struct {
 	cfg Config
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	targets  map[camphorhinge.TargetName]*targetState
-	lastSeen map[camphorhinge.TargetName]camphorhinge.Instant
-	sweptAt  camphorhinge.Instant
+	mu      sync.Mutex
+	random  *rand.Rand
+	targets map[camphorhinge.TargetName]*targetState
+	sweptAt camphorhinge.Instant
 	// plainLatency is the moving average of the latency of each plain service.
 	plainLatency map[camphorhinge.ServiceName]time.Duration
 	// speeds are the measured speeds of engines.
@@ -65,7 +64,6 @@
 		cfg:          cfg,
 		random:       rand.New(rand.NewPCG(cfg.Seed, 0)), //nolint:gosec // Choices between equals need no secrecy.
 		targets:      map[camphorhinge.TargetName]*targetState{},
-		lastSeen:     map[camphorhinge.TargetName]camphorhinge.Instant{},
 		plainLatency: map[camphorhinge.ServiceName]time.Duration{},
 		speeds:       map[speedKey]*speed{},
 		demands:      map[camphorhinge.ServiceName]*demand{},
@@ -80,7 +78,7 @@
 		s = &targetState{incarnation: t.Incarnation, address: t.Address, slowdown: 1}
 		p.targets[t.Name] = s
 	}
-	p.lastSeen[t.Name] = now
+	s.usedAt = now
 	if now.Sub(p.sweptAt) >= sweepInterval {
 		p.sweep(now)
 	}
@@ -89,18 +87,24 @@
 
 func (p *Placer) sweep(now camphorhinge.Instant) {
 	p.sweptAt = now
-	for name, at := range p.lastSeen {
-		if s := p.targets[name]; now.Sub(at) > stateRetention && s.running == 0 && !s.notices.closed(now) {
-			delete(p.lastSeen, name)
+	for name, s := range p.targets {
+		if now.Sub(s.usedAt) > stateRetention && s.running == 0 && !s.notices.closed(now) {
 			delete(p.targets, name)
 		}
 	}
 }
 
+// candidate is a live target that is considered for a request, with its state.
+type candidate struct {
+	*camphorhinge.Target
+	state *targetState
+}
+
 // candidates returns the live targets that may receive a request or prefill its prompt. Targets that want none of this node
 // are left out; those that failed recently or are spared after a pause are, too, unless no others could serve it.
-func (p *Placer) candidates(now camphorhinge.Instant, live []*camphorhinge.Target, req *Request) []*camphorhinge.Target {
-	var ready, unready, spared []*camphorhinge.Target
+func (p *Placer) candidates(now camphorhinge.Instant, live []*camphorhinge.Target, req *Request) []candidate {
+	ready := make([]candidate, 0, len(live))
+	var unready, spared []candidate
 	servers := 0
 	for _, t := range live {
 		prefills := req.Engine != nil && t.Role == camphorhinge.RolePrefill
@@ -112,14 +116,14 @@
 			continue
 		}
 		if !s.available(now) {
-			unready = append(unready, t)
+			unready = append(unready, candidate{t, s})
 			continue
 		}
 		if p.spares(now, s) {
-			spared = append(spared, t)
+			spared = append(spared, candidate{t, s})
 			continue
 		}
-		ready = append(ready, t)
+		ready = append(ready, candidate{t, s})
 		if !prefills {
 			servers++
 		}
@@ -209,18 +213,18 @@
 }
 
 // bestPlainPlan returns a plan with the least busy target, with some preference for the node's own zone.
-func (p *Placer) bestPlainPlan(now camphorhinge.Instant, targets []*camphorhinge.Target, req *Request) Plan {
+func (p *Placer) bestPlainPlan(now camphorhinge.Instant, targets []candidate, req *Request) Plan {
 	var best *camphorhinge.Target
 	var least float64
 	for _, t := range targets {
-		s := p.stateOf(now, t)
+		s := t.state
 		busy := (float64(s.running)+p.otherNodesRequests(s, now))*s.slowdown + p.random.Float64()*0.1
 		if t.Zone != p.cfg.Zone {
 			busy += otherZoneCost
 		}
 		busy += 4 * s.currentFailureShare(now)
 		if best == nil || busy < least {
-			best, least = t, busy
+			best, least = t.Target, busy
 		}
 	}
 	mean := p.plainLatency[req.Service]
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -27,6 +27,9 @@
 	rateWindow = time.Second
 	// maxUnplacedPerRank bounds the requests of a rank that a single Run tries to place in vain.
 	maxUnplacedPerRank = 6
+	// maxReconsidered bounds the targets that a single Run considers for requests which it has tried to place before, so that
+	// the processor time of a Run does not grow with the number of waiting requests times that of targets.
+	maxReconsidered = 1200
 )
 
 // Queue holds model requests until an engine can start them. Requests that can still meet their due time go first, by
@@ -41,6 +44,8 @@
 	waiting []*QueuedRequest
 	// rates are the arrivals and placements by rank.
 	rates map[int]*rankRate
+	// runs is the number of calls of Run.
+	runs uint64
 	// refusedUntil is the time until which a retry of a refused request goes first, by the hash of its private segment.
 	refusedUntil map[uint64]camphorhinge.Instant
 	sweptAt      camphorhinge.Instant
@@ -55,6 +60,11 @@
 	// that there is no target. It must not call the Placer, whose lock may be held.
 	OnDecision func(p *Placement, retry time.Duration)
 	arrived    camphorhinge.Instant
+	// tried is the Run that last tried to place the request, or 0, and considered the number of targets at the last try. retry is
+	// set if the current Run may try again.
+	tried      uint64
+	considered int
+	retry      bool
 	// estimated is set once serviceTime, the expected time without the wait, has been estimated.
 	estimated   bool
 	serviceTime time.Duration
@@ -172,6 +182,8 @@
 		}
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.startOrder(), b.startOrder()))
 	})
+	q.runs++
+	q.chooseRetries()
 	// ahead counts the requests of each rank that precede in the queue.
 	ahead := map[int]int{}
 	kept := q.waiting[:0]
@@ -179,11 +191,11 @@
 	for _, w := range q.waiting {
 		wait := q.rateOf(w.Rank).waitFor(now, ahead[w.Rank])
 		// When several requests of a rank found no engine, the others won't either; only their deadlines are checked.
-		if w.estimated && unplaced[w.Rank] >= maxUnplacedPerRank {
+		if w.estimated && (unplaced[w.Rank] >= maxUnplacedPerRank || w.tried > 0 && !w.retry) {
 			if q.refuseIfTooLate(now, w, w.serviceTime+wait, wait) {
 				continue
 			}
-		} else if q.decide(now, w, wait) {
+		} else if w.tried = q.runs; q.decide(now, w, wait) {
 			continue
 		} else {
 			unplaced[w.Rank]++
@@ -195,6 +207,23 @@
 	q.waiting = kept
 }
 
+// chooseRetries marks the requests that the current Run may try to place again: those that were tried longest ago, and among
+// them the first ones in the queue.
+func (q *Queue) chooseRetries() {
+	var tried []*QueuedRequest
+	targets := 1
+	for _, w := range q.waiting {
+		if w.retry = false; w.tried > 0 {
+			tried = append(tried, w)
+			targets = max(targets, w.considered)
+		}
+	}
+	slices.SortStableFunc(tried, func(a, b *QueuedRequest) int { return cmp.Compare(a.tried, b.tried) })
+	for _, w := range tried[:min(len(tried), max(maxReconsidered/targets, 1))] {
+		w.retry = true
+	}
+}
+
 // refuseIfTooLate refuses w if its caller's deadline does not leave the given duration and refuseMargin, and reports
 // whether it did. The retry-after time is the wait, within its bounds.
 func (q *Queue) refuseIfTooLate(now camphorhinge.Instant, w *QueuedRequest, duration, wait time.Duration) bool {
@@ -214,6 +243,7 @@
 	q.placer.mu.Lock()
 	defer q.placer.mu.Unlock()
 	live := w.Live()
+	w.considered = len(live)
 	best, ok := q.placer.bestPlan(now, live, &w.Request)
 	if ok && !best.full && !w.estimated {
 		w.estimated = true
--- a/internal/request/place/speed.go
+++ b/internal/request/place/speed.go
@@ -126,29 +126,23 @@
 	return s
 }
 
-// prefillSpeedOf returns the prefill speed of a target's service in its role. Until enough prefills in the decode role
-// were measured, it is derived from those in the prefill role.
-func (p *Placer) prefillSpeedOf(t *camphorhinge.Target) *speed {
-	prefill := p.speedOf(t.Service, prefillWork)
-	if t.Role != camphorhinge.RoleDecode {
-		return prefill
-	}
-	s := p.speedOf(t.Service, decodeRolePrefillWork)
-	if s.observedLong < priorWeight {
-		s.setPrior(p.cfg.Rates.Prefill/p.cfg.Rates.Decode*prefill.perToken, prefill.overhead)
+// prefillSpeeds returns the prefill speeds of a service's engines in the prefill and in the decode role. Until enough prefills
+// in the decode role were measured, its speed is derived from the other one.
+func (p *Placer) prefillSpeeds(service camphorhinge.ServiceName) (prefill, decodeRole *speed) {
+	prefill, decodeRole = p.speedOf(service, prefillWork), p.speedOf(service, decodeRolePrefillWork)
+	if decodeRole.observedLong < priorWeight {
+		decodeRole.setPrior(p.cfg.Rates.Prefill/p.cfg.Rates.Decode*prefill.perToken, prefill.overhead)
 	}
-	return s
+	return prefill, decodeRole
 }
 
-// prefillTime returns the time in which a target prefills n tokens, without the overhead and corrected by its measured
-// slowdown.
-func (p *Placer) prefillTime(t *camphorhinge.Target, n float64) time.Duration {
-	return time.Duration(n * p.prefillSpeedOf(t).perToken * p.targets[t.Name].slowdown * float64(time.Millisecond))
-}
-
-// prefillOverhead returns the time of a prefill that does not depend on its size.
-func (p *Placer) prefillOverhead(t *camphorhinge.Target) time.Duration {
-	return time.Duration(p.prefillSpeedOf(t).overhead * float64(time.Millisecond))
+// prefillSpeedOf returns the prefill speed of a target's service in its role.
+func (p *Placer) prefillSpeedOf(t *camphorhinge.Target) *speed {
+	prefill, decodeRole := p.prefillSpeeds(t.Service)
+	if t.Role == camphorhinge.RoleDecode {
+		return decodeRole
+	}
+	return prefill
 }
 
 // Speeds are the estimated speeds of a service's engines, for logs: overheads in milliseconds and times in milliseconds
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -45,6 +45,7 @@
 type targetState struct {
 	incarnation camphorhinge.Incarnation
 	address     string
+	usedAt      camphorhinge.Instant
 	// running is the number of attempts in flight, reserved the number of tokens that they occupy in memory, and
 	// prefilling the number of attempts whose prefill at this target is incomplete.
 	running    int
