Let events that the core node reckons with wait for another call

Its begin and its end after a separate prefill now wait up to 200 ms for a call that is made anyway; the core node counts an attempt as ended from its expected end on. Failures and complete prefills are told at once as before.

--- a/internal/node/schedule/client.go
+++ b/internal/node/schedule/client.go
@@ -170,7 +170,10 @@
 			call.Exclude = append(call.Exclude, string(name))
 		}
 		resp, err := c.awaitDecision(ctx, address, call)
-		report := func(prefill bool, e place.Event) { c.queueEvent(address, call, prefill, e) }
+		report := func(prefill bool, e place.Event) {
+			expected := e.Ended && e.Outcome == place.Served || e.PrefillDone && resp.GetPrefill() != ""
+			c.queueEvent(address, call, prefill, !prefill && expected, e)
+		}
 		switch {
 		case err != nil || ctx.Err() != nil:
 			report(false, place.Event{At: now, Ended: true, Outcome: place.Abandoned})
@@ -330,13 +333,13 @@
 }
 
 // queueEvent queues an event for the core node that answered call with a placement; prefill marks an event of the
-// placement's prefill attempt.
-func (c *Client) queueEvent(address string, call *peerpb.PlaceRequest, prefill bool, e place.Event) {
+// placement's prefill attempt, and deferrable one that the core node need not learn of at once.
+func (c *Client) queueEvent(address string, call *peerpb.PlaceRequest, prefill, deferrable bool, e place.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.link(address).queue(event{&peerpb.PlaceEvent{
 		Placement: call.GetPlacement(), Reader: prefill, First: e.PrefillDone, Ended: e.Ended, Outcome: uint32(e.Outcome),
-	}, e.At, call.GetSession()})
+	}, e.At, call.GetSession(), deferrable})
 }
 
 // Run sends the queued events that no placement call has carried to the core nodes, until ctx ends.
--- a/internal/node/schedule/client_test.go
+++ b/internal/node/schedule/client_test.go
@@ -195,6 +195,38 @@
 	}
 }
 
+// TestExpectedEventsAwaitOtherCalls guards against a core node that spends its processor time on calls which bring what it reckons
+// with: the begin and the end of a request after its separate prefill come with a later call, if there is one soon.
+func TestExpectedEventsAwaitOtherCalls(t *testing.T) {
+	withClient(t, func(t *testing.T, s *clientEnv) {
+		t.Helper()
+		for _, deferred := range []bool{true, false} {
+			s.next++
+			p, _, ok := s.Place(t.Context(), s.live, place.Request{
+				Service: "s", Engine: &routing.Engine{Slots: 64, CacheCapacity: 500_000, TokenBytes: 160_000, LinkMbps: 1.6e6},
+				Segments: []place.Segment{{Hash: 100 + s.next, Tokens: 8000}}, Prompt: 8000, Output: 20,
+			})
+			require.True(t, ok)
+			require.NotNil(t, p.PrefillAttempt)
+			now := s.cfg.Clock.Now()
+			p.PrefillAttempt.RecordFirstEvent(now)
+			p.PrefillAttempt.End(now, place.Served)
+			time.Sleep(2 * flushInterval)
+			calls := s.a.calls.Load()
+			p.ServeAttempt.RecordFirstEvent(s.cfg.Clock.Now())
+			if deferred {
+				p.ServeAttempt.End(s.cfg.Clock.Now(), place.Served)
+			} else {
+				p.ServeAttempt.End(s.cfg.Clock.Now(), place.Broken)
+			}
+			time.Sleep(2 * flushInterval)
+			require.Equal(t, deferred, s.a.calls.Load() == calls)
+			time.Sleep(deferTime)
+			require.Zero(t, s.a.active())
+		}
+	})
+}
+
 // TestLateSession guards against a late call of an earlier session that ends the placements of the current one.
 func TestLateSession(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/schedule/link.go
+++ b/internal/node/schedule/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"example.org/camphorhinge"
@@ -15,6 +16,9 @@
 	probeInterval    = 500 * time.Millisecond
 	// maxEvents bounds the events queued for a core node.
 	maxEvents = 2048
+	// deferTime is how long an event waits for another call if the core node reckons with it: that a request which generates at
+	// one engine after a separate prefill has begun or ended there.
+	deferTime = 200 * time.Millisecond
 	// keepAliveInterval is the time between two calls to the preferred core node when nothing is queued.
 	keepAliveInterval = time.Second
 )
@@ -44,6 +48,8 @@
 	at camphorhinge.Instant
 	// session is the session to which the placement belongs.
 	session uint32
+	// deferrable is set if the event may wait up to deferTime for a call that is made anyway.
+	deferrable bool
 }
 
 // recordResponse records a successful call.
@@ -99,10 +105,11 @@
 }
 
 // callDue reports whether to call the core node now without a placement request; preferred marks the one that places
-// requests.
+// requests. Each call takes processor time there, whatever it carries.
 func (l *link) callDue(now camphorhinge.Instant, preferred bool) bool {
 	if l.probeAt != 0 {
 		return now >= l.probeAt
 	}
-	return len(l.events) > 0 || l.sendCaches || preferred && now.Sub(l.lastCall) >= keepAliveInterval
+	return l.sendCaches || preferred && now.Sub(l.lastCall) >= keepAliveInterval ||
+		slices.ContainsFunc(l.events, func(e event) bool { return !e.deferrable || now.Sub(e.at) >= deferTime })
 }
--- a/internal/request/place/state.go
+++ b/internal/request/place/state.go
@@ -32,8 +32,9 @@
 	maxSlowdown, minSlowdown = 8.0, 0.75
 	// decodeMargin is the factor by which the expected time of a generation is raised.
 	decodeMargin = 1.5
-	// reportDelay is the usual time until a node reports an event.
-	reportDelay = 40 * time.Millisecond
+	// reportDelay is the usual time until a node reports that a prefill is complete, and endReportDelay that until it reports the
+	// end of an attempt.
+	reportDelay, endReportDelay = 40 * time.Millisecond, 250 * time.Millisecond
 	// minPrefillRemaining is the remaining time assumed for each prefill whose report is overdue.
 	minPrefillRemaining = 10 * time.Millisecond
 	// cachePercent is the percentage of an engine's memory that is assumed to hold prompt segments; running requests
@@ -97,7 +98,7 @@
 // occupied returns the number of attempts that take a slot of the target now. One whose end is due is taken to have ended
 // until its report is overdue as well.
 func (s *targetState) occupied(now camphorhinge.Instant) int {
-	due := s.ends.countAfter(now.Add(-reportDelay)) - s.ends.countAfter(now)
+	due := s.ends.countAfter(now.Add(-endReportDelay)) - s.ends.countAfter(now)
 	return max(s.running-s.awaited-due, 0)
 }
 
