Answer the requests that are still in progress at the end of a planned stop

Report of other operators: in a planned stop of one entry node, in calm, requests that came late in the grace time were passed on and cut without an answer at its end, among them ones that may not be repeated. Here an entry node takes requests for 36 % of the grace time and refuses later ones as not run, also on kept connections; but those that it had taken and whose own time is longer than the rest of the grace time (8 s for a route, 5.1 s left) were cut when the process ended. They are now ended 0.5 s before the end of the grace time as if their deadlines had passed: 504 where a target may have run the request, 503 where none has, a broken-off stream where one has begun.

--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -50,8 +50,10 @@
 	maxIdlePerTarget = 8
 	// closeInterval is how often idle caller connections are closed during a stop.
 	closeInterval = 50 * time.Millisecond
-	// stopMargin is the end of the grace time, reserved for the exit of the process.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is the end of the grace time, reserved for the exit of the process. answerMargin is the time before it in which the
+	// requests that are still in progress are answered.
+	stopMargin   = 300 * time.Millisecond
+	answerMargin = 200 * time.Millisecond
 )
 
 // EntryConfig holds the settings and dependencies of an entry node.
@@ -218,6 +220,8 @@
 		time.Sleep(s.StopDelay)
 		e.forward.StopAccepting()
 		closeCallers()
+		ends := time.AfterFunc(s.Grace-s.StopDelay-stopMargin-answerMargin, e.forward.EndRequests)
+		defer ends.Stop()
 		e.leave()
 		e.closeIdle(work)
 		return nil
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -278,7 +278,7 @@
 	nc, err := c.cfg.Dialer.DialContext(dctx, "tcp", address)
 	if err != nil {
 		e := &Error{Op: "connect", Kind: KindConnect, Run: camphorhinge.NotRun, Err: err}
-		switch cause := ctx.Err(); {
+		switch cause := context.Cause(ctx); {
 		case errors.Is(cause, context.DeadlineExceeded):
 			e.Kind = KindDeadline
 		case cause != nil:
--- a/internal/request/exchange/error.go
+++ b/internal/request/exchange/error.go
@@ -86,7 +86,7 @@
 		e.Run = camphorhinge.NotRun
 	}
 	var ne net.Error
-	switch cause := ctx.Err(); {
+	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, context.DeadlineExceeded):
 		e.Kind = KindDeadline
 	case cause != nil:
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -175,6 +175,9 @@
 	background errgroup.Group
 	// stopping is set once new requests are refused.
 	stopping atomic.Bool
+	// ended is done once requests in progress are to be answered at once, and end does that.
+	ended context.Context //nolint:containedctx // It ends requests of other contexts.
+	end   context.CancelFunc
 	// watchers detect callers that close the connection, one for each request in progress.
 	watchers errgroup.Group
 	// badNotices bounds the log lines on statements of targets that are not valid.
@@ -190,7 +193,8 @@
 
 // New returns a Forwarder. Close must be called to release it.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, meters: newMeters(cfg.Metrics), badNotices: rate.Sometimes{First: 10, Interval: badNoticeInterval}}
+	ended, end := context.WithCancel(context.Background())
+	f := &Forwarder{cfg: cfg, ended: ended, end: end, meters: newMeters(cfg.Metrics), badNotices: rate.Sometimes{First: 10, Interval: badNoticeInterval}}
 	f.background.SetLimit(maxBackground)
 	return f
 }
@@ -201,9 +205,18 @@
 // StopAccepting makes the Forwarder refuse new requests, for a planned stop. Requests in progress continue.
 func (f *Forwarder) StopAccepting() { f.stopping.Store(true) }
 
+// errStopping is the cause of the end of a request at the end of a planned stop. It counts as the request's deadline.
+var errStopping = fmt.Errorf("this node is stopping: %w", context.DeadlineExceeded)
+
+// EndRequests ends the requests in progress as if their deadlines had passed, so that each gets an answer before the process ends.
+func (f *Forwarder) EndRequests() { f.end() }
+
 // Serve forwards one request, answers it through out, and records its outcome.
 func (f *Forwarder) Serve(ctx context.Context, in *Request, out Sink) {
 	j := &job{f: f, in: in, out: out, began: f.cfg.Clock.Now(), info: f.cfg.Protocol.ParseRequest(in.Header), header: forwardableHeader(in.Header)}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(f.ended, func() { cancel(errStopping) })()
 	err := j.serve(ctx)
 	f.recordOutcome(j, err)
 	switch {
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -136,7 +136,7 @@
 // waited for its placement.
 func (j *job) interruptedError(ctx context.Context) *Error {
 	e := &Error{Op: "place", Kind: KindCallerLeft, Run: camphorhinge.NotRun, Status: http.StatusServiceUnavailable, Err: ctx.Err()}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		e.Kind, e.RetryAfter = KindDeadline, targetRetryAfter
 	}
 	if j.runs > 0 {
@@ -214,7 +214,7 @@
 	switch {
 	case last.Kind == exchange.KindCallerLeft:
 		e.Kind = KindCallerLeft
-	case last.Kind == exchange.KindDeadline || errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case last.Kind == exchange.KindDeadline || errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		e.Kind, e.Status = KindDeadline, http.StatusGatewayTimeout
 	case last.Kind == exchange.KindRefused && last.Status == http.StatusBadRequest:
 		e.Kind, e.Status = KindInvalid, http.StatusBadRequest
