Answer watches that only count an entry node at the end of their wait

Cause of work on every core node: most entry nodes of a large site watch a core node only to be counted there, and each change of a target, configuration or crash score woke all of these watches, each of which went over all entry nodes. With 295 entry nodes a change cost 295 x 295 steps. Such a watch now waits for its time only, and expired nodes are removed at intervals.

--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -407,3 +408,29 @@
 	require.Eventually(t, func() bool { return !r.Live("s")[0].Serving }, waitLimit, time.Millisecond)
 	require.Less(t, time.Since(began), time.Second)
 }
+
+// TestLightWatchIgnoresChanges guards against a core node that does work for each change and each entry node that only watches to be
+// counted: most nodes of a large site do, at each core node.
+func TestLightWatchIgnoresChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		looked := 0
+		source := NewSource(SourceConfig{
+			Table: routing.NewTable(decode), Clock: clock.New(),
+			Cores: func() []string {
+				looked++
+				return nil
+			},
+		})
+		var g errgroup.Group
+		g.Go(func() error {
+			_, err := source.Watch(t.Context(), &peerpb.WatchRequest{Node: "n", Light: true, Wait: uint64(maxWait.Milliseconds())})
+			return err
+		})
+		for range 100 {
+			time.Sleep(time.Millisecond)
+			source.WakeWatches()
+		}
+		require.NoError(t, g.Wait())
+		require.LessOrEqual(t, looked, 2)
+	})
+}
--- a/internal/node/feed/source.go
+++ b/internal/node/feed/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	// entryExpiry is how long an entry node is counted after its last watch. It exceeds the time between two watches plus
 	// the time that a node needs to detect a lost call.
 	entryExpiry = 4 * time.Second
+	// entrySweepInterval is the time between two removals of expired entry nodes.
+	entrySweepInterval = 200 * time.Millisecond
 )
 
 // SourceConfig holds the dependencies of a Source.
@@ -61,6 +64,8 @@
 	mu      sync.Mutex
 	wake    chan struct{}
 	entries map[string]camphorhinge.Instant
+	// sweptAt is when expired entries were last removed.
+	sweptAt camphorhinge.Instant
 }
 
 var _ peerpb.Feed = (*Source)(nil)
@@ -92,10 +97,9 @@
 	if leaving {
 		delete(s.entries, node)
 	}
-	for name, at := range s.entries {
-		if now.Sub(at) > entryExpiry {
-			delete(s.entries, name)
-		}
+	if now.Sub(s.sweptAt) >= entrySweepInterval {
+		s.sweptAt = now
+		maps.DeleteFunc(s.entries, func(_ string, at camphorhinge.Instant) bool { return now.Sub(at) > entryExpiry })
 	}
 	return len(s.entries), s.wake
 }
@@ -112,11 +116,12 @@
 		if changed || wait <= 0 || req.GetLeaving() {
 			return resp, nil
 		}
+		if req.GetLight() {
+			wake = nil // It is answered at the end of its wait only.
+		}
 		select {
 		case <-wake:
-			if !req.GetLight() {
-				time.Sleep(changeDelay)
-			}
+			time.Sleep(changeDelay)
 		case <-timer.C:
 			wait = 0
 		case <-ctx.Done():
