Hand leadership over when placements leave a leader no processor time

The core node that placed requests also led the replicated log: its queue ran up to 400 ms late, calls to it timed out after 2 s, it lost its leadership at 11.25 s, in calm, and no leader followed until 14.05 s. The class is one node with two duties of which the one in the way of requests takes all of its time. A leader whose runs of the placement queue are late by a heartbeat interval in two looks in a row now transfers leadership, as before a planned stop, at most every 5 s.

--- a/internal/node/schedule/scheduler.go
+++ b/internal/node/schedule/scheduler.go
@@ -74,8 +74,10 @@
 	cacheReportsSince camphorhinge.Instant
 	// requestedAt is the time of the latest placement request.
 	requestedAt camphorhinge.Instant
-	// load is the work since the last line of logLoad.
-	load load
+	// load is the work since the last line of logLoad, and lateness the longest delay of a run of the queue since the last call of
+	// TakeLateness.
+	load     load
+	lateness time.Duration
 
 	// runLate is how late the runs of the queue are, decisionTime the time from a placement request to its decision, both in seconds.
 	runLate, decisionTime *metrics.Histogram
@@ -157,6 +159,9 @@
 		late := max(now.Sub(last)-queueInterval, 0)
 		last = now
 		s.load.runLate = max(s.load.runLate, late)
+		if now.Sub(s.requestedAt) < sessionExpiry {
+			s.lateness = max(s.lateness, late)
+		}
 		if s.queue.Len() > 0 {
 			s.runLate.Update(late.Seconds())
 			s.queue.Run(now)
@@ -188,6 +193,15 @@
 	}
 }
 
+// TakeLateness returns the longest delay of a run of the queue since the last call, while requests come, and resets it.
+func (s *Scheduler) TakeLateness() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.lateness
+	s.lateness = 0
+	return out
+}
+
 // Place applies the events of a call and places its request, if it has one. When the request still waits for an engine
 // after maxCallWait, the response has Waiting set, and the entry node calls again with the same placement number.
 func (s *Scheduler) Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceResponse, error) {
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -303,6 +303,7 @@
 	g.Go(func() error { return logTraffic(work, c.log, c.metrics, c.peerPort.Connections) })
 	g.Go(func() error { return c.balancer.Run(work) })
 	g.Go(func() error { return c.versions.Run(work) })
+	g.Go(func() error { return c.runRelief(work) })
 	g.Go(func() error { return c.durable.run(work) })
 	g.Go(func() error {
 		defer halt()
