--- a/internal/standin/site/processor.go
+++ b/internal/standin/site/processor.go
@@ -9,8 +9,7 @@
 const (
 	// callWork is the processor time of a call at a core node.
 	callWork = 100 * time.Microsecond
-	// targetWork is the processor time to consider one target for one request; BenchmarkPlace in internal/request/place
-	// measures it.
+	// targetWork is the processor time to consider one target for one request.
 	targetWork = 900 * time.Nanosecond
 )
 
