Ask a target again on a new connection

Cause: a late answer is told from the expected one by its attempt, and a request can send its attempt to the same target more than once: after a pause of all targets, after a KV cache was not available, and while a continued stream waits for its software version; a repeated prefill does the same. On a kept connection, a late copy of the first answer then passes for the second one.

TestLateRefusalOfSameAttempt, for three of these ways, and TestLatePrefillAnswerOfSameAttempt fail without the change: 503 where the target runs the request, and the name of a freed cache.

Change: a request records the addresses that it was sent to; further exchanges with one of them use a new connection. A late copy arrives on the old one, where it is found before reuse or bears another attempt than the next request.

--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -154,7 +154,8 @@
 	// Finished is true when the event before Resume had a finish reason, so that only the end mark is missing.
 	Finished bool
 	// NewConn requires a new connection. A target may close an idle one while the request is being written, which leaves the
-	// class unknown; calls that can't be repeated avoid this.
+	// class unknown; calls that can't be repeated avoid this. It must be set when the target has received the attempt before:
+	// on the same connection, a late copy of the earlier answer could not be told from the answer to this call.
 	NewConn bool
 }
 
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 
 	"example.org/camphorhinge"
@@ -153,6 +154,10 @@
 	if inFlight.Barred(j.f.cfg.Clock.Now()) {
 		return nil, &exchange.Error{Op: "open", Kind: exchange.KindConnect, Run: camphorhinge.NotRun, Err: errTargetClosed}
 	}
+	// All exchanges of the request bear the same attempt. An answer that a target repeats late comes on the connection of its
+	// exchange, so a target that is asked again is asked on another one.
+	call.NewConn = slices.Contains(j.asked, call.Target.Address)
+	j.asked = append(j.asked, call.Target.Address)
 	answer, err := j.f.cfg.Exchange.Open(ctx, call)
 	if err == nil {
 		j.arrivals++
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -37,6 +37,8 @@
 
 	// arrivals counts the attempts that reached a target, runs the attempts that may have run the request.
 	arrivals, runs int
+	// asked lists the addresses of the targets to which the request or its separate prefill was sent.
+	asked []string
 	// exclude lists the targets whose attempt or separate prefill failed.
 	exclude []camphorhinge.TargetName
 	// prefilled is set once a target has accepted a separate prefill.
--- a/internal/request/forward/repeated_test.go
+++ b/internal/request/forward/repeated_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/record/routing"
+	"example.org/camphorhinge/internal/request/origin"
 )
 
 // TestRepeatedRefusal guards against a refusal that a target writes once more on a kept connection and that is taken for the answer
@@ -110,3 +112,98 @@
 		})
 	}
 }
+
+// TestLateRefusalOfSameAttempt guards against a target's first answer to an attempt that comes once more after the attempt was sent to it
+// again: the request would be reported as not run, or sent to another target, while the target runs it.
+func TestLateRefusalOfSameAttempt(t *testing.T) {
+	refusal := func(header string) step { return sendRaw(fullAnswer(503, header+"Not-Run: 1\r\n", "full")) }
+	for _, tc := range []struct {
+		name  string
+		route routing.Route
+		// first is the step of the serving target's first request, answer that of each later one.
+		first, answer step
+		// prefill is true when an engine prefills the prompt first, and continued when the caller continues a stream.
+		prefill, continued bool
+	}{
+		{"after a pause", routing.Route{Retry: routing.RetryIfNotRun}, refusal("Pause: 1s\r\n"), sendRaw(fullAnswer(200, "", "answer")), false, false},
+		{
+			"after a cache was not available", routing.Route{Retry: routing.RetryIfNotRun, Stream: true}, refusal(""),
+			sendRaw(streamStart(0, 1) + lastChunk), true, false,
+		},
+		{
+			"while its version is awaited", routing.Route{Retry: routing.RetryResume, Stream: true}, refusal(""),
+			sendRaw(streamStart(2, 1) + lastChunk), false, true,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runs, late := 0, map[net.Conn]bool{}
+				first := true
+				serving := &target{steps: []step{func(c net.Conn, r *http.Request) {
+					if first {
+						first, late[c] = false, true
+						tc.first(c, r)
+						return
+					}
+					runs++
+					if late[c] {
+						tc.first(c, r)
+					}
+					tc.answer(c, r)
+				}}}
+				prefilling := &target{steps: []step{sendRaw(fullAnswer(200, "", "handle 7"))}}
+				targets := []*target{serving}
+				if tc.prefill {
+					targets = []*target{prefilling, serving}
+				}
+				b := newFixture(t, tc.route, targets...)
+				for _, x := range b.targets.live {
+					x.Software = "v1"
+				}
+				if tc.prefill {
+					b.targets.live[0].Role = camphorhinge.RolePrefill
+					b.index.Load().Config.Services[0].Engine = &routing.Engine{Slots: 4, CacheCapacity: 1e6}
+				}
+				b.origins.known = map[origin.Key]origin.Origin{origin.KeyOf("id-0"): {Service: "s", Software: "v1"}}
+				out := b.do(t, func(in *Request) {
+					if tc.prefill {
+						in.Header.Set("Prompt", "100")
+					}
+					if tc.continued {
+						in.Header.Set("After", "2")
+						in.Header.Set("Resumes", "id-0")
+					}
+				})
+				require.Equal(t, 200, out.status)
+				require.Equal(t, 1, runs)
+			})
+		})
+	}
+}
+
+// TestLatePrefillAnswerOfSameAttempt guards against the name of a KV cache that was freed, from an earlier answer to a separate prefill,
+// being taken for that of the repeated prefill.
+func TestLatePrefillAnswerOfSameAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prefills, last := 0, map[net.Conn]string{}
+		prefilling := &target{steps: []step{func(c net.Conn, r *http.Request) {
+			if r.Method == http.MethodDelete {
+				_, _ = io.WriteString(c, strings.Replace(fullAnswer(200, "", ""), "Attempt: id-1\r\n", "", 1))
+				return
+			}
+			prefills++
+			answer := last[c]
+			last[c] = fullAnswer(200, "", "handle "+strconv.Itoa(prefills))
+			_, _ = io.WriteString(c, answer+last[c])
+		}}}
+		serving := &target{steps: []step{sendRaw(fullAnswer(503, "Not-Run: 1\r\n", "")), sendRaw(streamStart(0, 1) + lastChunk)}}
+		b := newFixture(t, routing.Route{Retry: routing.RetryIfNotRun, Stream: true}, prefilling, serving)
+		b.targets.live[0].Role = camphorhinge.RolePrefill
+		b.index.Load().Config.Services[0].Engine = &routing.Engine{Slots: 4, CacheCapacity: 1e6}
+		out := b.do(t, func(in *Request) { in.Header.Set("Prompt", "100") })
+		require.Equal(t, 200, out.status)
+		require.Len(t, serving.requests, 2)
+		require.Equal(t, "t0/1", serving.requests[0].Header.Get("Source"))
+		require.Equal(t, "t0/2", serving.requests[1].Header.Get("Source"))
+	})
+}
