Follow core nodes that are in contact with the leader

Cause: an entry node gets changes of targets from two core nodes, those of its own zone first, and replaces one only when it does not answer. When both are cut off from the other core nodes they still answer, but without the changes that the majority accepts.

TestSourcesAreNotIsolated fails without the preference: the leave is not known after 5 s. Ruled out: late passing on among the majority, since entry nodes of the other zones kept the rule.

Change: a core node that has heard from no leader for the longest election timeout states it in the answers to watches, and answers all watches when that changes. Entry nodes prefer core nodes in contact with the leader, for changes and for connections through them.

--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -316,6 +316,69 @@
 	require.Less(t, time.Since(began), drainTime)
 }
 
+// Guards against requests to a target whose leave an entry node does not hear of, since both its sources of changes answer but are cut
+// off from the other core nodes, and against a choice of sources that stays different after the end of the cut.
+func TestSourcesAreNotIsolated(t *testing.T) {
+	const drainTime = 2 * time.Second
+	var cores []*core
+	for range 5 {
+		cores = append(cores, newCore(t))
+	}
+	f, r := follow(t, cores...)
+	answered := func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		n := 0
+		for _, c := range f.watching {
+			if c.zone != "" {
+				n++
+			}
+		}
+		return n == len(cores)
+	}
+	require.Eventually(t, answered, waitLimit, time.Millisecond)
+	sources := func() (in, out []*core) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, c := range cores {
+			if f.isSource(c.address) {
+				in = append(in, c)
+			} else {
+				out = append(out, c)
+			}
+		}
+		return in, out
+	}
+	first, others := sources()
+	require.Len(t, first, changeSources)
+	for _, c := range cores {
+		c.announce(t, 1, false)
+	}
+	serving := func() bool { live := r.Live("s"); return len(live) == 1 && live[0].Serving }
+	require.Eventually(t, serving, waitLimit, time.Millisecond)
+
+	for _, c := range first {
+		c.source.SetIsolated(true)
+	}
+	began := time.Now()
+	for _, c := range others {
+		c.announce(t, 2, true)
+	}
+	require.Eventually(t, func() bool { return !serving() }, waitLimit, time.Millisecond)
+	require.Less(t, time.Since(began), drainTime)
+
+	returned := func() bool { in, _ := sources(); return slices.Equal(first, in) }
+	require.False(t, returned())
+	for _, c := range others {
+		c.source.SetIsolated(true)
+	}
+	require.Eventually(t, returned, waitLimit, time.Millisecond, "all core nodes are isolated")
+	for _, c := range cores {
+		c.source.SetIsolated(false)
+	}
+	require.Eventually(t, returned, waitLimit, time.Millisecond)
+}
+
 // Guards against a herd of full transfers after the restart of a core node: an entry node that has the same targets
 // receives none, and after a change only those of its group.
 func TestRestartSendsDifferences(t *testing.T) {
--- a/internal/node/feed/follower.go
+++ b/internal/node/feed/follower.go
@@ -28,7 +28,8 @@
 	// then, changes arrive through the watch of another core node.
 	watchMargin = 500 * time.Millisecond
 	// changeSources is the number of core nodes from which an entry node receives changes. The others are watched for
-	// their presence and to be counted there: the same changes from all of them would multiply the traffic.
+	// their presence, their contact with the leader and to be counted there: the same changes from all of them would multiply the
+	// traffic.
 	changeSources = 2
 	// fetchTimeout bounds the fetch of a configuration.
 	fetchTimeout = time.Second
@@ -87,6 +88,8 @@
 type watchedCore struct {
 	// zone is the core node's zone, as far as known.
 	zone camphorhinge.Zone
+	// isolated is set while the core node states that it has lost contact with the leader.
+	isolated bool
 	// failures counts consecutive failures.
 	failures int
 	// legacy is set for a core node of an earlier version, which knows no light watches.
@@ -165,8 +168,7 @@
 	return out
 }
 
-// Relays returns the peer addresses of the core nodes that answer, those of the node's own zone first, in an order that
-// spreads the nodes over the core nodes.
+// Relays returns the peer addresses of the core nodes that answer, in the order of precedes.
 func (f *Follower) Relays() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -235,7 +237,7 @@
 }
 
 // isSource reports whether this node receives changes from the core node: it is one of the first changeSources that
-// answer, by zone and then by a hash that spreads the nodes over the core nodes. The caller holds f.mu.
+// answer, in the order of precedes. The caller holds f.mu.
 func (f *Follower) isSource(address string) bool {
 	own := f.watching[address]
 	if own.legacy {
@@ -253,27 +255,35 @@
 	return before < changeSources
 }
 
-// precedes reports whether core node a is preferred to b.
+// precedes reports whether core node a is preferred to b: one in contact with the leader to an isolated one, which lacks the changes
+// that the majority has accepted since, then one of the node's own zone, and then by a hash that spreads the nodes over the core nodes.
 func (f *Follower) precedes(a string, stateA *watchedCore, b string, stateB *watchedCore) bool {
+	if stateA.isolated != stateB.isolated {
+		return stateB.isolated
+	}
 	if nearA, nearB := stateA.zone == f.cfg.Zone, stateB.zone == f.cfg.Zone; nearA != nearB {
 		return nearA
 	}
 	return xxhash.Sum64String(string(f.cfg.Node)+" "+a) < xxhash.Sum64String(string(f.cfg.Node)+" "+b)
 }
 
-// recordFailure counts a failed watch of a core node, and returns the number of consecutive ones. After the first, the
-// light watches are ended, so that another core node becomes a source at once.
+// interruptLight ends the light watches in progress, so that another core node becomes a source at once. The caller holds f.mu.
+func (f *Follower) interruptLight() {
+	for _, c := range f.watching {
+		if c.interrupt != nil {
+			c.interrupt()
+		}
+	}
+}
+
+// recordFailure counts a failed watch of a core node, and returns the number of consecutive ones.
 func (f *Follower) recordFailure(address string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.watching[address]
 	c.failures++
 	if c.failures == 1 {
-		for _, other := range f.watching {
-			if other.interrupt != nil {
-				other.interrupt()
-			}
-		}
+		f.interruptLight()
 	}
 	if c.failures >= unreachableFailures {
 		delete(f.entries, address)
@@ -289,6 +299,11 @@
 	c := f.watching[address]
 	before := c.failures
 	c.failures, c.zone, c.legacy = 0, camphorhinge.Zone(resp.GetZone()), resp.GetZone() == ""
+	if c.isolated != resp.GetIsolated() {
+		c.isolated = resp.GetIsolated()
+		f.cfg.Log.Info("contact of a core node with the leader changed", "core", address, "isolated", c.isolated)
+		f.interruptLight()
+	}
 	return before
 }
 
--- a/internal/node/feed/source.go
+++ b/internal/node/feed/source.go
@@ -72,6 +72,9 @@
 	entries, changedAt map[string]camphorhinge.Instant
 	// sweptAt is when expired entries were last removed.
 	sweptAt camphorhinge.Instant
+	// isolated is as last set by SetIsolated; turned is closed when it changes.
+	isolated bool
+	turned   chan struct{}
 }
 
 var _ peerpb.Feed = (*Source)(nil)
@@ -79,7 +82,7 @@
 // NewSource returns a Source that has not counted any entry node yet.
 func NewSource(cfg SourceConfig) *Source {
 	return &Source{
-		cfg: cfg, start: rand.Uint64() | 1, wake: make(chan struct{}), //nolint:gosec // The number only distinguishes starts.
+		cfg: cfg, start: rand.Uint64() | 1, wake: make(chan struct{}), turned: make(chan struct{}), //nolint:gosec // The number only distinguishes starts.
 		entries: map[string]camphorhinge.Instant{}, changedAt: map[string]camphorhinge.Instant{},
 	}
 }
@@ -93,6 +96,26 @@
 	s.wake = make(chan struct{})
 }
 
+// SetIsolated records whether this core node has lost contact with the leader. If that has changed, it answers all watches, so that
+// entry nodes choose their sources of changes again at once.
+func (s *Source) SetIsolated(isolated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isolated == isolated {
+		return
+	}
+	s.isolated = isolated
+	close(s.turned)
+	s.turned = make(chan struct{})
+}
+
+// contact returns whether this core node is isolated, and a channel that is closed when that changes.
+func (s *Source) contact() (isolated bool, turned <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isolated, s.turned
+}
+
 // recordWatch records a watch of an entry node, or removes the node if it is leaving. It returns the number of entry
 // nodes that have watched within entryExpiry, and a channel that is closed at the next change.
 func (s *Source) recordWatch(node string, leaving bool) (int, <-chan struct{}) {
@@ -128,10 +151,12 @@
 	wait := min(time.Duration(req.GetWait())*time.Millisecond, maxWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	_, turned := s.contact()
 	for {
 		count, wake := s.recordWatch(req.GetNode(), req.GetLeaving())
 		resp, changed := s.changes(req)
 		resp.Entries = uint32(count)
+		resp.Isolated, _ = s.contact()
 		if wait <= 0 || req.GetLeaving() || req.GetStart() != s.start && changed {
 			return resp, nil
 		}
@@ -155,6 +180,8 @@
 			time.Sleep(changeDelay)
 		case <-timer.C:
 			wait = 0
+		case <-turned:
+			wait = 0
 		case <-ctx.Done():
 			return resp, nil
 		}
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -40,6 +40,8 @@
 	workIdle = time.Second
 	// formationTimeout bounds the wait for the full number of voters before the first configuration is accepted.
 	formationTimeout = 5 * time.Second
+	// contactInterval is the time between two checks of the contact with the leader.
+	contactInterval = 100 * time.Millisecond
 	// relayGrace bounds the wait for requests on connections through this node at a stop.
 	relayGrace = 4 * time.Second
 	// maxControlBody bounds request bodies on the control and caller ports of platform nodes, in bytes; it fits a
@@ -324,6 +326,7 @@
 	g.Go(func() error { return c.balancer.Run(work) })
 	g.Go(func() error { return c.versions.Run(work) })
 	g.Go(func() error { return c.runRelief(work) })
+	g.Go(func() error { return c.runContact(work) })
 	g.Go(func() error { return c.durable.run(work) })
 	g.Go(func() error {
 		defer halt()
@@ -350,6 +353,24 @@
 	return err
 }
 
+// runContact tells entry nodes whether this node is in contact with the leader, until ctx ends.
+func (c *Core) runContact(ctx context.Context) error {
+	ticker := time.NewTicker(contactInterval)
+	defer ticker.Stop()
+	for isolated := false; ; {
+		if now := c.durable.replica.Isolated(); now != isolated {
+			isolated = now
+			c.log.Info("contact with the leader changed", "isolated", isolated)
+			c.source.SetIsolated(isolated)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
 // relayedTarget is a target that other nodes are connected to through this node; it implements tunnel.Notices.
 type relayedTarget struct {
 	core   *Core
--- a/internal/request/forward/repeated_test.go
+++ b/internal/request/forward/repeated_test.go
@@ -127,11 +127,15 @@
 	}{
 		{"after a pause", routing.Route{Retry: routing.RetryIfNotRun}, refusal("Pause: 1s\r\n"), sendRaw(fullAnswer(200, "", "answer")), false, false},
 		{
-			"after a cache was not available", routing.Route{Retry: routing.RetryIfNotRun, Stream: true}, refusal(""),
+			"after a cache was not available",
+			routing.Route{Retry: routing.RetryIfNotRun, Stream: true},
+			refusal(""),
 			sendRaw(streamStart(0, 1) + lastChunk), true, false,
 		},
 		{
-			"while its version is awaited", routing.Route{Retry: routing.RetryResume, Stream: true}, refusal(""),
+			"while its version is awaited",
+			routing.Route{Retry: routing.RetryResume, Stream: true},
+			refusal(""),
 			sendRaw(streamStart(2, 1) + lastChunk), false, true,
 		},
 	} {
--- a/internal/state/consensus/core.go
+++ b/internal/state/consensus/core.go
@@ -460,6 +460,9 @@
 		Membership:      Membership{Members: slices.Clone(c.membership().Members)},
 		MembershipIndex: c.membershipIndex(),
 	}
+	if c.hasLeaderContact {
+		s.LeaderContact = c.leaderContact
+	}
 	if c.role != Leader {
 		return s
 	}
--- a/internal/state/consensus/types.go
+++ b/internal/state/consensus/types.go
@@ -329,12 +329,14 @@
 
 // Status is a copy of a Core's state for drivers and operators.
 type Status struct {
-	ID      camphorhinge.ReplicaID
-	Role    Role
-	Term    camphorhinge.Term
-	Leader  camphorhinge.ReplicaID
-	Commit  camphorhinge.Index
-	Applied camphorhinge.Index
+	ID     camphorhinge.ReplicaID
+	Role   Role
+	Term   camphorhinge.Term
+	Leader camphorhinge.ReplicaID
+	// LeaderContact is when the last message of a legitimate leader arrived, or 0 before the first one.
+	LeaderContact camphorhinge.Instant
+	Commit        camphorhinge.Index
+	Applied       camphorhinge.Index
 	// Last is the index of the last entry of the log, synced or not.
 	Last camphorhinge.Index
 	// Durable is the index of the last entry synced on this replica.
--- a/internal/state/replica/control.go
+++ b/internal/state/replica/control.go
@@ -30,6 +30,13 @@
 // Leader returns the id of the leader that this replica follows, its own id if it leads, or 0 if there is none.
 func (r *Replica) Leader() camphorhinge.ReplicaID { return r.view.Load().status.Leader }
 
+// Isolated reports whether this replica may be cut off from the majority: it neither leads nor has heard from a leader within the
+// longest election timeout.
+func (r *Replica) Isolated() bool {
+	s := r.view.Load().status
+	return s.Role != consensus.Leader && (s.LeaderContact == 0 || r.cfg.Clock.Now().Sub(s.LeaderContact) > r.cfg.Timing.ElectionMax)
+}
+
 // Status is the state of the Core, the cluster's id and the replica's own state.
 type Status struct {
 	consensus.Status
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/state/consensus"
 	"example.org/camphorhinge/internal/state/disk"
 	"example.org/camphorhinge/internal/state/wal"
 )
@@ -82,6 +83,39 @@
 	})
 }
 
+// TestIsolated checks that a replica that is cut off from the majority counts as isolated within the time in which the majority elects
+// another leader, whether it led or followed, and that the others and a replica that is back do not.
+func TestIsolated(t *testing.T) {
+	t.Parallel()
+	for _, leads := range []bool{true, false} {
+		inBubble(t, func(t *testing.T, tc *testCluster) {
+			tc.startThreeVoters()
+			cut := tc.leader()
+			if !leads {
+				for _, v := range tc.vms {
+					if v != tc.leader() {
+						cut = v
+					}
+				}
+			}
+			time.Sleep(time.Second)
+			for _, v := range tc.vms {
+				require.False(t, v.replica.Isolated())
+			}
+			tc.setIsolated(cut.id, true)
+			time.Sleep(consensus.DefaultTiming().ElectionMax + 200*time.Millisecond)
+			require.True(t, cut.replica.Isolated())
+			time.Sleep(time.Second)
+			for _, v := range tc.vms {
+				require.Equal(t, v == cut, v.replica.Isolated())
+			}
+			tc.setIsolated(cut.id, false)
+			time.Sleep(time.Second)
+			require.False(t, cut.replica.Isolated())
+		})
+	}
+}
+
 // TestAuthorityEndsInTime checks that an isolated leader loses its authority at most 700 ms after the last heartbeat
 // round.
 func TestAuthorityEndsInTime(t *testing.T) {
