Bound the bytes that an entry node holds by its memory limit

Callers saw (report of other operators): a target sent an answer without end, and the node that had called it ran out of memory; the requests of all its callers ended with it.

Cause: each answer, event and body has a bound of its own, but their sum has none.

An answer that can't be held ends its attempt as one that may have run; a body that can't be held is refused as not run.

All tests of forward check that memory is given back. The pools are not used by the serve command and by core nodes yet.

--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -27,6 +27,7 @@
 	"example.org/camphorhinge/internal/node/web"
 	"example.org/camphorhinge/internal/observe/decision"
 	"example.org/camphorhinge/internal/request/budget"
+	"example.org/camphorhinge/internal/request/buffer"
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/forward"
 	"example.org/camphorhinge/internal/request/ingress"
@@ -137,7 +138,9 @@
 		Budget: budget.New(budget.Config{
 			Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindow, Start: e.clock.Now(),
 		}),
-		Zone: s.Zone, Quarantine: e.crashes, Protocol: e.cfg.Protocol, Nodes: e.follower.Entries, Started: e.clock.Now(), Clock: e.clock, Log: e.log, Metrics: e.metrics,
+		Bodies:  buffer.New(buffer.Config{Name: "bodies", Limit: s.BodyBytes, Metrics: e.metrics}),
+		Answers: buffer.New(buffer.Config{Name: "answers", Limit: s.AnswerBytes, Metrics: e.metrics}),
+		Zone:    s.Zone, Quarantine: e.crashes, Protocol: e.cfg.Protocol, Nodes: e.follower.Entries, Started: e.clock.Now(), Clock: e.clock, Log: e.log, Metrics: e.metrics,
 	})
 	return nil
 }
--- a/internal/node/setting/core.go
+++ b/internal/node/setting/core.go
@@ -75,6 +75,9 @@
 	StopDelay, Grace time.Duration
 	// LinkMbps is the speed of the node's link in Mbit/s; 0 means unknown.
 	LinkMbps float64
+	// BodyBytes and AnswerBytes are the greatest numbers of bytes of request bodies and of answers that are held at a time; 0 means
+	// no limit.
+	BodyBytes, AnswerBytes int64
 }
 
 // Check returns an error for each invalid setting, joined, or nil.
@@ -86,6 +89,7 @@
 		checkOptional("metrics", s.MetricsListen),
 		check(len(s.Peers) > 0, "peers: expected at least one address"),
 		check(s.RetryRatio >= 0 && s.RetryAllowance >= 0, "retry budget: expected no negative number"),
+		check(s.BodyBytes >= 0 && s.AnswerBytes >= 0, "bytes of bodies and answers: expected no negative number"),
 		check(s.RetryWindow > 0, "window of the retry budget: expected more than 0"),
 		check(s.StopDelay >= 0 && s.Grace > s.StopDelay, "grace time: expected more than the stop delay %v, got %v", s.StopDelay, s.Grace),
 	)
--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -239,8 +239,12 @@
 		return nil, err
 	}
 	cn.headerBudget, cn.readTimeout, cn.probe, cn.progressBy = math.MaxInt64, c.cfg.StallTimeout, nil, time.Time{}
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		length = 0 // The answer to HEAD states the length of another one.
+	}
 	a := &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, Length: length,
 		client: c, ctx: ctx, conn: cn, resp: resp, span: span, stopWatch: stop, start: start, firstByte: time.Since(start),
 	}
 	if id := c.cfg.Dialect.Attempt(resp.Header); id != "" && id != call.Attempt {
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -10,6 +10,7 @@
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/record/routing"
+	"example.org/camphorhinge/internal/request/buffer"
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/place"
 )
@@ -61,6 +62,7 @@
 	clock := j.f.cfg.Clock
 	arrivalsBefore, began := j.arrivals, clock.Now()
 	answer, body, err := j.exchangeBuffered(ctx, call, inFlight)
+	defer body.Free()
 	if err == nil {
 		if l, ok := j.f.cfg.Protocol.ParseLoad(answer.Header); ok {
 			inFlight.RecordLoad(clock.Now(), l)
@@ -68,7 +70,7 @@
 		var source string
 		var perr error
 		if answer.Status == http.StatusOK {
-			source, perr = j.f.cfg.Protocol.ParsePrefill(plan.Prefill, body)
+			source, perr = j.f.cfg.Protocol.ParsePrefill(plan.Prefill, body.Bytes())
 		} else {
 			perr = errors.New("prefill failed with status " + http.StatusText(answer.Status))
 		}
@@ -84,6 +86,7 @@
 		}
 		err = &exchange.Error{Op: "prefill", Kind: exchange.KindProtocol, Run: camphorhinge.NotRun, Status: answer.Status, Err: perr}
 	}
+	j.logMemoryShort(plan.Prefill, err)
 	// A prefill does not run the request, however the call ended.
 	err.Run = camphorhinge.NotRun
 	inFlight.End(clock.Now(), targetOutcome(ctx, err))
@@ -111,15 +114,20 @@
 	})
 }
 
-// exchangeBuffered runs an exchange and returns its complete answer.
-func (j *job) exchangeBuffered(ctx context.Context, call exchange.Call, inFlight *place.InFlight) (*exchange.Answer, []byte, *exchange.Error) {
+// exchangeBuffered runs an exchange and returns its complete answer. The body must be freed, also after an error.
+func (j *job) exchangeBuffered(ctx context.Context, call exchange.Call, inFlight *place.InFlight) (*exchange.Answer, *buffer.Buffer, *exchange.Error) {
+	body := j.answerBuffer(call.Target)
 	answer, err := j.openExchange(ctx, call, inFlight)
 	if err != nil {
-		return nil, nil, err
+		return nil, body, err
 	}
 	defer answer.Close()
-	body, err := readAll(answer)
-	return answer, body, err
+	return answer, body, readAll(answer, body)
+}
+
+// answerBuffer returns an empty buffer for bytes of a target's answer.
+func (j *job) answerBuffer(t *camphorhinge.Target) *buffer.Buffer {
+	return j.f.cfg.Answers.Buffer(t.Address)
 }
 
 // errTargetLeaving marks a target that stopped accepting requests after it was chosen.
@@ -197,18 +205,32 @@
 	return &exchange.Error{Op: "exchange", Kind: exchange.KindProtocol, Run: camphorhinge.Unknown, Err: err}
 }
 
+// logMemoryShort logs that an answer was dropped for lack of memory, if that is the error.
+func (j *job) logMemoryShort(t *camphorhinge.Target, err *exchange.Error) {
+	if buffer.IsFull(err) {
+		j.f.memoryShort.Do(func() {
+			j.f.cfg.Log.Warn("no memory for an answer", "target", t.Name, "request", j.info.Attempt, "error", err)
+		})
+	}
+}
+
 // errAnswerTooLarge marks an answer over the limit.
 var errAnswerTooLarge = errors.New("the answer is too large")
 
-func readAll(answer *exchange.Answer) ([]byte, *exchange.Error) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswer+1))
-	if err != nil {
-		return nil, asExchangeError(err)
-	}
-	if len(body) > maxAnswer {
-		return nil, &exchange.Error{Op: "read body", Kind: exchange.KindProtocol, Run: camphorhinge.Unknown, Err: errAnswerTooLarge}
-	}
-	return body, nil
+// readAll reads a complete answer into body. One that states a length over the limit is not read.
+func readAll(answer *exchange.Answer, body *buffer.Buffer) *exchange.Error {
+	more := answer.Length > maxAnswer
+	var err error
+	if !more {
+		more, err = body.ReadAll(answer, answer.Length, maxAnswer)
+	}
+	switch {
+	case err != nil:
+		return asExchangeError(err)
+	case more:
+		return &exchange.Error{Op: "read body", Kind: exchange.KindProtocol, Run: camphorhinge.Unknown, Err: errAnswerTooLarge}
+	}
+	return nil
 }
 
 // targetOutcome maps the error of a failed attempt to the outcome that is recorded for its target.
@@ -245,6 +267,7 @@
 	end := j.f.cfg.Quarantine.Begin(call.Target, j.fingerprint, j.request, j.segments...)
 	result, err := j.relayAnswer(ctx, call, inFlight)
 	if err != nil {
+		j.logMemoryShort(call.Target, err)
 		if err.Kind != exchange.KindStatus { // relayAnswer returns the outcome of a server error itself.
 			result = targetOutcome(ctx, err)
 		}
@@ -277,20 +300,24 @@
 			Op: "resume", Kind: exchange.KindProtocol, Run: camphorhinge.Run, Status: answer.Status, Err: errNotEventStream,
 		}
 	}
-	body, err := readAll(answer)
-	if err != nil {
+	body := j.answerBuffer(call.Target)
+	if err := readAll(answer, body); err != nil {
+		body.Free()
 		return place.Broken, err
 	}
-	if isEventStream(answer) && !isWholeStream(body, answer.Framed()) {
+	if isEventStream(answer) && !isWholeStream(body.Bytes(), answer.Framed(), j.answerBuffer(call.Target)) {
+		body.Free()
 		return place.Broken, asExchangeError(answer.BrokenOff(errIncompleteStream))
 	}
 	inFlight.RecordFirstEvent(j.f.cfg.Clock.Now())
 	if answer.Status >= http.StatusInternalServerError && j.reserveErrorRetry(ctx) {
+		body.Free()
 		return place.Errored, &exchange.Error{
 			Op: "answer", Kind: exchange.KindStatus, Run: camphorhinge.Run, Status: answer.Status, Err: errServerError,
 		}
 	}
-	j.deliver(answer, body)
+	j.deliver(answer, body.Bytes())
+	j.out.OnSent(body.Free)
 	if answer.Status >= http.StatusInternalServerError {
 		return place.Errored, nil
 	}
--- a/internal/request/forward/error.go
+++ b/internal/request/forward/error.go
@@ -41,6 +41,8 @@
 	KindTarget Kind = "target"
 	// KindCallerLeft marks a request whose caller closed the connection.
 	KindCallerLeft Kind = "caller_left"
+	// KindMemory marks a request whose body this node has no memory for.
+	KindMemory Kind = "memory"
 	// KindStopping marks a request that arrived during a planned stop of the node.
 	KindStopping Kind = "stopping"
 )
--- a/internal/request/forward/fake_test.go
+++ b/internal/request/forward/fake_test.go
@@ -24,6 +24,7 @@
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/record/routing"
 	"example.org/camphorhinge/internal/request/budget"
+	"example.org/camphorhinge/internal/request/buffer"
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/place"
@@ -279,6 +280,8 @@
 	s.body.Write(body)
 }
 
+func (s *sink) OnSent(f func()) { f() }
+
 func (s *sink) StartStream(status int, header http.Header) {
 	s.status, s.header, s.headerSent = status, header, true
 }
@@ -343,11 +346,16 @@
 	b.index.Store(routing.NewIndex(&routing.Config{Version: 1, Routes: []routing.Route{route}, Services: []routing.Service{service}}))
 	b.Forwarder = New(Config{
 		Index: b.index.Load, Targets: w, Placer: &b.place, Origins: &b.origins, Exchange: b.client,
-		Budget:     budget.New(budget.Config{Allowance: 100, Window: 10 * time.Second}),
+		Budget: budget.New(budget.Config{Allowance: 100, Window: 10 * time.Second}),
+		Bodies: buffer.New(buffer.Config{Name: "bodies", Limit: 64 << 20}), Answers: buffer.New(buffer.Config{Name: "answers", Limit: 64 << 20}),
 		Quarantine: noQuarantine{}, Protocol: protocol{}, Nodes: func() int { return 1 }, Clock: clock,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewSet(),
 	})
-	t.Cleanup(func() { require.NoError(t, errors.Join(b.Close(), b.client.Close(), w.group.Wait())) })
+	t.Cleanup(func() {
+		require.NoError(t, errors.Join(b.Close(), b.client.Close(), w.group.Wait()))
+		require.Zero(t, b.cfg.Bodies.Held())
+		require.Zero(t, b.cfg.Answers.Held())
+	})
 	return b
 }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -19,6 +19,7 @@
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/record/routing"
 	"example.org/camphorhinge/internal/request/budget"
+	"example.org/camphorhinge/internal/request/buffer"
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/place"
@@ -97,6 +98,8 @@
 	Budget     *budget.Budget
 	Quarantine Quarantine
 	Protocol   Protocol
+	// Bodies and Answers bound the bytes of requests, by connection, and of answers and events, by target, that are held in memory.
+	Bodies, Answers *buffer.Pool
 	// Zone is the availability zone of this node.
 	Zone camphorhinge.Zone
 	// Nodes returns the number of nodes that share the retry budget.
@@ -140,8 +143,10 @@
 
 // Sink receives the answer for a caller; *ingress.Sink implements it.
 type Sink interface {
-	// SendComplete sends a complete answer.
+	// SendComplete sends a complete answer. The body must stay unchanged until the function given to OnSent is called.
 	SendComplete(status int, header http.Header, body []byte)
+	// OnSent sets a function that is called once, when the answer was sent or the caller's connection ended.
+	OnSent(f func())
 	// StartStream starts a streamed answer.
 	StartStream(status int, header http.Header)
 	// Write sends a chunk of a streamed answer and flushes it; an error means that the caller closed the connection.
@@ -161,8 +166,8 @@
 	Body                io.Reader
 	// Length is the body's size in bytes, or -1 when it is unknown.
 	Length int64
-	// Caller is the caller's IP address.
-	Caller string
+	// Caller is the caller's IP address, Connection that address with the port.
+	Caller, Connection string
 	// Watch calls cancel when the caller closes its connection, until the returned function is called; it may be nil.
 	Watch func(cancel context.CancelFunc) (stop func())
 }
@@ -182,19 +187,24 @@
 	watchers errgroup.Group
 	// badNotices bounds the log lines on statements of targets that are not valid.
 	badNotices rate.Sometimes
+	// memoryShort bounds the log lines on answers for which there is no memory.
+	memoryShort rate.Sometimes
 }
 
 // maxBackground bounds the concurrent calls that free KV caches; calls above it are skipped, as engines also free
 // unused caches by themselves.
 const maxBackground = 64
 
-// badNoticeInterval is the least time between two log lines on statements that are not valid, after the first ten.
-const badNoticeInterval = 10 * time.Second
+// repeatedLogInterval is the least time between two log lines of one kind on faults of targets, after the first ten.
+const repeatedLogInterval = 10 * time.Second
 
 // New returns a Forwarder. Close must be called to release it.
 func New(cfg Config) *Forwarder {
 	ended, end := context.WithCancel(context.Background())
-	f := &Forwarder{cfg: cfg, ended: ended, end: end, meters: newMeters(cfg.Metrics), badNotices: rate.Sometimes{First: 10, Interval: badNoticeInterval}}
+	f := &Forwarder{
+		cfg: cfg, ended: ended, end: end, meters: newMeters(cfg.Metrics),
+		badNotices: rate.Sometimes{First: 10, Interval: repeatedLogInterval}, memoryShort: rate.Sometimes{First: 10, Interval: repeatedLogInterval},
+	}
 	f.background.SetLimit(maxBackground)
 	return f
 }
@@ -213,7 +223,11 @@
 
 // Serve forwards one request, answers it through out, and records its outcome.
 func (f *Forwarder) Serve(ctx context.Context, in *Request, out Sink) {
-	j := &job{f: f, in: in, out: out, began: f.cfg.Clock.Now(), info: f.cfg.Protocol.ParseRequest(in.Header), header: forwardableHeader(in.Header)}
+	j := &job{
+		f: f, in: in, out: out, began: f.cfg.Clock.Now(), info: f.cfg.Protocol.ParseRequest(in.Header), header: forwardableHeader(in.Header),
+		received: f.cfg.Bodies.Buffer(in.Connection),
+	}
+	defer j.received.Free()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(f.ended, func() { cancel(errStopping) })()
@@ -273,15 +287,21 @@
 	if j.in.Body == nil {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(j.in.Body, limit+1))
+	if !j.f.cfg.Bodies.Fits(j.in.Connection, max(j.in.Length, 0)) {
+		return newUnavailable(KindMemory, targetRetryAfter, "this node has no memory for a body of %d bytes now", j.in.Length)
+	}
+	more, err := j.received.ReadAll(j.in.Body, j.in.Length, limit)
+	body := j.received.Bytes()
 	switch {
+	case buffer.IsFull(err):
+		return newUnavailable(KindMemory, targetRetryAfter, "this node has no memory for the body now: %w", err)
 	case err != nil:
 		e := newRefusal(KindInvalid, http.StatusBadRequest, "the body could not be read: %w", err)
 		if isTimeout(err) {
 			e = newRefusal(KindSlowRequest, http.StatusRequestTimeout, "the body was not received in time")
 		}
 		return e
-	case int64(len(body)) > limit:
+	case more:
 		return newRefusal(KindTooLarge, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
 	case j.in.Length >= 0 && int64(len(body)) < j.in.Length:
 		return newRefusal(KindInvalid, http.StatusBadRequest, "the body is shorter than its content length")
--- a/internal/request/forward/http.go
+++ b/internal/request/forward/http.go
@@ -35,7 +35,7 @@
 func (f *Forwarder) handle(ctx context.Context, c *app.RequestContext) {
 	in := &Request{
 		Method: string(c.Method()), Path: pathOf(ingress.RequestTarget(c)), RequestTarget: ingress.RequestTarget(c), Host: string(c.Host()),
-		Header: ingress.Header(c), Caller: callerHost(c),
+		Header: ingress.Header(c), Caller: callerHost(c), Connection: c.RemoteAddr().String(),
 		Watch: func(cancel context.CancelFunc) func() { return ingress.CancelOnDisconnect(c, &f.watchers, cancel) },
 	}
 	in.Body, in.Length = ingress.Body(c, receiveTimeout)
--- a/internal/request/forward/job.go
+++ b/internal/request/forward/job.go
@@ -9,6 +9,7 @@
 
 	"example.org/camphorhinge"
 	"example.org/camphorhinge/internal/record/routing"
+	"example.org/camphorhinge/internal/request/buffer"
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/place"
@@ -26,7 +27,9 @@
 	service *routing.Service
 	// header is the forwardable part of the request's header.
 	header http.Header
-	body   []byte
+	// received holds the request's body, which body refers to.
+	received *buffer.Buffer
+	body     []byte
 	// fingerprint is the hash by which the quarantine counts crashes of the request.
 	fingerprint camphorhinge.Fingerprint
 	// request is the hash by which it counts crashes of the request whoever sends it.
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"example.org/camphorhinge"
+	"example.org/camphorhinge/internal/request/buffer"
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/place"
 )
@@ -20,20 +21,22 @@
 // attempt that breaks off earlier can still be retried or answered with an error.
 func (j *job) streamAnswer(answer *exchange.Answer, inFlight *place.InFlight) *exchange.Error {
 	events := bufio.NewReaderSize(answer, 4<<10)
+	event := j.answerBuffer(j.plan.Serve)
+	defer event.Free()
 	j.unframed = j.unframed || !answer.Framed()
 	for received := 0; ; received++ {
 		answer.ExpectEvent()
-		event, id, err := nextEvent(events)
+		id, err := nextEvent(events, event)
 		atEOF := errors.Is(err, io.EOF)
-		if atEOF && endsEarly(event, received, answer.Framed()) {
+		if atEOF && endsEarly(event.Bytes(), received, answer.Framed()) {
 			return asExchangeError(answer.BrokenOff(errIncompleteStream))
 		}
 		if err != nil && !atEOF {
 			return asExchangeError(err)
 		}
-		if len(event) > 0 || atEOF {
+		if len(event.Bytes()) > 0 || atEOF {
 			inFlight.RecordFirstEvent(j.f.cfg.Clock.Now())
-			if werr := j.sendEvent(answer, event); werr != nil {
+			if werr := j.sendEvent(answer, event.Bytes()); werr != nil {
 				return &exchange.Error{Op: "write", Kind: exchange.KindCallerLeft, Run: camphorhinge.Run, Err: werr}
 			}
 		}
@@ -83,13 +86,13 @@
 	return insideEvent(rest) || events == 0 && !framed
 }
 
-// isWholeStream reports whether body is a stream that was not broken off.
-func isWholeStream(body []byte, framed bool) bool {
+// isWholeStream reports whether body is a stream that was not broken off; event is an empty buffer, which it frees.
+func isWholeStream(body []byte, framed bool, event *buffer.Buffer) bool {
+	defer event.Free()
 	events := bufio.NewReader(bytes.NewReader(body))
 	for received := 0; ; received++ {
-		rest, _, err := nextEvent(events)
-		if err != nil {
-			return errors.Is(err, io.EOF) && !endsEarly(rest, received, framed)
+		if _, err := nextEvent(events, event); err != nil {
+			return errors.Is(err, io.EOF) && !endsEarly(event.Bytes(), received, framed)
 		}
 	}
 }
@@ -107,32 +110,34 @@
 	return false
 }
 
-// nextEvent returns the bytes of the next event, including comments and empty lines before it and the empty line that ends
-// it, and its id. At the end of the stream it returns the remaining bytes with io.EOF. When the stream breaks off, the
-// incomplete event is dropped.
-func nextEvent(r *bufio.Reader) (event []byte, id string, err error) {
+// nextEvent replaces the content of to by the bytes of the next event, including comments and empty lines before it and the empty line
+// that ends it, and returns its id. At the end of the stream it returns io.EOF with the remaining bytes in to. After any other error
+// the event is not complete.
+func nextEvent(r *bufio.Reader, to *buffer.Buffer) (id string, err error) {
+	to.Reset()
 	hasField := false
 	for {
 		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		if ferr := to.Append(line); ferr != nil {
+			return "", ferr
+		}
+		event := to.Bytes()
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			if len(event) > maxEventSize {
-				return nil, "", errEventTooLarge
+				return "", errEventTooLarge
 			}
 			continue
-		case errors.Is(err, io.EOF):
-			return event, "", io.EOF
 		case err != nil:
-			return nil, "", err
+			return "", err
 		case len(event) > maxEventSize:
-			return nil, "", errEventTooLarge
+			return "", errEventTooLarge
 		}
 		start := bytes.LastIndexByte(event[:len(event)-1], '\n') + 1
 		text := bytes.TrimRight(event[start:], "\r\n")
 		switch {
 		case len(text) == 0 && hasField:
-			return event, id, nil
+			return id, nil
 		case len(text) == 0 || text[0] == ':':
 			continue
 		}
--- a/internal/request/ingress/guard.go
+++ b/internal/request/ingress/guard.go
@@ -92,6 +92,7 @@
 				g.conns.add(gc)
 				defer g.conns.remove(gc)
 			}
+			defer gc.answerSent()
 			conn = gc
 		}
 		return serve(ctx, conn)
@@ -126,6 +127,8 @@
 	headerStart time.Time
 	// headerTimedOut is true when a header was not received within Limits.HeaderTimeout.
 	headerTimedOut bool
+	// onSent is called when the current answer was sent, or nil.
+	onSent func()
 	// replied is true once replyFault has been called.
 	replied bool
 }
@@ -199,9 +202,18 @@
 	}
 }
 
+// answerSent calls onSent once.
+func (g *guardedConn) answerSent() {
+	if f := g.onSent; f != nil {
+		g.onSent = nil
+		f()
+	}
+}
+
 // Peek implements network.Reader; hertz reads headers through it.
 func (g *guardedConn) Peek(n int) ([]byte, error) {
 	if g.phase == answering {
+		g.answerSent()
 		g.phase, g.headerStart = reading, time.Time{}
 	}
 	if g.phase != reading {
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -162,6 +162,16 @@
 	s.c.Response.SetBodyRaw(body)
 }
 
+// OnSent sets a function that is called once, when the answer was sent or the connection ended. Without the transport of Options it is
+// called at once.
+func (s *Sink) OnSent(f func()) {
+	if g, ok := s.c.GetConn().(*guardedConn); ok {
+		g.onSent = f
+		return
+	}
+	f()
+}
+
 // StartStream starts a streamed answer in chunked encoding.
 func (s *Sink) StartStream(status int, header http.Header) {
 	s.setHeader(status, header)
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -231,6 +231,9 @@
 	s.body.Write(body)
 }
 
+// OnSent implements forward.Sink.
+func (s *sink) OnSent(f func()) { f() }
+
 // StartStream implements forward.Sink.
 func (s *sink) StartStream(status int, header http.Header) {
 	s.answer.Status, s.answer.Header = status, header
