Bound the bytes of messages that a core node holds by its memory limit

Cause: as for entry nodes, each body at the control port and each call of another node has a bound of 8 MB, but their sum has none.

What can't be held is refused with 503, so that the sender asks another node.

--- a/internal/node/peer/client.go
+++ b/internal/node/peer/client.go
@@ -13,6 +13,7 @@
 
 	"example.org/camphorhinge/internal/node/dial"
 	"example.org/camphorhinge/internal/node/peer/peerpb"
+	"example.org/camphorhinge/internal/request/buffer"
 )
 
 const (
@@ -49,6 +50,8 @@
 	source net.Addr
 	// traffic counts calls; nil counts none.
 	traffic *metrics.Set
+	// answers bounds the bytes of responses; nil sets no bound.
+	answers *buffer.Pool
 
 	mu    sync.Mutex
 	conns map[string]*Conn
@@ -73,6 +76,9 @@
 	p.source = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
 }
 
+// BoundAnswers bounds the bytes of responses that are held. It must be called before the first Get.
+func (p *Pool) BoundAnswers(answers *buffer.Pool) { p.answers = answers }
+
 // Get returns the clients of the peer at address, an IP:port. It does not connect.
 func (p *Pool) Get(address string) *Conn {
 	p.mu.Lock()
@@ -85,6 +91,7 @@
 		scheme = "https://"
 	}
 	link := newTransport(p.newHTTPTransport, func() {})
+	link.answers, link.address = p.answers, address
 	var rt http.RoundTripper = link
 	if p.traffic != nil {
 		link.onReplace = p.traffic.GetOrCreateCounter(TrafficPrefix + "replaced_total").Inc
--- a/internal/node/peer/transport.go
+++ b/internal/node/peer/transport.go
@@ -13,6 +13,7 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"example.org/camphorhinge/internal/observe/trace"
+	"example.org/camphorhinge/internal/request/buffer"
 )
 
 const (
@@ -30,6 +31,9 @@
 // It also adds the trace context to the headers of calls.
 type transport struct {
 	open func(http2 bool) *connections
+	// answers bounds the bytes of responses that are held; address is the peer's, which owns them.
+	answers *buffer.Pool
+	address string
 	// onReplace is called when a connection is replaced after a timeout.
 	onReplace func()
 
@@ -82,6 +86,9 @@
 	t.mu.Unlock()
 	sent := time.Now()
 	resp, err := used.RoundTrip(req)
+	if err == nil {
+		resp.Body = t.answers.Reader(t.address, resp.Body)
+	}
 	t.recordEnd(used)
 	switch {
 	case err == nil && !http2 && resp.Header.Get(speaksHTTP2) != "":
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -23,6 +23,7 @@
 	"example.org/camphorhinge/internal/node/tunnel"
 	"example.org/camphorhinge/internal/node/web"
 	"example.org/camphorhinge/internal/record/routing"
+	"example.org/camphorhinge/internal/request/buffer"
 	"example.org/camphorhinge/internal/request/exchange"
 	"example.org/camphorhinge/internal/request/origin"
 	"example.org/camphorhinge/internal/request/place"
@@ -102,6 +103,8 @@
 	scheduler *schedule.Scheduler
 	exchange  *exchange.Client
 	relay     *tunnel.Relay
+	// messages bounds the bytes of messages between nodes that are held.
+	messages *buffer.Pool
 	// notices holds what targets stated in answers that this node passed on.
 	notices     place.Notices
 	parseNotice func(status int, h http.Header) (place.Notice, error)
@@ -123,6 +126,11 @@
 	steps := []func() error{
 		func() error { return c.openTraces(ctx, nil) },
 		c.openPeers,
+		func() error {
+			c.messages = buffer.New(buffer.Config{Name: "peers", Limit: c.settings.PeerBytes, Metrics: c.metrics})
+			c.pool.BoundAnswers(c.messages)
+			return nil
+		},
 		func() error { return c.openDurable(ctx) },
 		func() error { return c.buildCore(cfg) },
 		func() error { return c.openControl(cfg.Register) },
@@ -148,7 +156,7 @@
 	c.exchange = newExchange(c.metrics, cfg.Dialect, direct)
 	c.relay = tunnel.NewRelay(tunnel.RelayConfig{
 		Dialer: direct, Known: func(address string) bool { return c.registry.AtAddress(address) != nil },
-		Notices: c.noticesAt, Silent: silentTimeout, Clock: c.clock, Log: c.log, Metrics: c.metrics,
+		Notices: c.noticesAt, Silent: silentTimeout, Bytes: c.settings.RelayBytes, Clock: c.clock, Log: c.log, Metrics: c.metrics,
 	})
 	engines := cfg.Engines(c.exchange)
 	c.scheduler = schedule.New(schedule.Config{
@@ -300,7 +308,8 @@
 
 func (c *Core) openControl(register func(*web.Server, Control)) error {
 	var err error
-	if c.controlPort, err = web.New(web.Config{Address: c.settings.ControlListen, MaxBody: maxControlBody}); err != nil {
+	bodies := buffer.New(buffer.Config{Name: "control", Limit: c.settings.ControlBytes, Metrics: c.metrics})
+	if c.controlPort, err = web.New(web.Config{Address: c.settings.ControlListen, MaxBody: maxControlBody, Bodies: bodies}); err != nil {
 		return err
 	}
 	register(c.controlPort, c)
@@ -318,7 +327,7 @@
 	controlCtx, closeControl := context.WithCancel(work)
 	defer closeControl()
 	services := c.services()
-	services.Tunnels = c.relay
+	services.Tunnels, services.Bodies = c.relay, c.messages
 	g.Go(func() error { return c.peerPort.Serve(work, services) })
 	g.Go(func() error { return c.discovery.RunWithoutPolls(work) })
 	g.Go(func() error { return c.scheduler.Run(work) })
--- a/internal/node/server/entry.go
+++ b/internal/node/server/entry.go
@@ -110,6 +110,7 @@
 	s := e.cfg.Settings
 	e.pool = pool
 	pool.CountTraffic(e.metrics)
+	pool.BoundAnswers(buffer.New(buffer.Config{Name: "peers", Limit: s.PeerBytes, Metrics: e.metrics}))
 	e.registry = registry.New(registry.Config{Clock: e.clock, Expiry: entryExpiry, Exclusive: true, Metrics: e.metrics, OnAnnouncement: e.onAnnouncement})
 	feedOf := func(address string) peerpb.Feed { return pool.Get(address).Feed }
 	e.follower = feed.NewFollower(feed.FollowerConfig{
--- a/internal/node/setting/core.go
+++ b/internal/node/setting/core.go
@@ -32,6 +32,9 @@
 	Handover time.Duration
 	// Grace bounds a planned stop.
 	Grace time.Duration
+	// ControlBytes, PeerBytes and RelayBytes are the greatest numbers of bytes that are held at a time of bodies at the control port, of
+	// messages between nodes, and for connections through this node; 0 means no limit.
+	ControlBytes, PeerBytes, RelayBytes int64
 }
 
 // Check returns an error for each invalid setting, joined, or nil.
@@ -46,6 +49,7 @@
 		check(s.Voters > 0 && s.Voters%2 == 1, "voters: expected an odd number, got %d", s.Voters),
 		check(s.LostAfter > 0, "time until a voter counts as lost: expected more than 0"),
 		check(s.Grace > 0, "grace time: expected more than 0"),
+		check(s.ControlBytes >= 0 && s.PeerBytes >= 0 && s.RelayBytes >= 0, "bytes of messages: expected no negative number"),
 	)
 }
 
@@ -75,9 +79,9 @@
 	StopDelay, Grace time.Duration
 	// LinkMbps is the speed of the node's link in Mbit/s; 0 means unknown.
 	LinkMbps float64
-	// BodyBytes and AnswerBytes are the greatest numbers of bytes of request bodies and of answers that are held at a time; 0 means
-	// no limit.
-	BodyBytes, AnswerBytes int64
+	// BodyBytes, AnswerBytes and PeerBytes are the greatest numbers of bytes of request bodies, of answers and of responses of other nodes
+	// that are held at a time; 0 means no limit.
+	BodyBytes, AnswerBytes, PeerBytes int64
 }
 
 // Check returns an error for each invalid setting, joined, or nil.
@@ -89,7 +93,7 @@
 		checkOptional("metrics", s.MetricsListen),
 		check(len(s.Peers) > 0, "peers: expected at least one address"),
 		check(s.RetryRatio >= 0 && s.RetryAllowance >= 0, "retry budget: expected no negative number"),
-		check(s.BodyBytes >= 0 && s.AnswerBytes >= 0, "bytes of bodies and answers: expected no negative number"),
+		check(s.BodyBytes >= 0 && s.AnswerBytes >= 0 && s.PeerBytes >= 0, "bytes of messages: expected no negative number"),
 		check(s.RetryWindow > 0, "window of the retry budget: expected more than 0"),
 		check(s.StopDelay >= 0 && s.Grace > s.StopDelay, "grace time: expected more than the stop delay %v, got %v", s.StopDelay, s.Grace),
 	)
--- a/internal/node/tunnel/relay.go
+++ b/internal/node/tunnel/relay.go
@@ -22,8 +22,10 @@
 )
 
 const (
-	// maxTunnels bounds the connections through one relay: two buffers of bufferSize each, so some 20 MB in all.
+	// maxTunnels bounds the connections through one relay, also without a bound of their memory.
 	maxTunnels = 512
+	// tunnelBytes is the memory of one connection: a buffer for each direction, and what the connections to both ends take.
+	tunnelBytes = 2*bufferSize + 8<<10
 	// relayDialTimeout bounds connecting to a target.
 	relayDialTimeout = 300 * time.Millisecond
 	// quietTime is how long a connection has been without a byte from the target, after its last one, when it is taken for
@@ -49,7 +51,9 @@
 	// Notices returns those of the target at an address, or nil if there is none. With a nil function no answer is examined.
 	Notices func(address string) Notices
 	// Silent is how long the connection of a node may leave sent data or probes unacknowledged before it fails.
-	Silent  time.Duration
+	Silent time.Duration
+	// Bytes is the memory of all connections; 0 means no bound of its own.
+	Bytes   int64
 	Clock   camphorhinge.Clock
 	Log     *slog.Logger
 	Metrics *metrics.Set
@@ -63,6 +67,9 @@
 	// requests and answers count bytes.
 	requests, answers *metrics.Counter
 
+	// most is the greatest number of connections.
+	most int
+
 	mu       sync.Mutex
 	tunnels  map[*tunnel]struct{}
 	opening  int
@@ -71,8 +78,12 @@
 
 // NewRelay returns a Relay. Drain must be called.
 func NewRelay(cfg RelayConfig) *Relay {
+	most := maxTunnels
+	if cfg.Bytes > 0 {
+		most = int(min(cfg.Bytes/tunnelBytes, maxTunnels))
+	}
 	return &Relay{
-		cfg: cfg, tunnels: make(map[*tunnel]struct{}),
+		cfg: cfg, tunnels: make(map[*tunnel]struct{}), most: most,
 		total:    cfg.Metrics.GetOrCreateCounter(MetricsPrefix + "relayed_total"),
 		refused:  cfg.Metrics.GetOrCreateCounter(MetricsPrefix + "refused_total"),
 		requests: cfg.Metrics.GetOrCreateCounter(MetricsPrefix + `bytes_total{direction="to_target"}`),
@@ -174,7 +185,7 @@
 func (r *Relay) reserve() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopping || len(r.tunnels)+r.opening >= maxTunnels {
+	if r.stopping || len(r.tunnels)+r.opening >= r.most {
 		return false
 	}
 	r.opening++
--- a/internal/node/web/server.go
+++ b/internal/node/web/server.go
@@ -10,6 +10,8 @@
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"golang.org/x/sync/errgroup"
+
+	"example.org/camphorhinge/internal/request/buffer"
 )
 
 const (
@@ -46,6 +48,9 @@
 	Address string
 	// MaxBody is the maximum size of a request body that hertz reads itself, in bytes.
 	MaxBody int
+	// Bodies bounds the bytes of all request bodies that are held, by connection; nil sets no bound. It is for servers whose handlers
+	// need whole bodies.
+	Bodies *buffer.Pool
 	// Options are applied after the server's own options, so that they take precedence.
 	Options []hertzconfig.Option
 }
@@ -75,8 +80,14 @@
 		server.WithDisablePrintRoute(true),
 		server.WithTracer(&s.requests),
 	}
+	if cfg.Bodies != nil {
+		options = append(options, server.WithStreamBody(true))
+	}
 	s.Hertz = server.New(append(options, cfg.Options...)...)
 	s.Hertz.Use(s.requests.closeWhileDraining)
+	if cfg.Bodies != nil {
+		s.Hertz.Use(holdBody(cfg.Bodies, int64(cfg.MaxBody)))
+	}
 	return s, nil
 }
 
--- a/internal/request/buffer/buffer.go
+++ b/internal/request/buffer/buffer.go
@@ -101,8 +101,8 @@
 	held  int64
 }
 
-// readerCost is the memory of a reader's byte: a slice that grows as it is filled has up to twice the size of its content.
-const readerCost = 2
+// ReaderCost is the memory that a byte of a Reader takes: a slice that grows as it is filled has up to twice the size of its content.
+const ReaderCost = 2
 
 // Reader returns a reader whose bytes take memory of the Pool until it is closed. Its Read returns an Error of KindFull if there is none.
 func (p *Pool) Reader(owner string, r io.ReadCloser) io.ReadCloser {
@@ -112,10 +112,10 @@
 // Read implements io.Reader.
 func (r *reader) Read(p []byte) (int, error) {
 	n, err := r.ReadCloser.Read(p)
-	if rerr := r.pool.reserve(r.owner, readerCost*int64(n)); rerr != nil {
+	if rerr := r.pool.reserve(r.owner, ReaderCost*int64(n)); rerr != nil {
 		return 0, rerr
 	}
-	r.held += readerCost * int64(n)
+	r.held += ReaderCost * int64(n)
 	return n, err
 }
 
