Pass request targets on byte for byte

Cause: net/http writes a url.URL.Opaque that begins with two slashes in absolute form. On the caller's side, targets in absolute form were normalised, and of two lengths that differ one was ignored.

Change: the request line is written by exchange itself. What can't be passed on unchanged, or whose end a target may see elsewhere, is refused with 400 before anything is sent, and its connection is closed.

--- a/internal/request/exchange/client.go
+++ b/internal/request/exchange/client.go
@@ -9,7 +9,6 @@
 	"math"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -328,11 +327,15 @@
 }
 
 func (c *Client) roundTrip(ctx context.Context, cn *conn, call Call) (*http.Response, error) {
-	req, src, err := c.request(ctx, call)
-	if err != nil {
+	if err := checkCall(&call); err != nil {
 		return nil, &Error{Op: "request", Kind: KindProtocol, Run: camphorhinge.NotRun, Err: err}
 	}
-	werr := req.Write(cn)
+	h, host := c.head(ctx, &call)
+	var src *callerBody
+	if call.Body != nil && call.Length != 0 {
+		src = &callerBody{Reader: call.Body}
+	}
+	werr := writeRequest(cn, &call, h, host, src)
 	if src != nil && src.err != nil {
 		e := newError(ctx, "write", cn, src.err)
 		if e.Kind != KindCallerLeft && e.Kind != KindDeadline {
@@ -349,7 +352,7 @@
 	// After a failed write there may still be an answer, such as the refusal of a large body. Informational answers (1xx)
 	// are skipped, up to a limit.
 	for range 5 {
-		resp, err := http.ReadResponse(cn.br, req)
+		resp, err := http.ReadResponse(cn.br, &http.Request{Method: call.Method})
 		if err != nil {
 			if werr != nil {
 				err = werr
@@ -366,12 +369,8 @@
 	return nil, newError(ctx, "read header", cn, errFraming)
 }
 
-func (c *Client) request(ctx context.Context, call Call) (*http.Request, *callerBody, error) {
-	if _, err := url.ParseRequestURI(call.Path); err != nil {
-		return nil, nil, err
-	}
-	// An opaque URL is written verbatim; a parsed one might be escaped differently.
-	u := &url.URL{Scheme: "http", Host: call.Target.Address, Opaque: call.Path}
+// head returns the header of a request and its Host.
+func (c *Client) head(ctx context.Context, call *Call) (http.Header, string) {
 	h := make(http.Header, len(call.Header)+8)
 	for k, v := range call.Header {
 		h[k] = v
@@ -380,27 +379,15 @@
 	if d, ok := ctx.Deadline(); ok {
 		remaining = max(time.Until(d), time.Millisecond)
 	}
-	c.cfg.Dialect.Prepare(h, &call, remaining)
+	c.cfg.Dialect.Prepare(h, call, remaining)
 	if h.Get("User-Agent") == "" {
 		h.Set("User-Agent", "camphorhinge")
 	}
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(h))
-	host := call.Host
-	if host == "" {
-		host = call.Target.Address
-	}
-	req := &http.Request{
-		Method: call.Method, URL: u, Host: host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
-	if call.Body == nil || call.Length == 0 {
-		return req, nil, nil
-	}
-	src := &callerBody{Reader: call.Body}
-	req.Body, req.ContentLength = io.NopCloser(src), call.Length
-	if call.Length < 0 {
-		req.TransferEncoding = []string{"chunked"}
+	if call.Host == "" {
+		return h, call.Target.Address
 	}
-	return req, src, nil
+	return h, call.Host
 }
 
 // Framed reports whether the end of the body is marked by a content length or the last chunk, so that a lost connection
--- a/internal/request/forward/http.go
+++ b/internal/request/forward/http.go
@@ -27,14 +27,14 @@
 
 // Register adds the handler of all requests to a server that was created with Options.
 func (f *Forwarder) Register(r *route.Engine) {
-	r.Use(ingress.TrackPhase)
+	r.Use(ingress.TrackPhase, ingress.RefuseUnclear(reply, func(err error) { f.cfg.Log.Warn("request refused", "error", err) }))
 	r.Any("/*path", f.handle)
 	r.NoRoute(f.handle)
 }
 
 func (f *Forwarder) handle(ctx context.Context, c *app.RequestContext) {
 	in := &Request{
-		Method: string(c.Method()), Path: pathOf(ingress.RequestTarget(c)), RequestTarget: ingress.RequestTarget(c), Host: string(c.Host()),
+		Method: string(c.Method()), Path: pathOf(ingress.RequestTarget(c)), RequestTarget: ingress.RequestTarget(c), Host: ingress.Host(c),
 		Header: ingress.Header(c), Caller: callerHost(c), Connection: c.RemoteAddr().String(),
 		Watch: func(cancel context.CancelFunc) func() { return ingress.CancelOnDisconnect(c, &f.watchers, cancel) },
 	}
--- a/internal/request/frontend/http.go
+++ b/internal/request/frontend/http.go
@@ -30,7 +30,7 @@
 
 // Register adds the handlers of the caller port to a server that was created with Options.
 func (f *Frontend) Register(r *route.Engine) {
-	r.Use(ingress.TrackPhase)
+	r.Use(ingress.TrackPhase, ingress.RefuseUnclear(reply, func(err error) { f.cfg.Decisions.Record("refuse", "", err.Error(), nil) }))
 	r.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(consts.StatusOK, "ok\n") })
 	r.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
 		if !f.cfg.Configuration.Ready() {
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -79,13 +79,10 @@
 }
 
 // RequestTarget returns the path and query of a request as the caller sent them.
-func RequestTarget(c *app.RequestContext) string {
-	target := string(c.Request.RequestURI())
-	if !strings.HasPrefix(target, "/") {
-		target = string(c.Request.URI().RequestURI())
-	}
-	return target
-}
+func RequestTarget(c *app.RequestContext) string { return string(c.Request.Header.RequestURI()) }
+
+// Host returns the Host header of a request as the caller sent it.
+func Host(c *app.RequestContext) string { return string(c.Request.Header.Host()) }
 
 // Header returns a copy of the request's header.
 func Header(c *app.RequestContext) http.Header {
