Confirm a leave once it outlives the core node that confirms it

Cause: a core node answered when it alone held the leave; others got it up to 250 ms later and did not pass it on. A leave also counted as old where a later announcement of the target was known.

TestLeaveOvertakesAnnouncements fails without the change of the registry.

Core nodes pass on leaves that are new to them. A leave wins over all announcements of its incarnation.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -142,9 +142,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.targets[a.Name]
-	if e != nil && (!newer(&a, &e.target.Announcement) || e.left && a.Incarnation == e.target.Incarnation) {
-		r.old.Inc()
-		return nil, nil
+	if e != nil {
+		recorded := &e.target.Announcement
+		same := a.Incarnation == recorded.Incarnation
+		leaves := a.Left && same
+		if e.left && same || !leaves && !newer(&a, recorded) {
+			r.old.Inc()
+			return nil, nil
+		}
+		if leaves {
+			// The node that recorded the leave may have missed the target's latest announcements, but none comes after the leave.
+			a.Seq = max(a.Seq, recorded.Seq)
+		}
 	}
 	if e == nil && len(r.targets) >= MaxTargets {
 		r.removeExpired(now)
@@ -265,6 +274,17 @@
 	return true
 }
 
+// Recorded returns the recorded announcement of a target; ok is false if there is none.
+func (r *Registry) Recorded(name camphorhinge.TargetName) (a Aged, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.targets[name]
+	if e == nil {
+		return Aged{}, false
+	}
+	return Aged{Announcement: e.target.Announcement, Age: r.cfg.Clock.Now().Sub(e.target.ReportedAt)}, true
+}
+
 // Changes returns the targets that changed after change number since, leaving ones included, and the number of the
 // last change. A since of 0 returns all targets.
 func (r *Registry) Changes(since uint64) ([]Aged, uint64) {
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -175,3 +175,26 @@
 		}
 	})
 }
+
+// TestLeaveOvertakesAnnouncements guards against a leave that is ignored since the node that recorded it had missed the target's latest
+// announcements.
+func TestLeaveOvertakesAnnouncements(t *testing.T) {
+	clock := &manualClock{now: camphorhinge.Instant(time.Hour)}
+	r := registry.New(registry.Config{Clock: clock, Metrics: metrics.NewSet()})
+	a := camphorhinge.Announcement{Name: "t", Service: "s", Address: "127.0.0.1:1", Zone: "z", Incarnation: 1, Seq: 7, Kind: camphorhinge.KindService}
+	announce := func(seq camphorhinge.Sequence, incarnation camphorhinge.Incarnation, left bool) bool {
+		b := a
+		b.Seq, b.Incarnation, b.Leaving, b.Left = seq, incarnation, left, left
+		changed, err := r.Announce(b, 0, false)
+		require.NoError(t, err)
+		return changed
+	}
+	require.True(t, announce(7, 1, false))
+	require.True(t, announce(4, 1, true))
+	require.False(t, r.Live("s")[0].Serving)
+	require.False(t, announce(8, 1, false), "a late announcement")
+	require.False(t, announce(4, 1, true), "the leave again")
+	require.True(t, announce(1, 2, false), "the next incarnation")
+	require.False(t, announce(9, 1, true), "a leave of the former one")
+	require.True(t, r.Live("s")[0].Serving)
+}
--- a/internal/node/discovery/service.go
+++ b/internal/node/discovery/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -57,6 +58,9 @@
 	Demands func() []admit.Demand
 	// Reports receives the demand on the other nodes; nil ignores it.
 	Reports *admit.Reports
+	// PassOnLeaves makes the node pass on the leaves that it hears of from another node, in case that one ends before it has told all. It
+	// is for small groups of nodes: each leave then goes from each node to each other one.
+	PassOnLeaves bool
 }
 
 // Service exchanges announcements with the other nodes; it implements the proto service Spread.
@@ -70,7 +74,8 @@
 	// it.
 	missed map[string]bool
 	// start and seq identify the demand reports; only the goroutine that sends them uses seq.
-	start, seq uint64
+	start, seq    uint64
+	confirmations confirmations
 
 	sent, failed, polled, demandSent, demandFailed *metrics.Counter
 }
@@ -98,7 +103,7 @@
 	if d := req.GetDemand(); d != nil && s.cfg.Reports != nil {
 		s.cfg.Reports.Add(decodeReport(req.GetNode(), d))
 	}
-	if err := s.apply(req); err != nil {
+	if err := s.apply(req, s.cfg.PassOnLeaves); err != nil {
 		return nil, err
 	}
 	return &peerpb.AnnounceResponse{}, nil
@@ -139,22 +144,33 @@
 	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	defer cancel()
 	known, err := s.cfg.Pool.Get(address).Spread.Known(ctx, &peerpb.KnownRequest{})
-	return err == nil && s.apply(known) == nil
+	return err == nil && s.apply(known, false) == nil
 }
 
-func (s *Service) apply(req *peerpb.AnnounceRequest) error {
+// apply records announcements of another node. With passOn, leaves that are new to this node are sent to the others like those that it
+// received itself.
+func (s *Service) apply(req *peerpb.AnnounceRequest, passOn bool) error {
 	for _, t := range req.GetTargets() {
 		a, err := registry.Decode(t.GetAnnouncement())
 		if err != nil {
 			continue // The sender has validated it; a newer version may allow more.
 		}
-		if _, err := s.cfg.Registry.Announce(a, time.Duration(t.GetAge())*time.Millisecond, false); err != nil {
+		if _, err := s.cfg.Registry.Announce(a, time.Duration(t.GetAge())*time.Millisecond, passOn && s.beginsLeave(&a)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// beginsLeave reports whether an announcement says that a target leaves of which this node did not know that.
+func (s *Service) beginsLeave(a *camphorhinge.Announcement) bool {
+	if !a.Leaving {
+		return false
+	}
+	known, ok := s.cfg.Registry.Recorded(a.Name)
+	return !ok || known.Announcement.Incarnation < a.Incarnation || !known.Announcement.Leaving || a.Left && !known.Announcement.Left
+}
+
 // Run exchanges announcements, polls silent targets and reports the demand until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -174,7 +190,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return runEvery(ctx, batchInterval, s.announceChanges) })
 	g.Go(func() error { return s.warmUp(ctx) })
-	return g.Wait()
+	return errors.Join(g.Wait(), s.confirmations.group.Wait())
 }
 
 func runEvery(ctx context.Context, interval time.Duration, f func(context.Context)) error {
--- a/internal/node/discovery/service_test.go
+++ b/internal/node/discovery/service_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +32,8 @@
 	reports  *admit.Reports
 	demands  []admit.Demand
 	others   []string
+	// received counts the calls of other nodes.
+	received atomic.Int32
 }
 
 func start(t *testing.T, clock *testClock, name camphorhinge.NodeID) *node {
@@ -124,3 +128,111 @@
 	}
 	require.Len(t, decodeReport("a", r).Demands, admit.MaxDemands-1)
 }
+
+// Announce implements peerpb.Spread and counts the calls.
+func (n *node) Announce(ctx context.Context, req *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	n.received.Add(1)
+	return n.Service.Announce(ctx, req)
+}
+
+// TestConfirm guards against a leave that is confirmed although only the node that confirms it holds it, and against one that is held back
+// by a node that does not answer.
+func TestConfirm(t *testing.T) {
+	for _, tc := range []struct {
+		name             string
+		reachable, dead  int
+		holders, holding int
+		fails            bool
+	}{
+		{"alone", 0, 0, 2, 0, false},
+		{"all answer", 4, 0, 2, 2, false},
+		{"two of four", 2, 2, 2, 2, false},
+		{"one of four", 1, 3, 2, 1, true},
+		{"group of three", 2, 0, 1, 1, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := &testClock{now: camphorhinge.Instant(time.Hour)}
+			a := start(t, clock, "a")
+			var others []*node
+			for i := range tc.reachable {
+				others = append(others, start(t, clock, camphorhinge.NodeID(fmt.Sprint(i))))
+				a.others = append(a.others, others[i].address)
+			}
+			for range tc.dead {
+				l, err := net.Listen("tcp", "127.0.0.1:0") // It accepts no connection.
+				require.NoError(t, err)
+				defer l.Close()
+				a.others = append(a.others, l.Addr().String())
+			}
+			_, err := a.registry.Announce(engine, 0, true)
+			require.NoError(t, err)
+			a.announceChanges(t.Context())
+			require.True(t, a.registry.MarkLeft("e1", 0))
+			began := time.Now()
+			err = a.Confirm(t.Context(), "e1", tc.holders)
+			require.Equal(t, tc.fails, err != nil, "%v", err)
+			if !tc.fails {
+				require.Less(t, time.Since(began), batchTimeout)
+			}
+			held := 0
+			for _, n := range others {
+				if live := n.registry.Live("s"); len(live) == 1 && !live[0].Serving {
+					held++
+				}
+			}
+			require.GreaterOrEqual(t, held, tc.holding)
+			require.NoError(t, a.confirmations.group.Wait())
+		})
+	}
+}
+
+// TestConfirmTogether guards against calls for each of many targets that leave at the same time, as in a release.
+func TestConfirmTogether(t *testing.T) {
+	const targets = 240
+	clock := &testClock{now: camphorhinge.Instant(time.Hour)}
+	a, b := start(t, clock, "a"), start(t, clock, "b")
+	a.others = []string{b.address}
+	for i := range targets {
+		e := engine
+		e.Name, e.Address = camphorhinge.TargetName(fmt.Sprint(i)), fmt.Sprintf("127.0.0.1:%d", 1000+i)
+		_, err := a.registry.Announce(e, 0, true)
+		require.NoError(t, err)
+	}
+	a.announceChanges(t.Context())
+	before := b.received.Load()
+	var g errgroup.Group
+	for i := range targets {
+		g.Go(func() error {
+			name := camphorhinge.TargetName(fmt.Sprint(i))
+			a.registry.MarkLeft(name, 0)
+			return a.Confirm(t.Context(), name, 2)
+		})
+	}
+	require.NoError(t, g.Wait())
+	for _, live := range b.registry.Live("s") {
+		require.False(t, live.Serving)
+	}
+	require.LessOrEqual(t, b.received.Load()-before, int32(targets/10))
+	require.NoError(t, a.confirmations.group.Wait())
+}
+
+// TestLeavesArePassedOn guards against a leave that some nodes never hear of, since the one that received it ended first.
+func TestLeavesArePassedOn(t *testing.T) {
+	clock := &testClock{now: camphorhinge.Instant(time.Hour)}
+	a, b, c := start(t, clock, "a"), start(t, clock, "b"), start(t, clock, "c")
+	for _, n := range []*node{a, b, c} {
+		n.cfg.PassOnLeaves = true
+	}
+	a.others, b.others = []string{b.address, c.address}, []string{a.address, c.address}
+	_, err := a.registry.Announce(engine, 0, true)
+	require.NoError(t, err)
+	a.announceChanges(t.Context())
+	a.others = []string{b.address}
+	require.True(t, a.registry.MarkLeft("e1", 0))
+	require.NoError(t, a.Confirm(t.Context(), "e1", 1))
+	require.True(t, c.registry.Live("s")[0].Serving)
+	b.announceChanges(t.Context())
+	require.False(t, c.registry.Live("s")[0].Serving)
+	require.Empty(t, a.registry.TakeDirect()[1:], "only its own")
+	require.NoError(t, a.confirmations.group.Wait())
+}
--- a/internal/node/server/core.go
+++ b/internal/node/server/core.go
@@ -41,6 +41,8 @@
 	workIdle = time.Second
 	// formationTimeout bounds the wait for the full number of voters before the first configuration is accepted.
 	formationTimeout = 5 * time.Second
+	// leaveConfirmTimeout bounds the wait for other core nodes to record a leave; the target then asks another node.
+	leaveConfirmTimeout = 600 * time.Millisecond
 	// contactInterval is the time between two checks of the contact with the leader.
 	contactInterval = 100 * time.Millisecond
 	// relayGrace bounds the wait for requests on connections through this node at a stop.
@@ -85,9 +87,11 @@
 type Control interface {
 	// Announce handles an announcement that came from the target itself. It reports whether the configuration has the
 	// announced service; without it the announcement is ignored.
-	Announce(a camphorhinge.Announcement) (configured bool, err error)
-	// Leave records that a target has left for good. Incarnation 0 stands for the registered incarnation.
-	Leave(name camphorhinge.TargetName, incarnation camphorhinge.Incarnation)
+	// A leaving target's announcement is held by as many other core nodes as may be lost, or the error says otherwise.
+	Announce(ctx context.Context, a camphorhinge.Announcement) (configured bool, err error)
+	// Leave records that a target has left for good. Incarnation 0 stands for the registered incarnation. The record is held by as many
+	// other core nodes as may be lost, or the error says otherwise.
+	Leave(ctx context.Context, name camphorhinge.TargetName, incarnation camphorhinge.Incarnation) error
 	// Apply commits a routing configuration. After an error it is unknown whether the configuration takes effect.
 	Apply(ctx context.Context, document []byte) (routing.Result, error)
 	// Document returns the latest committed routing configuration as the operator wrote it, or nil if there is none. The
@@ -150,6 +154,7 @@
 	})
 	c.discovery = discovery.New(discovery.Config{
 		Node: c.cfg.Node, Registry: c.registry, Pool: c.pool, Others: c.otherCoreAddresses, Metrics: c.metrics,
+		PassOnLeaves: true,
 	})
 	c.parseNotice = cfg.ParseNotice
 	direct := dial.NewProbing(connectTimeout, silentTimeout)
@@ -419,24 +424,42 @@
 }
 
 // Announce implements Control.
-func (c *Core) Announce(a camphorhinge.Announcement) (bool, error) {
+func (c *Core) Announce(ctx context.Context, a camphorhinge.Announcement) (bool, error) {
 	current := c.routes.Current()
 	if current == nil || current.Service(a.Service) == nil {
 		return false, nil
 	}
 	changed, err := c.registry.Announce(a, 0, true)
 	c.versions.Observe(origin.Origin{Service: a.Service, Software: a.Software})
-	if err == nil && changed && a.Leaving {
+	if err != nil || !a.Leaving {
+		return true, err
+	}
+	if changed {
 		c.log.Info("target leaves", "target", a.Name, "service", a.Service, "incarnation", a.Incarnation, "seq", a.Seq)
 	}
-	return true, err
+	return true, c.confirmLeave(ctx, a.Name)
 }
 
-// Leave implements Control.
-func (c *Core) Leave(name camphorhinge.TargetName, incarnation camphorhinge.Incarnation) {
+// Leave implements Control. It fails for a target that is not known here while this node has not received the targets that the others have.
+func (c *Core) Leave(ctx context.Context, name camphorhinge.TargetName, incarnation camphorhinge.Incarnation) error {
 	if c.registry.MarkLeft(name, incarnation) {
 		c.log.Info("target left", "target", name, "incarnation", incarnation)
 	}
+	if _, known := c.registry.Recorded(name); !known && c.discovery.Warm() {
+		return nil
+	}
+	return c.confirmLeave(ctx, name)
+}
+
+// confirmLeave returns nil once the record of a leaving target outlives the loss of as many core nodes as the group of voters does.
+func (c *Core) confirmLeave(ctx context.Context, name camphorhinge.TargetName) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveConfirmTimeout)
+	defer cancel()
+	err := c.discovery.Confirm(ctx, name, c.durable.voters/2)
+	if err != nil {
+		c.log.Warn("leave of target not confirmed", "target", name, "error", err)
+	}
+	return err
 }
 
 // errForming is returned while the group has fewer voters than configured.
