--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -20,11 +20,13 @@
 
 // replica is a stand-in for a replica of a plain service.
 type replica struct {
-	site              *site
-	id, ip, zone      string
-	born              int64
-	sequence          atomic.Uint64
-	silent            atomic.Bool
+	site         *site
+	id, ip, zone string
+	born         int64
+	sequence     atomic.Uint64
+	silent       atomic.Bool
+	// leaving is set once the replica leaves, which it states in all its answers.
+	leaving           atomic.Bool
 	server            *http.Server
 	mu                sync.Mutex
 	arrivals          []arrival
@@ -106,6 +108,9 @@
 func (r *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
+	if r.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if name := req.Header.Get("X-Expected-Instance"); name != "" && name != r.id {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
