--- a/review/standin-2/spoiled_answer.go
+++ b/review/standin-2/spoiled_answer.go
@@ -33,7 +33,7 @@
 	if err := s.begin(manifest(7), replicas...); err != nil {
 		return false, err
 	}
-	requests := s.send(12, 10*time.Millisecond)
+	requests := s.send(24, 10*time.Millisecond)
 	time.Sleep(2 * time.Second)
 	faulty.Store(disrupted)
 	// Four times the 5.5 s for which replicas are faulty, with pauses.
